Lay out the modules, build checks and shared contracts

Cause: there was nothing yet. The sheet, verdicts, events, effects and the interfaces to the platform are fixed first so that the modules can be built side by side. Ruled out: a Spring-style container (constructor injection by hand is enough).

--- /dev/null
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/package-info.java
@@ -0,0 +1,1 @@
+package org.sequoiareach.load;
--- /dev/null
+++ b/sequoiareach-model/src/main/java/org/sequoiareach/model/package-info.java
@@ -0,0 +1,2 @@
+/** Holds the small types that every module shares: identities and argument checks. */
+package org.sequoiareach.model;
--- /dev/null
+++ b/sequoiareach-model/src/main/java/org/sequoiareach/model/request/Verdict.java
@@ -0,0 +1,61 @@
+package org.sequoiareach.model.request;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Says whether a request may have run on a target.
+ *
+ * <p>{@link #NOT_RUN} is a promise: it is used only when no target can have started the request.
+ */
+public enum Verdict {
+  /** No target has started the request, and none will. */
+  NOT_RUN("not-run"),
+  /** A target may have run the request, in part or whole. */
+  MAY_HAVE_RUN("may-have-run"),
+  /** A target ran the request and its answer was received. */
+  RAN("ran");
+
+  private final String label;
+
+  Verdict(String label) {
+    this.label = label;
+  }
+
+  /**
+   * Returns the label used in headers, logs and JSON.
+   *
+   * @return the label, such as {@code not-run}
+   */
+  @JsonValue
+  public String label() {
+    return label;
+  }
+
+  /**
+   * Resolves a label.
+   *
+   * @param label the label
+   * @return the verdict
+   * @throws IllegalArgumentException if no verdict has this label
+   */
+  @JsonCreator
+  public static Verdict fromLabel(String label) {
+    for (Verdict verdict : values()) {
+      if (verdict.label.equals(label)) {
+        return verdict;
+      }
+    }
+    throw new IllegalArgumentException("No verdict has the label '" + label + "'.");
+  }
+
+  /**
+   * Combines the verdicts of two attempts at one request: the one that promises less wins.
+   *
+   * @param other the verdict of the other attempt
+   * @return the combined verdict
+   */
+  public Verdict and(Verdict other) {
+    return compareTo(other) >= 0 ? this : other;
+  }
+}
--- /dev/null
+++ b/sequoiareach-platform/src/main/java/org/sequoiareach/platform/kv/KeyValueException.java
@@ -0,0 +1,33 @@
+package org.sequoiareach.platform.kv;
+
+import org.sequoiareach.model.Check;
+import org.sequoiareach.model.request.Verdict;
+
+/** Reports that a call to the key-value service failed, and whether it may have taken effect. */
+public final class KeyValueException extends RuntimeException {
+
+  private static final long serialVersionUID = 1L;
+
+  private final Verdict verdict;
+
+  /**
+   * Creates the exception.
+   *
+   * @param verdict whether the call may have taken effect
+   * @param message a sentence that names the call
+   * @param cause the cause, or null
+   */
+  public KeyValueException(Verdict verdict, String message, Throwable cause) {
+    super(Check.hasText(message, "message"), cause);
+    this.verdict = Check.notNull(verdict, "verdict");
+  }
+
+  /**
+   * Returns whether the call may have taken effect.
+   *
+   * @return the verdict
+   */
+  public Verdict verdict() {
+    return verdict;
+  }
+}
