--- /dev/null
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/policy/StrategyFactory.java
@@ -0,0 +1,61 @@
+package org.sequoiareach.decision.policy;
+
+import org.sequoiareach.decision.placement.AdmissionSettings;
+import org.sequoiareach.decision.placement.AdmissionStrategy;
+import org.sequoiareach.decision.placement.MaximumLengthAdmission;
+import org.sequoiareach.decision.placement.PassThroughAdmission;
+import org.sequoiareach.decision.routing.LeastOutstandingRouting;
+import org.sequoiareach.decision.routing.RoundRobinRouting;
+import org.sequoiareach.decision.routing.RoutingStrategy;
+import org.sequoiareach.decision.routing.TwoChoicesRouting;
+import org.sequoiareach.model.Check;
+import org.sequoiareach.model.request.RequestKind;
+
+/** Creates the strategies of one policy. Not thread-safe: it belongs to the control thread. */
+public final class StrategyFactory {
+
+  private final Policy policy;
+  private final AdmissionSettings settings;
+
+  /**
+   * Creates the factory.
+   *
+   * @param policy the policy
+   * @param settings the settings of admission
+   */
+  public StrategyFactory(Policy policy, AdmissionSettings settings) {
+    this.policy = Check.notNull(policy, "policy");
+    this.settings = Check.notNull(settings, "settings");
+  }
+
+  /**
+   * Creates the routing strategy of a daemon.
+   *
+   * @return a new strategy
+   */
+  public RoutingStrategy createRouting() {
+    return switch (policy) {
+      case ROUND_ROBIN -> new RoundRobinRouting();
+      case LEAST_OUTSTANDING -> new LeastOutstandingRouting();
+      case MAX_LENGTH_RESERVATION, EXPECTED_MEMORY -> new TwoChoicesRouting();
+    };
+  }
+
+  /**
+   * Creates the admission strategy of one target. Plain services have no admission control.
+   *
+   * @param targetId the target
+   * @param kind the kind of work that the target does
+   * @return a new strategy
+   */
+  public AdmissionStrategy createAdmission(String targetId, RequestKind kind) {
+    if (kind == RequestKind.SERVICE_CALL) {
+      return new PassThroughAdmission(targetId);
+    }
+    return switch (policy) {
+      case ROUND_ROBIN, LEAST_OUTSTANDING -> new PassThroughAdmission(targetId);
+      case MAX_LENGTH_RESERVATION, EXPECTED_MEMORY ->
+          new MaximumLengthAdmission(targetId, settings);
+    };
+  }
+}
