--- /dev/null
+++ b/sequoiareach-platform/src/main/java/org/sequoiareach/platform/http/package-info.java
@@ -0,0 +1,2 @@
+/** Makes single HTTP calls with a deadline, a bounded answer and no hidden retries. */
+package org.sequoiareach.platform.http;
--- /dev/null
+++ b/sequoiareach-platform/src/main/java/org/sequoiareach/platform/kv/EtcdKeyValueService.java
@@ -0,0 +1,275 @@
+package org.sequoiareach.platform.kv;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import org.sequoiareach.model.Check;
+import org.sequoiareach.model.json.Json;
+import org.sequoiareach.model.request.Verdict;
+import org.sequoiareach.platform.http.HttpAnswer;
+import org.sequoiareach.platform.http.HttpCallException;
+import org.sequoiareach.platform.http.HttpCaller;
+import org.sequoiareach.platform.time.MonotonicClock;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+/**
+ * Speaks the JSON mapping of the etcd v3 API. Thread-safe.
+ *
+ * <p>Each call goes to one address and is sent at most once. After a call failed, later calls go to
+ * the next address. A read that failed is reported as not run, as it changes nothing.
+ */
+public final class EtcdKeyValueService implements KeyValueService {
+
+  /** The longest answer read; a value of 1 MB is a third longer in base64. */
+  private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+  /** Statuses given before the service has looked at its data. */
+  private static final Set<Integer> REFUSED_STATUSES = Set.of(400, 401, 403, 404, 409, 413, 429);
+
+  private final List<String> addresses;
+  private final HttpCaller caller;
+  private final KeyValueCallListener listener;
+  private final AtomicInteger current = new AtomicInteger();
+
+  /**
+   * Creates a client.
+   *
+   * @param addresses IP numbers and ports of the service, at least one
+   * @param http the client whose connections and threads are used
+   * @param listener told of every call
+   */
+  public EtcdKeyValueService(
+      List<String> addresses, HttpClient http, KeyValueCallListener listener) {
+    Check.isTrue(!addresses.isEmpty(), "'addresses' must hold at least one address.");
+    this.addresses = List.copyOf(addresses);
+    this.caller = new HttpCaller(http, MAX_ANSWER_BYTES);
+    this.listener = Check.notNull(listener, "listener");
+  }
+
+  @Override
+  public CompletableFuture<Optional<KeyValueEntry>> find(String key, long deadlineMs) {
+    Check.hasText(key, "key");
+    EtcdMessages.RangeRequest request = EtcdMessages.RangeRequest.ofKey(key);
+    return range(request, deadlineMs).map(found -> found.stream().findFirst()).toFuture();
+  }
+
+  @Override
+  public CompletableFuture<List<KeyValueEntry>> list(String prefix, long deadlineMs) {
+    Check.hasText(prefix, "prefix");
+    return range(EtcdMessages.RangeRequest.ofPrefix(prefix), deadlineMs).toFuture();
+  }
+
+  @Override
+  public CompletableFuture<List<KeyValueEntry>> findAll(List<String> keys, long deadlineMs) {
+    List<EtcdMessages.RequestOp> reads = keys.stream().map(EtcdMessages.RequestOp::read).toList();
+    EtcdMessages.TxnRequest request = new EtcdMessages.TxnRequest(List.of(), reads, List.of());
+    return call(
+            KeyValueCall.READ, "/v3/kv/txn", request, EtcdMessages.TxnResponse.class, deadlineMs)
+        .map(EtcdMessages.TxnResponse::entries)
+        .toFuture();
+  }
+
+  @Override
+  public CompletableFuture<TransactionResult> commit(Transaction transaction, long deadlineMs) {
+    EtcdMessages.TxnRequest request = toRequest(transaction);
+    return call(
+            KeyValueCall.WRITE, "/v3/kv/txn", request, EtcdMessages.TxnResponse.class, deadlineMs)
+        .map(EtcdKeyValueService::toResult)
+        .toFuture();
+  }
+
+  @Override
+  public CompletableFuture<Long> grantLease(long ttlSeconds, long deadlineMs) {
+    EtcdMessages.LeaseGrantRequest request =
+        new EtcdMessages.LeaseGrantRequest(Long.toString(ttlSeconds));
+    return call(
+            KeyValueCall.LEASE_GRANT,
+            "/v3/lease/grant",
+            request,
+            EtcdMessages.LeaseGrantResponse.class,
+            deadlineMs)
+        .map(EtcdKeyValueService::leaseId)
+        .toFuture();
+  }
+
+  @Override
+  public CompletableFuture<Boolean> keepLeaseAlive(long leaseId, long deadlineMs) {
+    return call(
+            KeyValueCall.LEASE_KEEP_ALIVE,
+            "/v3/lease/keepalive",
+            new EtcdMessages.LeaseRequest(Long.toString(leaseId)),
+            EtcdMessages.KeepAliveResponse.class,
+            deadlineMs)
+        .map(response -> response.result() != null && response.result().ttlSeconds() > 0)
+        .toFuture();
+  }
+
+  @Override
+  public CompletableFuture<Void> revokeLease(long leaseId, long deadlineMs) {
+    return call(
+            KeyValueCall.LEASE_REVOKE,
+            "/v3/lease/revoke",
+            new EtcdMessages.LeaseRequest(Long.toString(leaseId)),
+            Object.class,
+            deadlineMs)
+        .then()
+        .toFuture();
+  }
+
+  @Override
+  public CompletableFuture<Optional<KeyValueEntry>> watch(
+      String key, long afterRevision, long deadlineMs) {
+    Check.hasText(key, "key");
+    String address = address();
+    AtomicBoolean established = new AtomicBoolean();
+    listener.called(KeyValueCall.WATCH);
+    return caller
+        .postForLines(address, "/v3/watch", watchRequest(key, afterRevision))
+        .map(line -> parse(line, EtcdMessages.WatchResponse.class))
+        .doOnNext(response -> established.set(true))
+        .filter(EtcdKeyValueService::ends)
+        .next()
+        .timeout(MonotonicClock.until(deadlineMs))
+        .flatMap(response -> changeOf(response.result(), key, afterRevision, deadlineMs))
+        .switchIfEmpty(Mono.error(() -> closedWatch(address)))
+        .onErrorResume(
+            e -> established.get() && e instanceof TimeoutException,
+            e -> Mono.just(Optional.empty()))
+        .onErrorMap(e -> toFailure(KeyValueCall.WATCH, address, e))
+        .toFuture();
+  }
+
+  private Mono<Optional<KeyValueEntry>> changeOf(
+      EtcdMessages.WatchResult result, String key, long afterRevision, long deadlineMs) {
+    List<EtcdMessages.WatchEvent> events = result.events() == null ? List.of() : result.events();
+    if (events.isEmpty()) {
+      // The watch was cancelled, as after a compaction: only a read can tell what changed.
+      return Mono.fromFuture(() -> find(key, deadlineMs))
+          .map(found -> found.filter(entry -> entry.modRevision() > afterRevision));
+    }
+    EtcdMessages.WatchEvent last = events.get(events.size() - 1);
+    return Mono.just(
+        last.isDelete() || last.kv() == null ? Optional.empty() : Optional.of(last.kv().toEntry()));
+  }
+
+  private Mono<List<KeyValueEntry>> range(EtcdMessages.RangeRequest request, long deadlineMs) {
+    return call(
+            KeyValueCall.READ,
+            "/v3/kv/range",
+            request,
+            EtcdMessages.RangeResponse.class,
+            deadlineMs)
+        .map(EtcdMessages.RangeResponse::entries);
+  }
+
+  private <T> Mono<T> call(
+      KeyValueCall call, String path, Object request, Class<T> type, long deadlineMs) {
+    String address = address();
+    listener.called(call);
+    return caller
+        .post(address, path, write(request), deadlineMs)
+        .map(answer -> parse(requireOk(answer, call, address), type))
+        .onErrorMap(e -> toFailure(call, address, e));
+  }
+
+  private String address() {
+    return addresses.get(Math.floorMod(current.get(), addresses.size()));
+  }
+
+  private KeyValueException toFailure(KeyValueCall call, String address, Throwable cause) {
+    if (cause instanceof KeyValueException known) {
+      return known;
+    }
+    // Later calls go to the next address, unless another failure has already moved them.
+    int index = addresses.indexOf(address);
+    current.compareAndSet(index, (index + 1) % addresses.size());
+    boolean sent = !(cause instanceof HttpCallException failure) || failure.sent();
+    Verdict verdict = sent && changes(call) ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+    String message = "The key-value service failed a call (" + call + "): " + cause.getMessage();
+    return new KeyValueException(verdict, message, cause);
+  }
+
+  private static boolean changes(KeyValueCall call) {
+    return call != KeyValueCall.READ && call != KeyValueCall.WATCH;
+  }
+
+  private static String requireOk(HttpAnswer answer, KeyValueCall call, String address) {
+    if (answer.isOk()) {
+      return answer.body();
+    }
+    boolean refused = REFUSED_STATUSES.contains(answer.status());
+    throw new KeyValueException(
+        refused || !changes(call) ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN,
+        "The key-value service at " + address + " answered " + answer.status() + " to " + call,
+        null);
+  }
+
+  private static KeyValueException closedWatch(String address) {
+    return new KeyValueException(
+        Verdict.NOT_RUN, "The key-value service at " + address + " closed a watch.", null);
+  }
+
+  private static boolean ends(EtcdMessages.WatchResponse response) {
+    EtcdMessages.WatchResult result = response.result();
+    return result != null
+        && (result.canceled() || (result.events() != null && !result.events().isEmpty()));
+  }
+
+  private static String watchRequest(String key, long afterRevision) {
+    String start = Long.toString(afterRevision + 1);
+    return write(
+        new EtcdMessages.WatchRequest(
+            new EtcdMessages.WatchCreate(EtcdMessages.encode(key), start)));
+  }
+
+  private static long leaseId(EtcdMessages.LeaseGrantResponse response) {
+    if (response.id() == 0) {
+      throw new IllegalStateException("the answer to a lease grant names no lease");
+    }
+    return response.id();
+  }
+
+  private static EtcdMessages.TxnRequest toRequest(Transaction transaction) {
+    List<EtcdMessages.RequestOp> writes =
+        Stream.concat(
+                transaction.puts().stream().map(EtcdMessages.RequestOp::write),
+                transaction.deletes().stream().map(EtcdMessages.RequestOp::remove))
+            .toList();
+    Set<String> keys = new LinkedHashSet<>();
+    transaction.conditions().forEach(condition -> keys.add(condition.key()));
+    return new EtcdMessages.TxnRequest(
+        transaction.conditions().stream().map(EtcdMessages.Compare::of).toList(),
+        writes,
+        keys.stream().map(EtcdMessages.RequestOp::read).toList());
+  }
+
+  private static TransactionResult toResult(EtcdMessages.TxnResponse response) {
+    long revision = response.header() == null ? 0 : response.header().revision();
+    List<KeyValueEntry> found = response.succeeded() ? List.of() : response.entries();
+    return new TransactionResult(response.succeeded(), revision, found);
+  }
+
+  private static String write(Object message) {
+    try {
+      return Json.mapper().writeValueAsString(message);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static <T> T parse(String text, Class<T> type) {
+    try {
+      return Json.mapper().readValue(text, type);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("the answer is not readable: " + e.getOriginalMessage(), e);
+    }
+  }
+}
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/kv/KeyValueService.java
+++ b/sequoiareach-platform/src/main/java/org/sequoiareach/platform/kv/KeyValueService.java
@@ -12,6 +12,9 @@
  */
 public interface KeyValueService {
 
+  /** The most keys of one read; the service bounds the operations of a transaction. */
+  int MAX_KEYS_PER_READ = 128;
+
   /**
    * Reads one key. The read is linearizable.
    *
@@ -21,6 +24,15 @@
    */
   CompletableFuture<Optional<KeyValueEntry>> find(String key, long deadlineMs);
 
+  /**
+   * Reads several keys, at most {@value #MAX_KEYS_PER_READ}, as they were at one moment.
+   *
+   * @param keys the keys
+   * @param deadlineMs when to give up
+   * @return the entries of those keys that exist, in no certain order
+   */
+  CompletableFuture<List<KeyValueEntry>> findAll(List<String> keys, long deadlineMs);
+
   /**
    * Reads all keys that start with a prefix, in the order of the keys.
    *
--- /dev/null
+++ b/sequoiareach-platform/src/main/java/org/sequoiareach/platform/time/MonotonicClock.java
@@ -0,0 +1,30 @@
+package org.sequoiareach.platform.time;
+
+import java.time.Duration;
+
+/** Reads the monotonic clock in milliseconds. Thread-safe. */
+public final class MonotonicClock {
+
+  private static final long NANOS_PER_MS = 1_000_000;
+
+  private MonotonicClock() {}
+
+  /**
+   * Returns the time now.
+   *
+   * @return milliseconds of {@code System.nanoTime()}
+   */
+  public static long nowMs() {
+    return System.nanoTime() / NANOS_PER_MS;
+  }
+
+  /**
+   * Returns the time left until a deadline.
+   *
+   * @param deadlineMs the deadline
+   * @return the time left; zero if the deadline has passed
+   */
+  public static Duration until(long deadlineMs) {
+    return Duration.ofMillis(Math.max(0, deadlineMs - nowMs()));
+  }
+}
--- /dev/null
+++ b/sequoiareach-platform/src/main/java/org/sequoiareach/platform/time/package-info.java
@@ -0,0 +1,2 @@
+/** Reads the monotonic clock on which every deadline is stored. */
+package org.sequoiareach.platform.time;
