Carry typed messages between daemons over one connection per pair

Cause: owners of targets, membership and the spread of sheets need a transport between daemons; there was none.

MessagePack frames of bounded length over Reactor Netty (NIO). The first frame each way is a handshake with version range, identity, incarnation and zone. Parts of an answer wait for credit per attempt; what is written and not flushed is bounded per connection. Opens that cross are settled by a count of connections in the handshake, so that a standing connection is replaced only by one opened after it was accepted.

Ruled out: the MessagePack parser alone against bad input. It allocates the length that a frame declares, so lengths are walked over first.

Not done: TLS; an unused connection closes without a farewell, so that an attempt opened in the same millisecond is reported as may-have-run.

--- /dev/null
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/Header.java
@@ -0,0 +1,20 @@
+package org.sequoiareach.peer;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import org.sequoiareach.model.Check;
+
+/**
+ * Holds one HTTP header.
+ *
+ * @param name the name
+ * @param value the value
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record Header(String name, String value) {
+
+  /** Checks the parts. */
+  public Header {
+    Check.hasText(name, "name");
+    Check.notNull(value, "value");
+  }
+}
--- /dev/null
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerCodec.java
@@ -0,0 +1,121 @@
+package org.sequoiareach.peer;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import java.util.List;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+import org.sequoiareach.model.platform.MemberUpdate;
+import org.sequoiareach.model.platform.TargetHint;
+import org.sequoiareach.model.request.Outcome;
+import org.sequoiareach.model.request.RequestSpec;
+import org.sequoiareach.model.sheet.SheetDigest;
+import org.sequoiareach.model.sheet.SheetManifest;
+
+/** Turns messages into MessagePack and back. Thread-safe. */
+final class PeerCodec {
+
+  private static final List<Class<?>> COMPACT =
+      List.of(
+          MemberUpdate.class,
+          TargetHint.class,
+          Outcome.class,
+          RequestSpec.class,
+          SheetDigest.class,
+          SheetManifest.class);
+
+  private static final ObjectMapper MAPPER = createMapper();
+
+  private PeerCodec() {}
+
+  /**
+   * Encodes a message.
+   *
+   * @param message the message
+   * @return the payload of a frame
+   */
+  static byte[] encode(PeerMessage message) {
+    return write(message);
+  }
+
+  /**
+   * Encodes a handshake.
+   *
+   * @param handshake the handshake
+   * @return the payload of a frame
+   */
+  static byte[] encode(Handshake handshake) {
+    return write(handshake);
+  }
+
+  /**
+   * Decodes a message.
+   *
+   * @param payload the payload of a frame
+   * @return the message
+   * @throws PeerFrameException if the payload is not exactly one valid message
+   */
+  static PeerMessage decode(byte[] payload) throws PeerFrameException {
+    return read(payload, PeerMessage.class);
+  }
+
+  /**
+   * Decodes a handshake.
+   *
+   * @param payload the payload of a frame
+   * @return the handshake
+   * @throws PeerFrameException if the payload is not exactly one valid handshake
+   */
+  static Handshake decodeHandshake(byte[] payload) throws PeerFrameException {
+    return read(payload, Handshake.class);
+  }
+
+  private static byte[] write(Object value) {
+    try {
+      return MAPPER.writeValueAsBytes(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("The message cannot be encoded.", e);
+    }
+  }
+
+  private static <T> T read(byte[] payload, Class<T> type) throws PeerFrameException {
+    T value;
+    try {
+      requireOneValue(payload);
+      value = MAPPER.readValue(payload, type);
+    } catch (IOException | RuntimeException e) {
+      // The MessagePack parser throws unchecked exceptions on some malformed input.
+      throw new PeerFrameException("The frame cannot be decoded: " + e.getMessage(), e);
+    }
+    if (value == null) {
+      throw new PeerFrameException("The frame holds no message.", null);
+    }
+    return value;
+  }
+
+  /** Walks over the lengths first, because the parser allocates a declared length unseen. */
+  private static void requireOneValue(byte[] payload) throws IOException, PeerFrameException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(payload)) {
+      unpacker.skipValue();
+      if (unpacker.hasNext()) {
+        throw new PeerFrameException("The frame holds more than one value.", null);
+      }
+    }
+  }
+
+  private static ObjectMapper createMapper() {
+    ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
+    mapper.registerModule(new Jdk8Module());
+    mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+    mapper.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+    for (Class<?> type : COMPACT) {
+      mapper.configOverride(type).setFormat(JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY));
+    }
+    return mapper;
+  }
+}
--- /dev/null
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerListener.java
@@ -0,0 +1,26 @@
+package org.sequoiareach.peer;
+
+/**
+ * Receives what peers send.
+ *
+ * <p>Called on traffic threads, several at once for different peers. Implementations must return at
+ * once and must not call the transport before they have returned from {@link #onPeerLost}.
+ */
+public interface PeerListener {
+
+  /**
+   * A message was received. Messages of one peer arrive in the order in which they were sent.
+   *
+   * @param fromDaemon the daemon that sent it
+   * @param message the message
+   */
+  void onMessage(String fromDaemon, PeerMessage message);
+
+  /**
+   * The connection with a peer was lost. Every attempt opened over it before, in either direction,
+   * is cut; what was sent afterwards goes over a new connection.
+   *
+   * @param daemonId the peer
+   */
+  void onPeerLost(String daemonId);
+}
--- /dev/null
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerMessage.java
@@ -0,0 +1,31 @@
+package org.sequoiareach.peer;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+/**
+ * Is one message from a daemon to another.
+ *
+ * <p>On the wire a message is an array of its type number and its fields in order. A type number is
+ * never used again for another message; a field is only ever added at the end.
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, include = JsonTypeInfo.As.WRAPPER_ARRAY)
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = KeepAlive.class, name = "1"),
+  @JsonSubTypes.Type(value = AttemptMessage.OpenAttempt.class, name = "10"),
+  @JsonSubTypes.Type(value = AttemptMessage.AttemptHead.class, name = "11"),
+  @JsonSubTypes.Type(value = AttemptMessage.AttemptData.class, name = "12"),
+  @JsonSubTypes.Type(value = AttemptMessage.AttemptEnd.class, name = "13"),
+  @JsonSubTypes.Type(value = AttemptMessage.AttemptRejected.class, name = "14"),
+  @JsonSubTypes.Type(value = AttemptMessage.CancelAttempt.class, name = "15"),
+  @JsonSubTypes.Type(value = AttemptMessage.GrantCredit.class, name = "16"),
+  @JsonSubTypes.Type(value = MembershipMessage.Probe.class, name = "20"),
+  @JsonSubTypes.Type(value = MembershipMessage.ProbeAck.class, name = "21"),
+  @JsonSubTypes.Type(value = MembershipMessage.IndirectProbe.class, name = "22"),
+  @JsonSubTypes.Type(value = SheetMessage.SheetAnnounced.class, name = "30"),
+  @JsonSubTypes.Type(value = SheetMessage.SheetPull.class, name = "31"),
+  @JsonSubTypes.Type(value = SheetMessage.SheetSections.class, name = "32")
+})
+public interface PeerMessage {}
