Serve what all stand-ins have in common

Start on a free port, stop, /healthz, /record and /faults, the last as a typed record that a PUT replaces as a whole.

--- /dev/null
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/server/AbstractHttpStandin.java
@@ -0,0 +1,164 @@
+package org.sequoiareach.standin.server;
+
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import org.reactivestreams.Publisher;
+import org.sequoiareach.model.Check;
+import org.sequoiareach.standin.fault.FaultSwitches;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * Serves {@code GET /healthz}, {@code GET /record} and {@code GET}/{@code PUT /faults}, and leaves
+ * all other calls to its subclass. These calls are answered whatever faults are on. Thread-safe.
+ *
+ * @param <F> the record of fault switches
+ */
+public abstract class AbstractHttpStandin<F> implements Standin {
+
+  private static final int EVENT_LOOPS = 2;
+  private static final Duration STOP_TIMEOUT = Duration.ofSeconds(3);
+  private static final LoopResources LOOPS = LoopResources.create("standin", EVENT_LOOPS, true);
+
+  private final InetSocketAddress listen;
+  private final FaultSwitches<F> faults;
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private DisposableServer server;
+
+  /**
+   * Creates a stand-in that is not started.
+   *
+   * @param listen the IP number and port to listen on
+   * @param faults the fault switches
+   */
+  protected AbstractHttpStandin(String listen, FaultSwitches<F> faults) {
+    this.listen = Addresses.parse(listen);
+    this.faults = Check.notNull(faults, "faults");
+  }
+
+  @Override
+  public synchronized InetSocketAddress start() {
+    if (server != null) {
+      throw new IllegalStateException("The stand-in was started before.");
+    }
+    server =
+        HttpServer.create()
+            .runOn(LOOPS, false)
+            .bindAddress(() -> listen)
+            .doOnChannelInit((observer, channel, remote) -> connections.add(channel))
+            .handle(this::route)
+            .bindNow();
+    onStart();
+    return (InetSocketAddress) server.address();
+  }
+
+  @Override
+  public synchronized void close() {
+    if (server == null || server.isDisposed()) {
+      return;
+    }
+    onClose();
+    server.disposeNow(STOP_TIMEOUT);
+    closeConnections();
+  }
+
+  /**
+   * Returns the fault switches as they were last set.
+   *
+   * @return the switches
+   */
+  public final F faults() {
+    return faults.get();
+  }
+
+  /**
+   * Replaces all fault switches.
+   *
+   * @param switches the new switches
+   */
+  public final void setFaults(F switches) {
+    faults.set(switches);
+    onFaults(switches);
+  }
+
+  /**
+   * Returns what the stand-in saw, in the form that {@code GET /record} shows.
+   *
+   * @return a value that can be written as JSON
+   */
+  public abstract Object record();
+
+  /**
+   * Handles a call.
+   *
+   * @param request the request
+   * @param response the response
+   * @return completed when the answer was sent
+   */
+  protected abstract Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response);
+
+  /**
+   * Learns of new fault switches. The default does nothing.
+   *
+   * @param switches the switches now in force
+   */
+  protected void onFaults(F switches) {}
+
+  /**
+   * Tells whether the stand-in acts as alive. The default is always true.
+   *
+   * @return whether {@code GET /healthz} is answered 200
+   */
+  protected boolean healthy() {
+    return true;
+  }
+
+  /** Learns that the stand-in started to listen. The default does nothing. */
+  protected void onStart() {}
+
+  /** Learns that the stand-in is about to stop. The default does nothing. */
+  protected void onClose() {}
+
+  /** Closes all connections without any further answer. */
+  protected final void closeConnections() {
+    connections.close().awaitUninterruptibly(STOP_TIMEOUT.toMillis());
+  }
+
+  private Publisher<Void> route(HttpServerRequest request, HttpServerResponse response) {
+    Flux<Void> answer = Flux.defer(() -> dispatch(request, response));
+    return answer.onErrorResume(
+        thrown -> {
+          int status = thrown instanceof IllegalArgumentException ? 400 : 500;
+          return Exchanges.error(response, status, thrown.toString());
+        });
+  }
+
+  private Publisher<Void> dispatch(HttpServerRequest request, HttpServerResponse response) {
+    String call = request.method().name() + " " + request.fullPath();
+    return switch (call) {
+      case "GET /healthz" ->
+          healthy()
+              ? Exchanges.json(response, 200, Map.of("status", "ok"))
+              : Exchanges.json(response, 503, Map.of("status", "dead"));
+      case "GET /record" -> Exchanges.json(response, 200, record());
+      case "GET /faults" -> Exchanges.json(response, 200, faults.get());
+      case "PUT /faults" ->
+          Exchanges.bodyText(request).flatMap(text -> replaceFaults(text, response));
+      default -> handle(request, response);
+    };
+  }
+
+  private Mono<Void> replaceFaults(String text, HttpServerResponse response) {
+    setFaults(faults.parse(text));
+    return Mono.from(Exchanges.json(response, 200, faults.get()));
+  }
+}
--- /dev/null
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/server/Exchanges.java
@@ -0,0 +1,116 @@
+package org.sequoiareach.standin.server;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.reactivestreams.Publisher;
+import org.sequoiareach.model.json.Json;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Reads requests and writes answers in the ways that the stand-ins share. */
+public final class Exchanges {
+
+  private static final String CONTENT_TYPE = "content-type";
+
+  private Exchanges() {}
+
+  /**
+   * Reads the whole body.
+   *
+   * @param request the request
+   * @return the text, empty where there is no body
+   */
+  public static Mono<String> bodyText(HttpServerRequest request) {
+    return request
+        .receive()
+        .aggregate()
+        .asByteArray()
+        .map(bytes -> new String(bytes, StandardCharsets.UTF_8))
+        .defaultIfEmpty("");
+  }
+
+  /**
+   * Reads a JSON document.
+   *
+   * @param text the text
+   * @return the tree; an empty object where the text is empty
+   * @throws IllegalArgumentException if the text is not JSON
+   */
+  public static JsonNode parse(String text) {
+    if (text.isBlank()) {
+      return Json.mapper().createObjectNode();
+    }
+    try {
+      return Json.mapper().readTree(text);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("not JSON: " + e.getOriginalMessage(), e);
+    }
+  }
+
+  /**
+   * Writes a value as a JSON text.
+   *
+   * @param value a record, a map or a tree
+   * @return the text
+   */
+  public static String write(Object value) {
+    try {
+      return Json.mapper().writeValueAsString(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /**
+   * Answers with a JSON document.
+   *
+   * @param response the response
+   * @param status the HTTP status
+   * @param value a record, a map or a tree
+   * @return completed when sent
+   */
+  public static Publisher<Void> json(HttpServerResponse response, int status, Object value) {
+    return response
+        .status(status)
+        .header(CONTENT_TYPE, "application/json")
+        .sendString(Mono.just(write(value)));
+  }
+
+  /**
+   * Answers with an error.
+   *
+   * @param response the response
+   * @param status the HTTP status
+   * @param message what is wrong
+   * @return completed when sent
+   */
+  public static Publisher<Void> error(HttpServerResponse response, int status, String message) {
+    String text = message == null ? "" : message;
+    return json(response, status, Map.of("error", Map.of("message", text, "code", status)));
+  }
+
+  /**
+   * Closes the connection without an answer.
+   *
+   * @param request the request that gets no answer
+   * @return never completed
+   */
+  public static Publisher<Void> drop(HttpServerRequest request) {
+    return dropStream(request);
+  }
+
+  /**
+   * Closes the connection in the middle of a streamed answer.
+   *
+   * @param request the request whose answer ends here
+   * @param <T> the type of the parts of the answer
+   * @return never completed
+   */
+  public static <T> Mono<T> dropStream(HttpServerRequest request) {
+    request.withConnection(connection -> connection.channel().close());
+    return Mono.never();
+  }
+}
--- /dev/null
+++ b/sequoiareach-standin/src/test/java/org/sequoiareach/standin/server/TestCalls.java
@@ -0,0 +1,83 @@
+package org.sequoiareach.standin.server;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.stream.Stream;
+
+/** Calls a stand-in over HTTP, without any retry. */
+public final class TestCalls {
+
+  private static final HttpClient CLIENT =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+  private final String base;
+
+  /**
+   * Creates a caller.
+   *
+   * @param address the address of the stand-in
+   */
+  public TestCalls(InetSocketAddress address) {
+    this.base = "http://" + Addresses.format(address);
+  }
+
+  /**
+   * Sends a call and reads its answer.
+   *
+   * @param method the method
+   * @param path the path
+   * @param body the body, empty for none
+   * @param headers names and values of headers
+   * @return the answer
+   */
+  public HttpResponse<String> send(String method, String path, String body, String... headers)
+      throws IOException, InterruptedException {
+    return CLIENT.send(build(method, path, body, headers), HttpResponse.BodyHandlers.ofString());
+  }
+
+  /**
+   * Sends a call and reads its answer as JSON.
+   *
+   * @param method the method
+   * @param path the path
+   * @param body the body, empty for none
+   * @return the tree
+   */
+  public JsonNode json(String method, String path, String body)
+      throws IOException, InterruptedException {
+    return Exchanges.parse(send(method, path, body).body());
+  }
+
+  /**
+   * Sends a call and reads the lines of its answer as they come.
+   *
+   * @param method the method
+   * @param path the path
+   * @param body the body, empty for none
+   * @param headers names and values of headers
+   * @return the lines
+   */
+  public Stream<String> lines(String method, String path, String body, String... headers)
+      throws IOException, InterruptedException {
+    return CLIENT
+        .send(build(method, path, body, headers), HttpResponse.BodyHandlers.ofLines())
+        .body();
+  }
+
+  private HttpRequest build(String method, String path, String body, String... headers) {
+    HttpRequest.Builder builder =
+        HttpRequest.newBuilder(URI.create(base + path))
+            .timeout(Duration.ofSeconds(10))
+            .method(method, HttpRequest.BodyPublishers.ofString(body));
+    if (headers.length > 0) {
+      builder.headers(headers);
+    }
+    return builder.build();
+  }
+}
