Stand in for the key-value service

Speaks the etcd JSON mapping: range, put, deleterange, txn, leases that expire, and watches with past revisions.

--- /dev/null
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/kv/TxnResult.java
@@ -0,0 +1,6 @@
+package org.sequoiareach.standin.kv;
+
+import java.util.List;
+
+/** Holds the revision after a transaction and the results of the operations that it chose. */
+record TxnResult(long revision, boolean succeeded, List<OperationResult> results) {}
--- /dev/null
+++ b/sequoiareach-standin/src/test/java/org/sequoiareach/standin/kv/KvStandinTest.java
@@ -0,0 +1,168 @@
+package org.sequoiareach.standin.kv;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.Iterator;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiareach.standin.server.Exchanges;
+import org.sequoiareach.standin.server.TestCalls;
+
+class KvStandinTest {
+
+  private final KvStandin kv = new KvStandin(new KvSettings("127.0.0.1:0"));
+  private TestCalls calls;
+
+  @BeforeEach
+  void start() {
+    calls = new TestCalls(kv.start());
+  }
+
+  @AfterEach
+  void close() {
+    kv.close();
+  }
+
+  @Test
+  void readsBackWhatWasWritten() throws Exception {
+    put("a/1", "x");
+    put("a/2", "y");
+    put("b", "z");
+    JsonNode found =
+        calls.json("POST", "/v3/kv/range", keyed("a/", ",\"range_end\":\"" + b64("a0") + "\""));
+    assertThat(found.at("/kvs/0/key").asText()).isEqualTo(b64("a/1"));
+    assertThat(found.at("/kvs/1/value").asText()).isEqualTo(b64("y"));
+    assertThat(found.at("/count").asText()).isEqualTo("2");
+    assertThat(found.at("/kvs/1/mod_revision").isTextual()).isTrue();
+    assertThat(found.at("/header/revision").asText()).isEqualTo("4");
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "MOD, mod_revision, 0, EQUAL, true",
+    "MOD, modRevision, 1, EQUAL, false",
+    "CREATE, create_revision, 0, GREATER, false",
+    "VERSION, version, 1, LESS, true",
+    "VERSION, version, 0, NOT_EQUAL, false",
+  })
+  void comparesAnAbsentKeyAsZero(
+      String target, String member, String operand, String result, boolean holds) throws Exception {
+    String compare =
+        "{\"target\":\"%s\",\"result\":\"%s\",\"key\":\"%s\",\"%s\":\"%s\"}"
+            .formatted(target, result, b64("k"), member, operand);
+    String put = "{\"requestPut\":{\"key\":\"%s\",\"value\":\"%s\"}}".formatted(b64("k"), b64("v"));
+    String get = "{\"request_range\":{\"key\":\"%s\"}}".formatted(b64("k"));
+    JsonNode answer =
+        calls.json(
+            "POST",
+            "/v3/kv/txn",
+            "{\"compare\":[%s],\"success\":[%s],\"failure\":[%s]}".formatted(compare, put, get));
+    assertThat(answer.path("succeeded").asBoolean(false)).isEqualTo(holds);
+    assertThat(answer.at("/responses/0").has("response_put")).isEqualTo(holds);
+    assertThat(kv.record().keys()).isEqualTo(holds ? 1 : 0);
+  }
+
+  @Test
+  void expiresLeasesWithTheirKeys() throws Exception {
+    JsonNode granted = calls.json("POST", "/v3/lease/grant", "{\"TTL\":\"1\"}");
+    String id = granted.path("ID").asText();
+    calls.json("POST", "/v3/kv/put", keyed("k", ",\"lease\":\"" + id + "\""));
+    JsonNode kept = calls.json("POST", "/v3/lease/keepalive", "{\"ID\":\"" + id + "\"}");
+    assertThat(kept.at("/result/TTL").asText()).isEqualTo("1");
+    try (var lines = calls.lines("POST", "/v3/watch", watch("k", ""))) {
+      Iterator<String> each = lines.iterator();
+      each.next();
+      JsonNode event = Exchanges.parse(each.next()).at("/result/events/0");
+      assertThat(event.path("type").asText()).isEqualTo("DELETE");
+    }
+    JsonNode late = calls.json("POST", "/v3/lease/keepalive", "{\"ID\":\"" + id + "\"}");
+    assertThat(late.at("/result").has("TTL")).isFalse();
+  }
+
+  @Test
+  void watchesFromPastRevision() throws Exception {
+    put("k", "1");
+    put("k", "2");
+    try (var lines = calls.lines("POST", "/v3/watch", watch("k", ",\"start_revision\":\"3\""))) {
+      Iterator<String> each = lines.iterator();
+      assertThat(Exchanges.parse(each.next()).at("/result/created").asBoolean()).isTrue();
+      assertThat(Exchanges.parse(each.next()).at("/result/events/0/kv/value").asText())
+          .isEqualTo(b64("2"));
+      put("k", "3");
+      assertThat(Exchanges.parse(each.next()).at("/result/events/0/kv/value").asText())
+          .isEqualTo(b64("3"));
+      calls.send("PUT", "/faults", "{\"watchCut\":true}");
+      assertThatThrownBy(each::hasNext).hasRootCauseInstanceOf(IOException.class);
+    }
+  }
+
+  @Test
+  void losesTheAnswerAfterTheWrite() throws Exception {
+    kv.setFaults(new KvFaults(false, 0, 1, 0, false));
+    assertThatThrownBy(() -> put("k", "1")).isInstanceOf(IOException.class);
+    assertThat(kv.record().keys()).isEqualTo(1);
+    assertThat(put("k", "2").statusCode()).isEqualTo(200);
+    assertThat(kv.record().lostAnswers()).isEqualTo(1);
+  }
+
+  @Test
+  void refusesWithoutEffectWhenDown() throws Exception {
+    calls.send("PUT", "/faults", "{\"down\":true}");
+    assertThatThrownBy(() -> put("k", "1")).isInstanceOf(IOException.class);
+    calls.send("PUT", "/faults", "{}");
+    assertThat(kv.record().keys()).isZero();
+    assertThat(put("k", "1").statusCode()).isEqualTo(200);
+  }
+
+  @Test
+  void refusesCallsBeyondTheRate() throws Exception {
+    kv.setFaults(new KvFaults(false, 0, 0, 1, false));
+    assertThat(put("k", "1").statusCode()).isEqualTo(200);
+    HttpResponse<String> refused = put("k", "2");
+    assertThat(refused.statusCode()).isEqualTo(429);
+    assertThat(refused.body()).contains("too many requests");
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "/v3/kv/put   | {\"key\":\"aw==\",\"lease\":\"9\"} | 404 | requested lease not found",
+        "/v3/kv/put   | {\"value\":\"aw==\"} | 400 | key is not provided",
+        "/v3/kv/put   | {\"key\":\"???\"} | 400 | not base64",
+        "/v3/kv/range | {\"key\":\"aw==\",\"revision\":\"3\"} | 501 | no past revisions",
+        "/v3/kv/none  | {} | 501 | unknown call",
+        "/v3/kv/put   | {nonsense | 400 | not JSON",
+      })
+  void refusesWrongCalls(String path, String body, int status, String message) throws Exception {
+    HttpResponse<String> answer = calls.send("POST", path, body);
+    assertThat(answer.statusCode()).isEqualTo(status);
+    assertThat(answer.body()).contains(message);
+  }
+
+  private HttpResponse<String> put(String key, String value)
+      throws IOException, InterruptedException {
+    return calls.send("POST", "/v3/kv/put", keyed(key, ",\"value\":\"" + b64(value) + "\""));
+  }
+
+  private static String watch(String key, String more) {
+    return "{\"create_request\":" + keyed(key, more) + "}";
+  }
+
+  private static String keyed(String key, String more) {
+    return "{\"key\":\"" + b64(key) + "\"" + more + "}";
+  }
+
+  private static String b64(String text) {
+    return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
+  }
+}
