--- /dev/null
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/vms/package-info.java
@@ -0,0 +1,2 @@
+/** Stands in for the platform's lagging list of VMs. */
+package org.sequoiareach.standin.vms;
