--- /dev/null
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/service/package-info.java
@@ -0,0 +1,2 @@
+/** Stands in for a plain service. */
+package org.sequoiareach.standin.service;
--- /dev/null
+++ b/sequoiareach-standin/src/test/java/org/sequoiareach/standin/service/ServiceStandinTest.java
@@ -0,0 +1,60 @@
+package org.sequoiareach.standin.service;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiareach.standin.server.Exchanges;
+import org.sequoiareach.standin.server.TestCalls;
+
+class ServiceStandinTest {
+
+  private final ServiceStandin service =
+      new ServiceStandin(new ServiceSettings("127.0.0.1:0", "dispatch"));
+  private TestCalls calls;
+
+  @BeforeEach
+  void start() {
+    calls = new TestCalls(service.start());
+  }
+
+  @AfterEach
+  void close() {
+    service.close();
+  }
+
+  @Test
+  void numbersItsRunsAndRecordsTheirKeys() throws Exception {
+    calls.send("POST", "/bookings", "load 7", "Idempotency-Key", "k1");
+    HttpResponse<String> answer =
+        calls.send("POST", "/bookings?again=1", "load 7", "Idempotency-Key", "k1");
+    assertThat(Exchanges.parse(answer.body()).path("execution").asInt()).isEqualTo(2);
+    assertThat(Exchanges.parse(answer.body()).path("body").asText()).isEqualTo("load 7");
+    assertThat(service.record().runsByKey()).isEqualTo(Map.of("k1", 2L));
+    assertThat(service.record().calls().get(1).uri()).isEqualTo("/bookings?again=1");
+  }
+
+  @ParameterizedTest
+  @CsvSource({"failBeforeRun, 0", "dropAfterRun, 1"})
+  void losesTheConnectionOfOneCall(String fault, long executions) throws Exception {
+    calls.send("PUT", "/faults", "{\"" + fault + "\":1}");
+    assertThatThrownBy(() -> calls.send("POST", "/x", "")).isInstanceOf(IOException.class);
+    assertThat(service.record().executions()).isEqualTo(executions);
+    assertThat(calls.send("POST", "/x", "").statusCode()).isEqualTo(200);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"status, 500, 500, 1", "refuse, 1, 503, 0", "delayMs, 20, 200, 1"})
+  void answersAsTold(String fault, int value, int status, long executions) throws Exception {
+    calls.send("PUT", "/faults", "{\"" + fault + "\":" + value + "}");
+    assertThat(calls.send("GET", "/x", "").statusCode()).isEqualTo(status);
+    assertThat(service.record().executions()).isEqualTo(executions);
+  }
+}
