Stand in for a model engine

The model takes the time with each call, so it can be tested without a clock: steps of a batch, memory in blocks, preemption of what is served last, a prefix cache, lagged reports, leaving, fencing. The server drives it and passes on tokens as fast as each caller takes them.

--- /dev/null
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/engine/PromptBlocks.java
@@ -0,0 +1,54 @@
+package org.sequoiareach.standin.engine;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import org.sequoiareach.model.Check;
+
+/**
+ * Computes the digests of the blocks of a prompt, by which the prefix cache knows them.
+ *
+ * <p>The digest of a block is the first 16 hexadecimal digits of the SHA-256 of the digest before
+ * it (of the first block: the name of the model) followed by the text of the block in UTF-8. A
+ * block holds {@code 4 * blockTokens} chars; only full blocks have a digest.
+ */
+public final class PromptBlocks {
+
+  private static final int DIGEST_BYTES = 8;
+
+  private PromptBlocks() {}
+
+  /**
+   * Computes the digests of the full blocks.
+   *
+   * @param model the name of the model
+   * @param prompt the text of all messages: of each its role, a line feed, its content and a line
+   *     feed
+   * @param blockTokens the tokens that one block holds
+   * @return the digests, in order
+   */
+  public static List<String> digests(String model, String prompt, int blockTokens) {
+    Check.inRange(blockTokens, 1, Integer.MAX_VALUE, "blockTokens");
+    int chars = blockTokens * CompletionRequest.charsPerToken();
+    List<String> digests = new ArrayList<>();
+    String before = model;
+    for (int end = chars; end <= prompt.length(); end += chars) {
+      before = digest(before + prompt.substring(end - chars, end));
+      digests.add(before);
+    }
+    return digests;
+  }
+
+  static String digest(String text) {
+    try {
+      byte[] bytes =
+          MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
+      return HexFormat.of().formatHex(bytes, 0, DIGEST_BYTES);
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- /dev/null
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Stands in for a model engine. */
+package org.sequoiareach.standin.engine;
--- /dev/null
+++ b/sequoiareach-standin/src/test/java/org/sequoiareach/standin/engine/EngineStandinTest.java
@@ -0,0 +1,187 @@
+package org.sequoiareach.standin.engine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiareach.standin.server.Exchanges;
+import org.sequoiareach.standin.server.TestCalls;
+
+class EngineStandinTest {
+
+  private static final String PATH = "/v1/chat/completions";
+  private static final StepSettings FAST = new StepSettings(1, 0, 0, 0, 512, 8);
+
+  private final EngineStandin engine =
+      new EngineStandin(
+          EngineSettings.of("e1", "m")
+              .withSteps(FAST)
+              .withReports(new ReportSettings(0, 0, 0))
+              .withLife(new LifeSettings(4, 60_000, 200, true)));
+  private TestCalls calls;
+
+  @BeforeEach
+  void start() {
+    calls = new TestCalls(engine.start());
+  }
+
+  @AfterEach
+  void close() {
+    engine.close();
+  }
+
+  @Test
+  void streamsEveryTokenOnce() throws Exception {
+    List<String> lines = stream("r1", 5);
+    assertThat(contents(lines)).containsExactly("x:1 ", "x:2 ", "x:3 ", "x:4 ", "x:5 ", "");
+    assertThat(lines.stream().filter(line -> line.startsWith("id:")))
+        .containsExactly("id: 1", "id: 2", "id: 3", "id: 4", "id: 5", "id: 6");
+    JsonNode last = datas(lines).get(5);
+    assertThat(last.at("/choices/0/finish_reason").asText()).isEqualTo("stop");
+    assertThat(last.at("/usage/completion_tokens").asInt()).isEqualTo(5);
+    assertThat(lines).contains("data: [DONE]");
+  }
+
+  @Test
+  void answersWhole() throws Exception {
+    JsonNode answer = Exchanges.parse(post("r1", 3, false).body());
+    assertThat(answer.at("/choices/0/message/content").asText()).isEqualTo("x:1 x:2 x:3 ");
+    assertThat(answer.path("id").asText()).isEqualTo("chatcmpl-r1");
+  }
+
+  @Test
+  void refusesKnownIdentity() throws Exception {
+    post("r1", 3, false);
+    assertThat(post("r1", 3, false).statusCode()).isEqualTo(409);
+    assertThat(engine.record().generations().get("chatcmpl-r1").timesCreated()).isEqualTo(1);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, 2, 4, 5, 6})
+  void resumesAfterAnEvent(int lastId) throws Exception {
+    stream("r1", 5);
+    List<String> lines =
+        calls.lines("GET", PATH + "/chatcmpl-r1", "", "Last-Event-ID", "" + lastId).toList();
+    assertThat(lines.stream().filter(line -> line.startsWith("id:")))
+        .containsExactlyElementsOf(
+            IntStream.rangeClosed(lastId + 1, 6).mapToObj(n -> "id: " + n).toList());
+    assertThat(lines).contains("data: [DONE]");
+  }
+
+  @Test
+  void goesOnWhenItsConnectionIsLost() throws Exception {
+    calls.send("PUT", "/faults", "{\"dropConnectionAfterTokens\":3}");
+    assertThatThrownBy(() -> stream("r1", 6)).hasRootCauseInstanceOf(IOException.class);
+    List<String> rest =
+        calls.lines("GET", PATH + "/chatcmpl-r1", "", "Last-Event-ID", "3").toList();
+    assertThat(contents(rest)).containsExactly("x:4 ", "x:5 ", "x:6 ", "");
+  }
+
+  @Test
+  void cancelsStream() throws Exception {
+    try (Stream<String> lines = calls.lines("POST", PATH, body(4_000, true), "X-Request-Id", "r")) {
+      Iterator<String> each = lines.iterator();
+      each.next();
+      assertThat(calls.send("DELETE", PATH + "/chatcmpl-r", "").statusCode()).isEqualTo(204);
+      assertThatThrownBy(() -> each.forEachRemaining(line -> {}))
+          .hasRootCauseInstanceOf(IOException.class);
+    }
+    assertThat(engine.record().generations().get("chatcmpl-r").state())
+        .isEqualTo(GenerationState.CANCELLED);
+    assertThat(calls.send("GET", PATH + "/chatcmpl-r", "").statusCode()).isEqualTo(404);
+    assertThat(calls.send("DELETE", PATH + "/chatcmpl-none", "").statusCode()).isEqualTo(404);
+  }
+
+  @Test
+  void diesBeforeTheFirstTokenOfOneGeneration() throws Exception {
+    calls.send("PUT", "/faults", "{\"dieBeforeFirstToken\":1}");
+    assertThatThrownBy(() -> stream("r1", 3)).hasRootCauseInstanceOf(IOException.class);
+    assertThat(engine.record().generations().get("chatcmpl-r1").tokens()).isZero();
+    assertThat(contents(stream("r2", 3))).hasSize(4);
+  }
+
+  @Test
+  void refusesNewWorkWhileLeavingAndThenDies() throws Exception {
+    try (Stream<String> lines = calls.lines("POST", PATH, body(4_000, true), "X-Request-Id", "r")) {
+      Iterator<String> each = lines.iterator();
+      each.next();
+      calls.send("PUT", "/faults", "{\"leaving\":true}");
+      assertThat(post("r2", 3, false).statusCode()).isEqualTo(503);
+      assertThat(calls.json("GET", "/load", "").path("leaving").asBoolean()).isTrue();
+      assertThatThrownBy(() -> each.forEachRemaining(line -> {}))
+          .hasRootCauseInstanceOf(IOException.class);
+    }
+    assertThat(calls.send("GET", "/healthz", "").statusCode()).isEqualTo(503);
+    assertThatThrownBy(() -> post("r3", 3, false)).isInstanceOf(IOException.class);
+    calls.send("PUT", "/faults", "{}");
+    assertThat(post("r3", 3, false).statusCode()).isEqualTo(200);
+  }
+
+  @Test
+  void refusesOrdersWithAnOldFence() throws Exception {
+    assertThat(order(5).statusCode()).isEqualTo(200);
+    assertThat(order(4).statusCode()).isEqualTo(409);
+    assertThat(order(5).statusCode()).isEqualTo(200);
+    assertThat(engine.load().models()).containsExactly("m", "m2");
+  }
+
+  @Test
+  void tellsOfItsCache() throws Exception {
+    try (Stream<String> lines = calls.lines("GET", "/cache-events", "")) {
+      String prompt = "user\n" + "abcd".repeat(40) + "\n";
+      String body = body(2, false).replace("hello", "abcd".repeat(40));
+      calls.send("POST", PATH, body, "X-Request-Id", "r1");
+      String first = lines.filter(line -> line.startsWith("data:")).findFirst().orElseThrow();
+      JsonNode event = Exchanges.parse(first.substring(5));
+      assertThat(event.path("seq").asLong()).isEqualTo(1);
+      assertThat(event.at("/stored/0").asText())
+          .isEqualTo(PromptBlocks.digests("m", prompt, 16).get(0));
+    }
+  }
+
+  private HttpResponse<String> order(long fence) throws Exception {
+    String body = "{\"order\":\"load-model\",\"model\":\"m2\",\"fence\":" + fence + "}";
+    return calls.send("POST", "/orders", body);
+  }
+
+  private List<String> stream(String id, int tokens) throws Exception {
+    return calls.lines("POST", PATH, body(tokens, true), "X-Request-Id", id).toList();
+  }
+
+  private HttpResponse<String> post(String id, int tokens, boolean stream) throws Exception {
+    return calls.send("POST", PATH, body(tokens, stream), "X-Request-Id", id);
+  }
+
+  private static String body(int tokens, boolean stream) {
+    String form =
+        "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}],"
+            + "\"stream\":%s,\"metadata\":{\"marker\":\"x\",\"answer_tokens\":\"%d\"}}";
+    return form.formatted(stream, tokens);
+  }
+
+  private static List<JsonNode> datas(List<String> lines) {
+    List<JsonNode> found = new ArrayList<>();
+    lines.stream()
+        .filter(line -> line.startsWith("data: {"))
+        .forEach(line -> found.add(Exchanges.parse(line.substring(6))));
+    return found;
+  }
+
+  private static List<String> contents(List<String> lines) {
+    return datas(lines).stream()
+        .map(data -> data.at("/choices/0/delta/content").asText(""))
+        .toList();
+  }
+}
