--- /dev/null
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/command/KvCommand.java
@@ -0,0 +1,15 @@
+package org.sequoiareach.standin.command;
+
+import java.util.List;
+import org.sequoiareach.standin.kv.KvSettings;
+import org.sequoiareach.standin.kv.KvStandin;
+import org.sequoiareach.standin.server.Standin;
+
+/** Is the subcommand {@code kv}. */
+public final class KvCommand extends StandinCommand {
+
+  @Override
+  List<Standin> createAll() {
+    return createOne(KvSettings.class, KvStandin::new);
+  }
+}
--- /dev/null
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/command/ServiceCommand.java
@@ -0,0 +1,15 @@
+package org.sequoiareach.standin.command;
+
+import java.util.List;
+import org.sequoiareach.standin.server.Standin;
+import org.sequoiareach.standin.service.ServiceSettings;
+import org.sequoiareach.standin.service.ServiceStandin;
+
+/** Is the subcommand {@code service}. */
+public final class ServiceCommand extends StandinCommand {
+
+  @Override
+  List<Standin> createAll() {
+    return createOne(ServiceSettings.class, ServiceStandin::new);
+  }
+}
--- /dev/null
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/relay/package-info.java
@@ -0,0 +1,2 @@
+/** Relays TCP connections with faults of a link. */
+package org.sequoiareach.standin.relay;
