Add the open-loop load tool and the comparison of policies

Requests leave at their scheduled times, drawn from a seed, and every latency counts from that time, so a slow system cannot hide its own queue. Each answer is checked token by token against the caller's record, and the callers' record against what the targets say they ran.

The comparison has not yet been run against daemons.

--- /dev/null
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/compare/ComparisonWriter.java
@@ -0,0 +1,29 @@
+package org.sequoiareach.load.compare;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.sequoiareach.model.json.Json;
+
+/** Writes a comparison as JSON, as Markdown and as plots. */
+public final class ComparisonWriter {
+
+  private ComparisonWriter() {}
+
+  /**
+   * Writes a comparison.
+   *
+   * @param report the comparison
+   * @param directory where the files go; created where it is missing
+   * @throws IOException if a file cannot be written
+   */
+  public static void write(ComparisonReport report, Path directory) throws IOException {
+    System.setProperty("java.awt.headless", "true");
+    Files.createDirectories(directory);
+    Files.writeString(directory.resolve("report.json"), Json.mapper().writeValueAsString(report));
+    Files.writeString(directory.resolve("report.md"), MarkdownReport.write(report));
+    for (Measure measure : Measure.values()) {
+      PlotWriter.write(report, measure, directory);
+    }
+  }
+}
--- /dev/null
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/report/TextReport.java
@@ -0,0 +1,107 @@
+package org.sequoiareach.load.report;
+
+import java.util.Locale;
+import java.util.Map;
+
+/** Writes a report as text for people. */
+public final class TextReport {
+
+  private static final int SHOWN_VIOLATIONS = 50;
+  private static final String ROW =
+      "%-24s %7d %8d %7d %6d %9d %8.1f %9.1f %9.1f %9.1f %9.1f %9.1f %9.1f %10.1f %6d%n";
+  private static final String HEAD =
+      "%-24s %7s %8s %7s %6s %9s %8s %9s %9s %9s %9s %9s %9s %10s %6s%n";
+
+  private TextReport() {}
+
+  /**
+   * Writes a report.
+   *
+   * @param report the report
+   * @return several lines
+   */
+  public static String write(RunReport report) {
+    StringBuilder text = new StringBuilder();
+    append(
+        text,
+        "%s: seed %d, load factor %.2f, %d requests offered, %d not ended, %.1f s%n",
+        report.name(),
+        report.seed(),
+        report.loadFactor(),
+        report.offered(),
+        report.unended(),
+        report.elapsedMs() / 1000);
+    append(text, "latest send %.2f ms after its scheduled time%n%n", report.latestSendMs());
+    appendHead(text);
+    appendRow(text, "all", report.total());
+    report.classes().forEach((name, section) -> appendRow(text, name, section));
+    report.organisations().forEach((name, section) -> appendRow(text, "@" + name, section));
+    appendReasons(text, report.total().reasons());
+    appendChecks(text, report);
+    return text.toString();
+  }
+
+  private static void appendHead(StringBuilder text) {
+    append(
+        text,
+        HEAD,
+        "times in ms",
+        "ended",
+        "finished",
+        "refused",
+        "failed",
+        "tokens",
+        "tok/s",
+        "first50",
+        "first99",
+        "gap50",
+        "gap95",
+        "gap99",
+        "gap99.9",
+        "stall",
+        "preem");
+  }
+
+  private static void appendRow(StringBuilder text, String name, Section section) {
+    append(
+        text,
+        ROW,
+        name,
+        section.requests(),
+        section.finished(),
+        section.refused(),
+        section.failed(),
+        section.tokens(),
+        section.tokensPerSecond(),
+        section.firstToken().p50Ms(),
+        section.firstToken().p99Ms(),
+        section.tokenGap().p50Ms(),
+        section.tokenGap().p95Ms(),
+        section.tokenGap().p99Ms(),
+        section.tokenGap().p999Ms(),
+        section.stallMs(),
+        section.preemptions());
+  }
+
+  private static void appendReasons(StringBuilder text, Map<String, Integer> reasons) {
+    reasons.forEach((reason, count) -> append(text, "%n%7d %s", count, reason));
+    append(text, "%n");
+  }
+
+  private static void appendChecks(StringBuilder text, RunReport report) {
+    if (!report.recordsCompared()) {
+      append(text, "no target's record was compared%n");
+    }
+    report
+        .missingRecords()
+        .forEach(target -> append(text, "no record of %s: its part is not compared%n", target));
+    append(text, "%d violations%n", report.violations().size());
+    report.violations().stream()
+        .limit(SHOWN_VIOLATIONS)
+        .forEach(violation -> append(text, "violation: %s%n", violation));
+  }
+
+  private static void append(StringBuilder text, String format, Object... values) {
+    text.append(String.format(Locale.ROOT, format, values));
+  }
+}
--- /dev/null
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/run/AnswerState.java
@@ -0,0 +1,136 @@
+package org.sequoiareach.load.run;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.Optional;
+import org.sequoiareach.load.check.AnswerChecker;
+import org.sequoiareach.load.check.Ending;
+import org.sequoiareach.load.check.Fault;
+import org.sequoiareach.load.check.RequestResult;
+import org.sequoiareach.model.json.Json;
+
+/**
+ * Follows the answer to one generation over all its connections. Its methods are synchronised,
+ * because the deadline fires on another thread than the one that reads.
+ */
+final class AnswerState {
+
+  private static final String DONE = "[DONE]";
+
+  private final OutgoingRequest request;
+  private final AnswerChecker checker;
+  private final TimingRecorder timings;
+
+  private Optional<Refusal> refusal = Optional.empty();
+  private String lastEventId = "";
+  private boolean done;
+  private boolean givenUp;
+
+  AnswerState(OutgoingRequest request, int expectedTokens) {
+    this.request = request;
+    this.checker = new AnswerChecker(request.requestId(), expectedTokens);
+    this.timings = new TimingRecorder(request.scheduledNs());
+  }
+
+  synchronized void onEvent(SseEvent event, long nowNs) {
+    if (event.data().equals(DONE)) {
+      done = true;
+      return;
+    }
+    if (!event.id().isEmpty()) {
+      lastEventId = event.id();
+    }
+    try {
+      onChunk(Json.mapper().readTree(event.data()), nowNs);
+    } catch (JsonProcessingException e) {
+      checker.onMalformed(event.data());
+    }
+  }
+
+  synchronized void onWholeAnswer(String body) {
+    done = true;
+    try {
+      JsonNode answer = Json.mapper().readTree(body);
+      JsonNode choice = answer.at("/choices/0");
+      checker.onText(answer.path("id").asText(""), choice.at("/message/content").asText(""));
+      if (choice.hasNonNull("finish_reason")) {
+        checker.onFinish();
+      }
+    } catch (JsonProcessingException e) {
+      checker.onMalformed(body);
+    }
+  }
+
+  synchronized void onRefusal(Refusal seen) {
+    refusal = Optional.of(seen);
+    done = true;
+  }
+
+  synchronized void onFailure(Throwable thrown) {
+    givenUp = true;
+    if (refusal.isEmpty() && !finished()) {
+      refusal = Optional.of(Refusal.failed(Failures.reasonOf(thrown)));
+      timings.onGivenUp(System.nanoTime());
+    }
+  }
+
+  synchronized void pauseTimings() {
+    timings.pause();
+  }
+
+  synchronized boolean done() {
+    return done;
+  }
+
+  synchronized boolean finished() {
+    return checker.finished();
+  }
+
+  synchronized int tokens() {
+    return checker.tokens();
+  }
+
+  synchronized String lastEventId() {
+    return lastEventId;
+  }
+
+  synchronized Optional<String> completionId() {
+    return checker.completionId();
+  }
+
+  synchronized RequestResult result() {
+    if (finished() && !done && !givenUp) {
+      checker.onMalformed("the stream closed without " + DONE);
+    }
+    Refusal seen = refusal.orElse(Refusal.failed(Failures.CONNECTION_LOST));
+    boolean whole = finished() && refusal.isEmpty();
+    List<Fault> faults = checker.faults();
+    return new RequestResult(
+        request.requestId(),
+        request.arrival(),
+        whole ? Ending.FINISHED : seen.ending(),
+        whole ? "" : seen.reason(),
+        whole ? Optional.empty() : seen.verdict(),
+        !whole && seen.retryAfter(),
+        timings.finish(System.nanoTime()),
+        checker.tokens(),
+        faults);
+  }
+
+  private void onChunk(JsonNode chunk, long nowNs) {
+    if (chunk.has("error")) {
+      onRefusal(Refusal.ofEvent(chunk));
+      return;
+    }
+    JsonNode choice = chunk.at("/choices/0");
+    String text = choice.at("/delta/content").asText("");
+    int found = checker.onText(chunk.path("id").asText(""), text);
+    for (int i = 0; i < found; i++) {
+      timings.onToken(nowNs);
+    }
+    if (choice.hasNonNull("finish_reason")) {
+      checker.onFinish();
+    }
+  }
+}
--- /dev/null
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/run/LoadRunner.java
@@ -0,0 +1,124 @@
+package org.sequoiareach.load.run;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.sequoiareach.load.check.RequestResult;
+import org.sequoiareach.load.check.TargetObservations;
+import org.sequoiareach.load.settings.GenerationClass;
+import org.sequoiareach.load.settings.RunSettings;
+import org.sequoiareach.load.settings.Targets;
+import org.sequoiareach.load.trace.Arrival;
+import org.sequoiareach.load.trace.TraceGenerator;
+import org.sequoiareach.model.Check;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * Runs one open-loop load: each request leaves at its scheduled time, however slow the answers to
+ * earlier ones are, and its latency counts from that time.
+ */
+public final class LoadRunner implements AutoCloseable {
+
+  private static final int THREADS = 3;
+  private static final int MOST_CONNECTIONS = 20_000;
+  private static final long CONNECTION_IDLE_MS = 2_000;
+  private static final long LEAD_IN_NS = TimeUnit.MILLISECONDS.toNanos(200);
+  private static final int RUN_ID_RADIX = 36;
+
+  private final LoopResources loops;
+  private final ConnectionProvider connections;
+  private final HttpClient client;
+
+  /** Creates a runner with its own connections and threads. */
+  public LoadRunner() {
+    loops = LoopResources.create("load", 1, THREADS, true, false);
+    connections =
+        ConnectionProvider.builder("load")
+            .maxConnections(MOST_CONNECTIONS)
+            .pendingAcquireMaxCount(-1)
+            .maxIdleTime(Duration.ofMillis(CONNECTION_IDLE_MS))
+            .build();
+    client = HttpClient.create(connections).runOn(loops, false).disableRetry(true);
+  }
+
+  /**
+   * Runs a load and waits until it ends.
+   *
+   * @param settings the settings
+   * @return what it brought
+   * @throws InterruptedException if the thread is interrupted; requests in progress are left
+   */
+  public RunOutcome run(RunSettings settings) throws InterruptedException {
+    Check.notNull(settings, "settings");
+    List<Arrival> trace = TraceGenerator.generate(settings);
+    Queue<RequestResult> results = new ConcurrentLinkedQueue<>();
+    CountDownLatch open = new CountDownLatch(trace.size());
+    String runId = Long.toString(System.nanoTime() & Long.MAX_VALUE, RUN_ID_RADIX);
+    long startNs = System.nanoTime() + LEAD_IN_NS;
+    long latestSendNs = 0;
+    for (Arrival arrival : trace) {
+      OutgoingRequest request = prepare(arrival, startNs, runId, settings);
+      latestSendNs = Math.max(latestSendNs, waitUntil(request.scheduledNs()));
+      senderOf(arrival).send(request).doFinally(signal -> open.countDown()).subscribe(results::add);
+    }
+    open.await(settings.drainMs(), TimeUnit.MILLISECONDS);
+    long elapsedNs = System.nanoTime() - startNs;
+    List<RequestResult> ordered = new ArrayList<>(results);
+    ordered.sort(Comparator.comparingInt(result -> result.arrival().number()));
+    return new RunOutcome(
+        settings, trace.size(), ordered, readTargets(settings), elapsedNs, latestSendNs);
+  }
+
+  @Override
+  public void close() {
+    connections.dispose();
+    loops.dispose();
+  }
+
+  private Optional<TargetObservations> readTargets(RunSettings settings) {
+    if (settings.targets().equals(Targets.NONE)) {
+      return Optional.empty();
+    }
+    return new RecordReader(client).read(settings.targets()).blockOptional();
+  }
+
+  private RequestSender senderOf(Arrival arrival) {
+    return arrival.requestClass() instanceof GenerationClass
+        ? new GenerationSender(client)
+        : new ServiceCallSender(client);
+  }
+
+  private static OutgoingRequest prepare(
+      Arrival arrival, long startNs, String runId, RunSettings settings) {
+    List<String> own = arrival.requestClass().callers();
+    List<String> callers = own.isEmpty() ? settings.callers() : own;
+    List<String> rotated = new ArrayList<>();
+    for (int i = 0; i < callers.size(); i++) {
+      rotated.add(callers.get((arrival.number() + i) % callers.size()));
+    }
+    String id = "r" + runId + "-" + arrival.number() + "x";
+    return new OutgoingRequest(id, arrival, startNs + arrival.atNs(), rotated);
+  }
+
+  /** Waits for a moment and tells by how much it was missed. */
+  private static long waitUntil(long momentNs) throws InterruptedException {
+    long leftNs = momentNs - System.nanoTime();
+    while (leftNs > 0) {
+      LockSupport.parkNanos(leftNs);
+      if (Thread.interrupted()) {
+        throw new InterruptedException();
+      }
+      leftNs = momentNs - System.nanoTime();
+    }
+    return -leftNs;
+  }
+}
--- /dev/null
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/run/Refusal.java
@@ -0,0 +1,75 @@
+package org.sequoiareach.load.run;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import org.sequoiareach.load.check.Ending;
+import org.sequoiareach.model.json.Json;
+import org.sequoiareach.model.request.Verdict;
+
+/**
+ * Holds an error that the system answered.
+ *
+ * @param ending whether it is a refusal or a failure
+ * @param reason its reason
+ * @param verdict its verdict; empty where it gave none
+ * @param retryAfter whether it says when to come back
+ */
+record Refusal(Ending ending, String reason, Optional<Verdict> verdict, boolean retryAfter) {
+
+  private static final String VERDICT_HEADER = "Sequoiareach-Verdict";
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int UNAVAILABLE = 503;
+
+  static Refusal ofResponse(int status, HttpHeaders headers, String body) {
+    Optional<Verdict> verdict = readVerdict(headers.get(VERDICT_HEADER));
+    boolean declined = status == TOO_MANY_REQUESTS || status == UNAVAILABLE;
+    boolean refused = verdict.map(Verdict.NOT_RUN::equals).orElse(declined);
+    return new Refusal(
+        refused ? Ending.REFUSED : Ending.FAILED,
+        reasonOf(body).orElse("http-" + status),
+        verdict,
+        headers.contains(HttpHeaderNames.RETRY_AFTER));
+  }
+
+  static Refusal ofEvent(JsonNode event) {
+    JsonNode error = event.path("error");
+    String label = error.path("verdict").asText(event.path("verdict").asText(""));
+    Optional<Verdict> verdict = readVerdict(label);
+    boolean refused = verdict.map(Verdict.NOT_RUN::equals).orElse(false);
+    Ending ending = refused ? Ending.REFUSED : Ending.FAILED;
+    return new Refusal(ending, reasonOf(event).orElse("error-event"), verdict, false);
+  }
+
+  static Refusal failed(String reason) {
+    return new Refusal(Ending.FAILED, reason, Optional.empty(), false);
+  }
+
+  private static Optional<Verdict> readVerdict(String label) {
+    if (label == null || label.isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(Verdict.fromLabel(label));
+  }
+
+  private static Optional<String> reasonOf(String body) {
+    try {
+      return reasonOf(Json.mapper().readTree(body));
+    } catch (JsonProcessingException e) {
+      return Optional.empty();
+    }
+  }
+
+  /** Finds the reason in the OpenAI error envelope or in problem JSON. */
+  private static Optional<String> reasonOf(JsonNode body) {
+    for (JsonNode found :
+        new JsonNode[] {body.at("/error/code"), body.path("reason"), body.path("code")}) {
+      if (found.isTextual() && !found.asText().isEmpty()) {
+        return Optional.of(found.asText());
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/sequoiareach-load/src/test/java/org/sequoiareach/load/run/LoadRunnerTest.java
@@ -0,0 +1,119 @@
+package org.sequoiareach.load.run;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.sequoiareach.load.TestSettings;
+import org.sequoiareach.load.check.FaultKind;
+import org.sequoiareach.load.report.RunReport;
+import org.sequoiareach.load.run.FaultySystem.Fault;
+import org.sequoiareach.load.settings.RequestClass;
+import org.sequoiareach.load.settings.ResumeSettings;
+import org.sequoiareach.load.settings.RunSettings;
+import org.sequoiareach.load.settings.Targets;
+
+class LoadRunnerTest {
+
+  private static final RequestClass QUOTE = TestSettings.quote(true, ResumeSettings.NEVER);
+
+  @Test
+  void finishesEveryRequestOfAnHonestSystem() throws InterruptedException {
+    RunReport report = run(Fault.NONE, QUOTE, TestSettings.booking());
+
+    assertThat(report.violations()).isEmpty();
+    assertThat(report.total().finished()).isEqualTo(40).isEqualTo(report.offered());
+    assertThat(report.unended()).isZero();
+    assertThat(report.classes()).containsOnlyKeys("booking", "quote");
+    assertThat(report.total().tokens()).isPositive();
+  }
+
+  static Stream<Arguments> faults() {
+    return Stream.of(
+        arguments(Fault.CROSSED, QUOTE, FaultKind.CROSSED_ANSWER),
+        arguments(Fault.CROSSED, TestSettings.booking(), FaultKind.CROSSED_ANSWER),
+        arguments(Fault.SPLICED, QUOTE, FaultKind.SPLICED_GENERATIONS),
+        arguments(Fault.CUT_SHORT, QUOTE, FaultKind.INCOMPLETE_ANSWER),
+        arguments(Fault.NOT_RUN_BUT_RAN, QUOTE, FaultKind.NOT_RUN_BUT_RAN),
+        arguments(Fault.RUNS_TWICE, TestSettings.booking(), FaultKind.RAN_MORE_THAN_ONCE));
+  }
+
+  @ParameterizedTest
+  @MethodSource("faults")
+  void findsTheFaultOfTheSystem(Fault fault, RequestClass requestClass, FaultKind kind)
+      throws InterruptedException {
+    RunReport report = run(fault, requestClass);
+
+    assertThat(report.violations())
+        .hasSizeGreaterThanOrEqualTo(report.offered())
+        .anyMatch(violation -> violation.fault().kind() == kind);
+  }
+
+  @Test
+  void takesTheVerdictOfAnErrorEvent() throws InterruptedException {
+    RunReport report = run(Fault.ERROR_EVENT, QUOTE);
+
+    assertThat(report.violations()).isEmpty();
+    assertThat(report.total().failed()).isEqualTo(report.offered());
+    assertThat(report.total().reasons()).containsOnlyKeys("failed: target-failed");
+  }
+
+  @Test
+  void stopsByItselfWhereTheSystemHangs() throws InterruptedException {
+    try (FaultySystem system = new FaultySystem(Fault.SILENT);
+        LoadRunner runner = new LoadRunner()) {
+      RunSettings settings =
+          new RunSettings(
+              "silent",
+              1,
+              1,
+              200,
+              10,
+              400,
+              200,
+              List.of(system.address()),
+              Targets.NONE,
+              TestSettings.run(1, 1, List.of("http://a"), Targets.NONE, QUOTE).arrivals(),
+              List.of(TestSettings.SHOP),
+              List.of(QUOTE));
+
+      RunReport report = RunReport.of(runner.run(settings));
+
+      assertThat(report.unended()).isEqualTo(report.offered()).isPositive();
+      assertThat(report.violations()).isEmpty();
+    }
+  }
+
+  @Test
+  void countsTargetsWithoutRecord() throws InterruptedException {
+    try (FaultySystem system = new FaultySystem(Fault.NONE);
+        LoadRunner runner = new LoadRunner()) {
+      Targets targets = new Targets(List.of("http://127.0.0.1:1"), List.of());
+      List<String> callers = List.of(system.address());
+
+      RunReport report = RunReport.of(runner.run(settings(callers, targets, QUOTE)));
+
+      assertThat(report.missingRecords()).containsExactly("http://127.0.0.1:1");
+      assertThat(report.violations()).isEmpty();
+    }
+  }
+
+  private static RunReport run(Fault fault, RequestClass... classes) throws InterruptedException {
+    try (FaultySystem system = new FaultySystem(fault);
+        LoadRunner runner = new LoadRunner()) {
+      List<String> addresses = List.of(system.address());
+      Targets targets = new Targets(addresses, addresses);
+      return RunReport.of(runner.run(settings(addresses, targets, classes)));
+    }
+  }
+
+  private static RunSettings settings(
+      List<String> callers, Targets targets, RequestClass... classes) {
+    return TestSettings.run(5, 1, callers, targets, classes);
+  }
+}
