Take routing and placement decisions in one reducer

Cause: the thin path needs its decisions. Entry and owner roles are joined by one reducer; time and draws come from events and a seed; verdicts combine over attempts, so that not-run is said only when every attempt certainly did not run. Ruled out: one reducer a role in separate threads (one control thread is the house style, and the roles share the target registry).

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/effect/Effect.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/effect/Effect.java
@@ -4,14 +4,19 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
 import java.util.Map;
+import org.sequoiareach.model.platform.VmEntry;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.RequestSpec;
 import org.sequoiareach.model.request.Verdict;
+import org.sequoiareach.model.sheet.Sheet;
 
 /** Is something that the reducer asks its host to do. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "effect")
 @JsonSubTypes({
   @JsonSubTypes.Type(Effect.Dispatch.class),
+  @JsonSubTypes.Type(Effect.Resume.class),
+  @JsonSubTypes.Type(Effect.UseSheet.class),
+  @JsonSubTypes.Type(Effect.UseVms.class),
   @JsonSubTypes.Type(Effect.Forward.class),
   @JsonSubTypes.Type(Effect.RejectForwarded.class),
   @JsonSubTypes.Type(Effect.CancelAttempt.class),
@@ -27,14 +32,15 @@
 public interface Effect {
 
   /**
-   * Sends an attempt to a target from this daemon, now. The host must not send it after the
-   * deadline.
+   * Sends an attempt to a target from this daemon, now. A host that was paused must not send it
+   * late: what was known of the target when the decision was taken no longer holds.
    *
    * @param attemptId the attempt
    * @param requestId the request
    * @param targetId the target
    * @param address the target's address
    * @param enginePriority the priority given to the engine; lower is served first
+   * @param sendByMs when it must have been sent; later the host reports it as not run
    * @param deadlineMs when the request must be over, on this daemon's clock
    */
   record Dispatch(
@@ -43,9 +49,44 @@
       String targetId,
       String address,
       int enginePriority,
+      long sendByMs,
       long deadlineMs)
       implements Effect {}
 
+  /**
+   * Reads on from the generation of an attempt whose connection was lost, directly from its target.
+   * The same generation is continued after the last token received, never another.
+   *
+   * @param attemptId the attempt
+   * @param requestId the request
+   * @param targetId the target
+   * @param address the target's address
+   * @param notBeforeMs when to connect, on this daemon's clock
+   * @param deadlineMs when the request must be over
+   */
+  record Resume(
+      String attemptId,
+      String requestId,
+      String targetId,
+      String address,
+      long notBeforeMs,
+      long deadlineMs)
+      implements Effect {}
+
+  /**
+   * Uses a sheet from now on, for authentication and for new requests.
+   *
+   * @param sheet the sheet
+   */
+  record UseSheet(Sheet sheet) implements Effect {}
+
+  /**
+   * Uses a list of VMs from now on, to find the targets of stored answers.
+   *
+   * @param vms the VMs
+   */
+  record UseVms(List<VmEntry> vms) implements Effect {}
+
   /**
    * Sends an attempt to the daemon that owns the target.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/event/RequestEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/event/RequestEvent.java
@@ -8,6 +8,7 @@
 @JsonSubTypes({
   @JsonSubTypes.Type(RequestEvent.RequestArrived.class),
   @JsonSubTypes.Type(RequestEvent.RequestCancelled.class),
+  @JsonSubTypes.Type(RequestEvent.CallerDetached.class),
   @JsonSubTypes.Type(RequestEvent.ClaimAnswered.class),
   @JsonSubTypes.Type(RequestEvent.AttemptForwarded.class),
   @JsonSubTypes.Type(RequestEvent.ForwardedAttemptCancelled.class),
@@ -34,6 +35,15 @@
    */
   record RequestCancelled(long nowMs, String requestId) implements RequestEvent {}
 
+  /**
+   * The caller's connection was lost after tokens were delivered. The generation goes on, so that
+   * the caller can resume it through any daemon.
+   *
+   * @param nowMs when it was observed
+   * @param requestId the request
+   */
+  record CallerDetached(long nowMs, String requestId) implements RequestEvent {}
+
   /**
    * The key-value service has answered the claim of a request that may not be repeated.
    *
--- /dev/null
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/DecisionReducer.java
@@ -0,0 +1,238 @@
+package org.sequoiareach.decision.reducer;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.event.Event;
+import org.sequoiareach.decision.event.PeerEvent;
+import org.sequoiareach.decision.event.PlatformEvent;
+import org.sequoiareach.decision.event.RequestEvent;
+import org.sequoiareach.decision.event.TimeEvent;
+import org.sequoiareach.decision.placement.AdmissionFactory;
+import org.sequoiareach.decision.routing.RoutingStrategy;
+import org.sequoiareach.model.Check;
+import org.sequoiareach.model.platform.VmEntry;
+import org.sequoiareach.model.request.Outcome;
+import org.sequoiareach.model.request.Reason;
+import org.sequoiareach.model.sheet.Sheet;
+
+/**
+ * Joins the roles of a daemon: entry of requests and owner of targets. It decides whether the
+ * daemon is ready and hands each event to the role it concerns.
+ */
+public final class DecisionReducer implements Reducer {
+
+  private static final Sheet NO_SHEET = new Sheet(0, List.of(), List.of(), List.of());
+
+  private final ReducerSettings settings;
+  private final Ownership ownership;
+  private final EffectLog log = new EffectLog();
+  private final TargetRegistry targets = new TargetRegistry();
+  private final OwnerRole owner;
+  private final EntryRole entry;
+  private final Readiness readiness;
+  private Sheet sheet = NO_SHEET;
+  private Map<String, String> polled = Map.of();
+  private long lastEventMs;
+
+  /**
+   * Creates a reducer that knows nothing yet and is not ready.
+   *
+   * @param settings the constants of its decisions
+   * @param ownership tells the owner of each target
+   * @param generationRouting chooses the target of a generation
+   * @param serviceRouting chooses the target of a plain call
+   * @param admissions creates the accounts of owned targets
+   */
+  public DecisionReducer(
+      ReducerSettings settings,
+      Ownership ownership,
+      RoutingStrategy generationRouting,
+      RoutingStrategy serviceRouting,
+      AdmissionFactory admissions) {
+    this.settings = Check.notNull(settings, "settings");
+    this.ownership = Check.notNull(ownership, "ownership");
+    this.owner = new OwnerRole(settings, targets, admissions, log);
+    this.entry =
+        new EntryRole(settings, targets, ownership, generationRouting, serviceRouting, owner, log);
+    this.readiness = new Readiness(settings, log);
+    owner.setRejectionListener((nowMs, attemptId, out) -> entry.ended(nowMs, attemptId, out));
+  }
+
+  @Override
+  public List<Effect> apply(Event event) {
+    long nowMs = event.nowMs();
+    if (lastEventMs > 0 && nowMs - lastEventMs > settings.pauseBoundMs()) {
+      readiness.paused(nowMs);
+    }
+    lastEventMs = Math.max(lastEventMs, nowMs);
+    if (event instanceof RequestEvent request) {
+      applyRequest(request);
+    } else if (event instanceof PlatformEvent platform) {
+      applyPlatform(platform);
+    } else if (event instanceof PeerEvent peer) {
+      applyPeer(peer);
+    } else if (event instanceof TimeEvent time) {
+      applyTime(time);
+    }
+    readiness.announce(sheet.version());
+    return log.take();
+  }
+
+  /**
+   * Returns the version of the sheet in use.
+   *
+   * @return the version; 0 before the first sheet
+   */
+  public long sheetVersion() {
+    return sheet.version();
+  }
+
+  /**
+   * Returns how many requests this daemon took and has not answered yet.
+   *
+   * @return a count
+   */
+  public int requestsInProgress() {
+    return entry.requestsInProgress();
+  }
+
+  /**
+   * Returns how many attempts run or wait on targets through this daemon as their owner.
+   *
+   * @return a count
+   */
+  public int attemptsOwned() {
+    return owner.attemptsInProgress();
+  }
+
+  private void applyRequest(RequestEvent event) {
+    if (event instanceof RequestEvent.RequestArrived arrived) {
+      arrived(arrived);
+    } else if (event instanceof RequestEvent.RequestCancelled cancelled) {
+      entry.cancelled(cancelled.nowMs(), cancelled.requestId());
+    } else if (event instanceof RequestEvent.CallerDetached detached) {
+      entry.detached(detached.nowMs(), detached.requestId());
+    } else if (event instanceof RequestEvent.ClaimAnswered answered) {
+      entry.claimAnswered(answered);
+    } else if (event instanceof RequestEvent.AttemptForwarded forwarded) {
+      owner.forwarded(forwarded, readiness.takesForwarded(forwarded.nowMs()));
+    } else if (event instanceof RequestEvent.ForwardedAttemptCancelled cancelled) {
+      owner.forwardedCancelled(cancelled.nowMs(), cancelled.attemptId());
+    } else if (event instanceof RequestEvent.AttemptStarted started) {
+      entry.started(started);
+    } else if (event instanceof RequestEvent.AttemptProgressed progressed) {
+      owner.progressed(progressed);
+    } else if (event instanceof RequestEvent.AttemptEnded ended) {
+      ended(ended.nowMs(), ended.attemptId(), ended.outcome());
+    }
+  }
+
+  private void arrived(RequestEvent.RequestArrived event) {
+    String obstacle = readiness.obstacle(event.nowMs());
+    if (!obstacle.isEmpty()) {
+      long retryAfterMs = settings.retryAfterMs();
+      entry.refuse(event.spec(), sheet.version(), Reason.NOT_READY, obstacle, retryAfterMs);
+      return;
+    }
+    entry.arrived(event, sheet);
+  }
+
+  private void ended(long nowMs, String attemptId, Outcome outcome) {
+    boolean resumed = entry.ended(nowMs, attemptId, outcome);
+    if (!resumed) {
+      owner.ended(nowMs, attemptId, outcome);
+    }
+  }
+
+  private void applyPlatform(PlatformEvent event) {
+    if (event instanceof PlatformEvent.SheetRead read) {
+      adopt(read);
+    } else if (event instanceof PlatformEvent.SheetReadFailed failed) {
+      readiness.sheetReadFailed(failed.nowMs());
+    } else if (event instanceof PlatformEvent.VmsListed listed) {
+      listed(listed);
+    } else if (event instanceof PlatformEvent.VmListFailed failed) {
+      readiness.listFailed(failed.nowMs());
+    } else if (event instanceof PlatformEvent.LoadReported reported) {
+      reported(reported);
+    }
+  }
+
+  private void adopt(PlatformEvent.SheetRead read) {
+    if (read.sheet().version() < sheet.version()) {
+      String reason = "older sheet " + read.sheet().version() + " was read and ignored";
+      log.control("sheet-ignored", "", sheet.version(), reason);
+      return;
+    }
+    readiness.sheetConfirmed(read.askedMs());
+    if (read.sheet().version() > sheet.version()) {
+      sheet = read.sheet();
+      log.add(new Effect.UseSheet(sheet));
+      log.control("sheet-adopted", "", sheet.version(), "a newer sheet is in force");
+    }
+  }
+
+  private void listed(PlatformEvent.VmsListed event) {
+    readiness.listConfirmed(event.askedMs());
+    for (String targetId : targets.replace(event.vms())) {
+      log.control("target-leaving", targetId, sheet.version(), "the list shows it leaving or gone");
+      owner.withdraw(event.nowMs(), targetId, "target " + targetId + " is leaving");
+    }
+    owner.forgetUnlisted();
+    log.add(new Effect.UseVms(event.vms()));
+    pollOwned();
+  }
+
+  private void reported(PlatformEvent.LoadReported event) {
+    if (targets.report(event.targetId(), event.load())) {
+      String targetId = event.targetId();
+      log.control("target-leaving", targetId, sheet.version(), "the target says so itself");
+      owner.withdraw(event.nowMs(), targetId, "target " + targetId + " is leaving");
+      return;
+    }
+    if (targets.find(event.targetId()).isPresent()) {
+      owner.reported(event.nowMs(), event.targetId(), event.load());
+    }
+  }
+
+  private void pollOwned() {
+    Map<String, String> owned = new LinkedHashMap<>();
+    for (VmEntry engine : targets.engines()) {
+      if (ownership.ownerOf(engine.id()).equals(settings.daemonId())) {
+        owned.put(engine.id(), engine.address());
+      }
+    }
+    if (!owned.equals(polled)) {
+      polled = owned;
+      log.add(new Effect.PollLoads(Map.copyOf(owned)));
+    }
+  }
+
+  private void applyPeer(PeerEvent event) {
+    if (event instanceof PeerEvent.HintReceived received) {
+      entry.hintReceived(received);
+    } else if (event instanceof PeerEvent.DaemonLost lost) {
+      entry.daemonLost(lost.nowMs(), lost.daemonId());
+    }
+  }
+
+  private void applyTime(TimeEvent event) {
+    if (event instanceof TimeEvent.DrainRequested drain) {
+      readiness.drain(drain.nowMs(), drain.deadlineMs());
+      log.control("drain", "", sheet.version(), "the daemon was told to stop");
+      return;
+    }
+    long nowMs = event.nowMs();
+    entry.expire(nowMs);
+    if (readiness.knowsTargets()) {
+      owner.reviewAll(nowMs);
+    }
+    boolean idle = entry.requestsInProgress() == 0 && owner.attemptsInProgress() == 0;
+    if (readiness.isDrained(nowMs, idle)) {
+      entry.abandonAll(nowMs);
+      log.add(new Effect.Stop());
+    }
+  }
+}
--- /dev/null
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/EntryRole.java
@@ -0,0 +1,455 @@
+package org.sequoiareach.decision.reducer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.event.ClaimResult;
+import org.sequoiareach.decision.event.PeerEvent;
+import org.sequoiareach.decision.event.RequestEvent;
+import org.sequoiareach.decision.placement.PendingAttempt;
+import org.sequoiareach.decision.routing.RouteChoice;
+import org.sequoiareach.decision.routing.RoutingStrategy;
+import org.sequoiareach.decision.routing.TargetView;
+import org.sequoiareach.model.platform.VmEntry;
+import org.sequoiareach.model.platform.VmKind;
+import org.sequoiareach.model.request.Outcome;
+import org.sequoiareach.model.request.Reason;
+import org.sequoiareach.model.request.RequestKind;
+import org.sequoiareach.model.request.RequestSpec;
+import org.sequoiareach.model.request.Verdict;
+import org.sequoiareach.model.sheet.OrganisationEntry;
+import org.sequoiareach.model.sheet.Sheet;
+
+/**
+ * Plays the daemon's role as entry of requests: it admits them, chooses where they are tried, and
+ * gives each its final answer.
+ */
+final class EntryRole {
+
+  private final ReducerSettings settings;
+  private final TargetRegistry targets;
+  private final Ownership ownership;
+  private final RoutingStrategy generationRouting;
+  private final RoutingStrategy serviceRouting;
+  private final OwnerRole owner;
+  private final EffectLog log;
+  private final DrawSequence draws;
+  private final OrganisationLimiter limiter = new OrganisationLimiter();
+  private final HintTable hints = new HintTable();
+  private final Map<String, ActiveRequest> requests = new LinkedHashMap<>();
+  private final Map<String, ActiveRequest> byAttempt = new HashMap<>();
+  private final Map<String, RequestSpec> unansweredClaims = new HashMap<>();
+  private final Map<String, Integer> outstanding = new HashMap<>();
+
+  EntryRole(
+      ReducerSettings settings,
+      TargetRegistry targets,
+      Ownership ownership,
+      RoutingStrategy generationRouting,
+      RoutingStrategy serviceRouting,
+      OwnerRole owner,
+      EffectLog log) {
+    this.settings = settings;
+    this.targets = targets;
+    this.ownership = ownership;
+    this.generationRouting = generationRouting;
+    this.serviceRouting = serviceRouting;
+    this.owner = owner;
+    this.log = log;
+    this.draws = new DrawSequence(settings.seed());
+  }
+
+  /** Admits a request or refuses it at once. */
+  void arrived(RequestEvent.RequestArrived event, Sheet sheet) {
+    RequestSpec spec = event.spec();
+    Optional<OrganisationEntry> organisation = sheet.findOrganisation(spec.organisation());
+    if (organisation.isEmpty() || !mayUse(organisation.get(), spec)) {
+      String message = spec.organisation() + " may not use " + spec.resource();
+      refuse(spec, sheet.version(), Reason.NOT_ALLOWED, message, 0);
+      return;
+    }
+    if (needsKey(spec)) {
+      String message = "this call may not be repeated and needs an Idempotency-Key";
+      refuse(spec, sheet.version(), Reason.IDEMPOTENCY_KEY_REQUIRED, message, 0);
+      return;
+    }
+    String excess =
+        limiter.admit(
+            event.nowMs(),
+            spec.organisation(),
+            organisation.get().limits(),
+            ownership.liveDaemons());
+    if (!excess.isEmpty()) {
+      long retryAfterMs = settings.retryAfterMs();
+      refuse(spec, sheet.version(), Reason.ORGANISATION_LIMIT, excess, retryAfterMs);
+      return;
+    }
+    int priority = organisation.get().priority();
+    ActiveRequest request = new ActiveRequest(spec, priority, sheet.version(), event.deadlineMs());
+    requests.put(spec.requestId(), request);
+    begin(event.nowMs(), request);
+  }
+
+  /** Refuses a request before anything is known of it but its shape. */
+  void refuse(
+      RequestSpec spec, long sheetVersion, Reason reason, String message, long retryAfterMs) {
+    log.decision("refuse", spec, "", sheetVersion, reason.label() + ": " + message);
+    log.fail(spec, Verdict.NOT_RUN, reason, message, retryAfterMs);
+  }
+
+  void claimAnswered(RequestEvent.ClaimAnswered event) {
+    ActiveRequest request = requests.get(event.requestId());
+    if (request == null || request.stage != ActiveRequest.Stage.CLAIMING) {
+      giveBackLateClaim(event);
+      return;
+    }
+    request.stage = ActiveRequest.Stage.TRYING;
+    switch (event.result()) {
+      case CLAIMED -> {
+        request.claimed = true;
+        route(event.nowMs(), request);
+      }
+      case UNAVAILABLE ->
+          finish(
+              request,
+              Verdict.NOT_RUN,
+              Reason.CLAIMS_UNAVAILABLE,
+              "the idempotency key could not be claimed",
+              settings.retryAfterMs());
+      default -> {
+        String message = "the idempotency key was used by an earlier call";
+        if (event.result() == ClaimResult.FINISHED_BY_OTHER) {
+          message = "the idempotency key belongs to a call that has finished";
+        }
+        finish(request, Verdict.MAY_HAVE_RUN, Reason.IDEMPOTENCY_KEY_CLAIMED, message, 0);
+      }
+    }
+  }
+
+  void cancelled(long nowMs, String requestId) {
+    ActiveRequest request = requests.get(requestId);
+    if (request == null) {
+      return;
+    }
+    stopAttempt(nowMs, request);
+    String message = "the caller has cancelled the request";
+    finish(request, request.verdict, Reason.CANCELLED, message, 0);
+  }
+
+  /** Lets go of a request whose caller may resume the generation through any daemon. */
+  void detached(long nowMs, String requestId) {
+    ActiveRequest request = requests.get(requestId);
+    if (request == null) {
+      return;
+    }
+    log.decision(
+        "detach", request.spec, request.targetId, request.sheetVersion, "the caller is gone");
+    owner.remove(nowMs, request.attemptId);
+    forget(request);
+  }
+
+  void started(RequestEvent.AttemptStarted event) {
+    ActiveRequest request = byAttempt.get(event.attemptId());
+    if (request == null) {
+      return;
+    }
+    request.started = true;
+  }
+
+  /**
+   * Takes the end of an attempt. Returns true if the same generation is resumed, so that the
+   * attempt is not over.
+   */
+  boolean ended(long nowMs, String attemptId, Outcome outcome) {
+    ActiveRequest request = byAttempt.get(attemptId);
+    if (request == null) {
+      return false;
+    }
+    if (outcome.succeeded()) {
+      succeed(request);
+      return false;
+    }
+    request.verdict = request.verdict.and(outcome.verdict());
+    request.retryAfterMs = Math.max(request.retryAfterMs, outcome.retryAfterMs());
+    if (mayResume(nowMs, request)) {
+      resume(nowMs, request, outcome);
+      return true;
+    }
+    endAttempt(request);
+    retryOrFinish(nowMs, request, outcome);
+    return false;
+  }
+
+  void hintReceived(PeerEvent.HintReceived event) {
+    hints.record(event.nowMs(), event.hint());
+  }
+
+  /** Ends every attempt that went to a daemon that is gone. */
+  void daemonLost(long nowMs, String daemonId) {
+    for (ActiveRequest request : List.copyOf(requests.values())) {
+      if (!request.ownerId.equals(daemonId) || request.attemptId.isEmpty()) {
+        continue;
+      }
+      log.add(new Effect.CancelAttempt(request.attemptId));
+      String message = "daemon " + daemonId + ", which owns the target, was lost";
+      Outcome outcome = Outcome.failed(Verdict.MAY_HAVE_RUN, Reason.OWNER_FAILED, message);
+      ended(nowMs, request.attemptId, outcome);
+    }
+  }
+
+  /** Gives up every request whose deadline has passed. */
+  void expire(long nowMs) {
+    for (ActiveRequest request : List.copyOf(requests.values())) {
+      if (nowMs >= request.deadlineMs) {
+        stopAttempt(nowMs, request);
+        String message = "the request's deadline has passed";
+        finish(request, request.verdict, Reason.DEADLINE, message, settings.retryAfterMs());
+      }
+    }
+  }
+
+  /** Gives up every request, as the daemon has reached its own final deadline. */
+  void abandonAll(long nowMs) {
+    for (ActiveRequest request : List.copyOf(requests.values())) {
+      stopAttempt(nowMs, request);
+      String message = "the daemon has stopped";
+      finish(request, request.verdict, Reason.NOT_READY, message, settings.retryAfterMs());
+    }
+  }
+
+  int requestsInProgress() {
+    return requests.size();
+  }
+
+  private void begin(long nowMs, ActiveRequest request) {
+    if (request.spec.repeatable()) {
+      route(nowMs, request);
+      return;
+    }
+    request.stage = ActiveRequest.Stage.CLAIMING;
+    RequestSpec spec = request.spec;
+    log.add(
+        new Effect.Claim(
+            spec.requestId(),
+            spec.organisation(),
+            spec.resource(),
+            spec.idempotencyKey(),
+            request.deadlineMs));
+  }
+
+  private void route(long nowMs, ActiveRequest request) {
+    RequestSpec spec = request.spec;
+    boolean generation = spec.kind() == RequestKind.GENERATION;
+    List<TargetView> candidates = candidates(nowMs, request);
+    RoutingStrategy strategy = generation ? generationRouting : serviceRouting;
+    Optional<RouteChoice> choice = strategy.choose(nowMs, spec, candidates, draws.next());
+    if (choice.isEmpty()) {
+      Reason reason = request.triedTargets.isEmpty() ? Reason.NO_TARGET : Reason.NO_CAPACITY;
+      String message = "no live target has room for " + spec.resource();
+      finish(request, request.verdict, reason, message, retryAfter(request));
+      return;
+    }
+    String targetId = choice.get().targetId();
+    request.attemptId = request.nextAttemptId();
+    request.targetId = targetId;
+    request.triedTargets.add(targetId);
+    byAttempt.put(request.attemptId, request);
+    outstanding.merge(targetId, 1, Integer::sum);
+    request.ownerId = generation ? ownerFor(targetId) : settings.daemonId();
+    String reason = choice.get().reason() + " owner=" + request.ownerId;
+    log.decision("route", spec, targetId, request.sheetVersion, reason, choice.get().losers());
+    send(nowMs, request);
+  }
+
+  private void send(long nowMs, ActiveRequest request) {
+    if (!request.ownerId.equals(settings.daemonId())) {
+      log.add(
+          new Effect.Forward(
+              request.attemptId,
+              request.ownerId,
+              request.targetId,
+              request.spec,
+              request.priority,
+              request.sheetVersion,
+              request.deadlineMs));
+      return;
+    }
+    PendingAttempt attempt =
+        new PendingAttempt(request.attemptId, request.spec, request.priority, request.deadlineMs);
+    if (request.spec.kind() == RequestKind.GENERATION) {
+      owner.offerOwn(nowMs, attempt, request.targetId, request.sheetVersion);
+      return;
+    }
+    Optional<VmEntry> target = targets.find(request.targetId);
+    target.ifPresent(vm -> dispatchCall(nowMs, request, vm));
+  }
+
+  private void dispatchCall(long nowMs, ActiveRequest request, VmEntry target) {
+    log.add(
+        new Effect.Dispatch(
+            request.attemptId,
+            request.spec.requestId(),
+            target.id(),
+            target.address(),
+            0,
+            nowMs + settings.sendWithinMs(),
+            request.deadlineMs));
+  }
+
+  private String ownerFor(String targetId) {
+    String ownerId = ownership.ownerOf(targetId);
+    return ownership.findAddress(ownerId).isPresent() ? ownerId : settings.daemonId();
+  }
+
+  private List<TargetView> candidates(long nowMs, ActiveRequest request) {
+    boolean generation = request.spec.kind() == RequestKind.GENERATION;
+    VmKind kind = generation ? VmKind.ENGINE : VmKind.SERVICE;
+    List<TargetView> views = new ArrayList<>();
+    for (VmEntry vm : targets.placeable(kind, request.spec.resource())) {
+      if (!request.triedTargets.contains(vm.id())) {
+        views.add(view(nowMs, vm));
+      }
+    }
+    return views;
+  }
+
+  private TargetView view(long nowMs, VmEntry vm) {
+    owner.findHint(nowMs, vm.id()).ifPresent(hint -> hints.record(nowMs, hint));
+    boolean sameZone = vm.zone().equals(settings.zone());
+    return hints.view(nowMs, vm, sameZone, outstanding.getOrDefault(vm.id(), 0));
+  }
+
+  private void retryOrFinish(long nowMs, ActiveRequest request, Outcome outcome) {
+    boolean certain = outcome.verdict() == Verdict.NOT_RUN;
+    boolean allowed = certain || (request.spec.repeatable() && !request.started);
+    boolean left = request.triedTargets.size() < settings.maxAttempts();
+    if (allowed && left && nowMs < request.deadlineMs) {
+      log.decision(
+          "retry",
+          request.spec,
+          request.targetId,
+          request.sheetVersion,
+          outcome.message() + " verdict=" + outcome.verdict().label());
+      route(nowMs, request);
+      return;
+    }
+    Reason reason = outcome.reason().orElse(Reason.INTERNAL);
+    finish(request, request.verdict, reason, outcome.message(), retryAfter(request));
+  }
+
+  private boolean mayResume(long nowMs, ActiveRequest request) {
+    return request.spec.kind() == RequestKind.GENERATION
+        && request.started
+        && request.resumes < settings.maxResumes()
+        && nowMs < request.deadlineMs
+        && targets.find(request.targetId).isPresent();
+  }
+
+  private void resume(long nowMs, ActiveRequest request, Outcome outcome) {
+    final long backoffMs = settings.resumeBackoffMs() << request.resumes;
+    request.resumes++;
+    request.ownerId = settings.daemonId();
+    log.decision("resume", request.spec, request.targetId, request.sheetVersion, outcome.message());
+    targets
+        .find(request.targetId)
+        .ifPresent(
+            vm ->
+                log.add(
+                    new Effect.Resume(
+                        request.attemptId,
+                        request.spec.requestId(),
+                        vm.id(),
+                        vm.address(),
+                        nowMs + backoffMs,
+                        request.deadlineMs)));
+  }
+
+  private void stopAttempt(long nowMs, ActiveRequest request) {
+    if (request.attemptId.isEmpty() || !byAttempt.containsKey(request.attemptId)) {
+      return;
+    }
+    boolean queued = owner.isQueued(request.attemptId);
+    owner.remove(nowMs, request.attemptId);
+    if (!queued) {
+      request.verdict = request.verdict.and(Verdict.MAY_HAVE_RUN);
+      log.add(new Effect.CancelAttempt(request.attemptId));
+    }
+  }
+
+  private void endAttempt(ActiveRequest request) {
+    if (byAttempt.remove(request.attemptId) != null) {
+      outstanding.merge(request.targetId, -1, EntryRole::sumOrNull);
+    }
+  }
+
+  private static Integer sumOrNull(Integer count, Integer change) {
+    int sum = count + change;
+    return sum == 0 ? null : sum;
+  }
+
+  private void succeed(ActiveRequest request) {
+    settle(request, Verdict.RAN);
+    log.decision("finish", request.spec, request.targetId, request.sheetVersion, "ran");
+    forget(request);
+  }
+
+  private void finish(
+      ActiveRequest request, Verdict verdict, Reason reason, String message, long retryAfterMs) {
+    if (reason != Reason.IDEMPOTENCY_KEY_CLAIMED) {
+      settle(request, verdict);
+    }
+    forget(request);
+    log.decision(
+        "fail",
+        request.spec,
+        request.targetId,
+        request.sheetVersion,
+        reason.label() + ": " + message + " verdict=" + verdict.label());
+    log.fail(request.spec, verdict, reason, message, retryAfterMs);
+  }
+
+  private void settle(ActiveRequest request, Verdict verdict) {
+    if (request.claimed) {
+      log.add(settlement(request.spec, verdict));
+    }
+  }
+
+  private void giveBackLateClaim(RequestEvent.ClaimAnswered event) {
+    RequestSpec spec = unansweredClaims.remove(event.requestId());
+    if (spec != null && event.result() == ClaimResult.CLAIMED) {
+      log.add(settlement(spec, Verdict.NOT_RUN));
+    }
+  }
+
+  private void forget(ActiveRequest request) {
+    requests.remove(request.spec.requestId());
+    endAttempt(request);
+    if (request.stage == ActiveRequest.Stage.CLAIMING) {
+      unansweredClaims.put(request.spec.requestId(), request.spec);
+    }
+    limiter.release(request.spec.organisation());
+  }
+
+  private long retryAfter(ActiveRequest request) {
+    return request.retryAfterMs > 0 ? request.retryAfterMs : settings.retryAfterMs();
+  }
+
+  private static Effect settlement(RequestSpec spec, Verdict verdict) {
+    return new Effect.SettleClaim(
+        spec.requestId(), spec.organisation(), spec.resource(), spec.idempotencyKey(), verdict);
+  }
+
+  private static boolean mayUse(OrganisationEntry organisation, RequestSpec spec) {
+    List<String> allowed =
+        spec.kind() == RequestKind.GENERATION ? organisation.models() : organisation.services();
+    return allowed.contains(spec.resource());
+  }
+
+  private static boolean needsKey(RequestSpec spec) {
+    return !spec.repeatable() && spec.idempotencyKey().isEmpty();
+  }
+}
--- /dev/null
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/HintTable.java
@@ -0,0 +1,32 @@
+package org.sequoiareach.decision.reducer;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.sequoiareach.decision.placement.LoadHint;
+import org.sequoiareach.decision.routing.TargetView;
+import org.sequoiareach.model.platform.VmEntry;
+
+/** Keeps the latest summary of each target that came from its owner. */
+final class HintTable {
+
+  private final Map<String, TimedHint> hints = new HashMap<>();
+
+  void record(long nowMs, LoadHint hint) {
+    hints.put(hint.targetId(), new TimedHint(nowMs, hint));
+  }
+
+  TargetView view(long nowMs, VmEntry vm, boolean sameZone, int outstanding) {
+    Optional<TimedHint> timed = Optional.ofNullable(hints.get(vm.id()));
+    long ageMs = timed.map(hint -> nowMs - hint.madeMs).orElse(0L);
+    Optional<LoadHint> hint = timed.map(TimedHint::hint);
+    return new TargetView(vm.id(), vm.zone(), sameZone, outstanding, hint, ageMs);
+  }
+
+  void retain(java.util.function.Predicate<String> known) {
+    hints.keySet().removeIf(known.negate());
+  }
+
+  /** Holds a summary and when it was received. */
+  private record TimedHint(long madeMs, LoadHint hint) {}
+}
