Serve callers through a daemon process

Cause: the thin path needs a daemon: callers' HTTP, one control thread for the reducer, attempts with the caller's own demand end to end, resumption of the same generation, cancel, plain calls, operators' port, checked settings. Ruled out: pooled connections for plain calls (a pooled connection may be closed as the call is written, and the verdict would be lost); a queue of tokens between target and caller (joined demand needs none, so a slow caller fills no memory).

--- /dev/null
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/DaemonMain.java
@@ -0,0 +1,108 @@
+package org.sequoiareach.daemon;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import org.apache.logging.log4j.LogManager;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.sequoiareach.daemon.settings.DaemonSettings;
+import org.sequoiareach.daemon.settings.DaemonSettingsReader;
+import org.sequoiareach.model.json.InvalidDocumentException;
+
+/** Runs the daemon {@code sequoiareachd} from the command line. */
+public final class DaemonMain {
+
+  private static final int EXIT_FAILED = 1;
+  private static final int EXIT_USAGE = 2;
+
+  @Option(name = "--settings", metaVar = "FILE", usage = "the JSON file of settings")
+  private Path settingsFile;
+
+  @Option(name = "--check-settings", usage = "only check the settings")
+  private boolean checkOnly;
+
+  @Option(name = "--help", help = true, usage = "print this text")
+  private boolean help;
+
+  @Option(name = "--version", help = true, usage = "print the version")
+  private boolean version;
+
+  private DaemonMain() {}
+
+  /**
+   * Runs the program; exits with 0 after a planned stop, 1 on failure, 2 on wrong usage.
+   *
+   * @param args the command line
+   */
+  public static void main(String[] args) {
+    System.exit(new DaemonMain().run(args));
+  }
+
+  private int run(String[] args) {
+    CmdLineParser parser = new CmdLineParser(this);
+    try {
+      parser.parseArgument(args);
+    } catch (CmdLineException e) {
+      System.err.println(e.getMessage());
+      parser.printUsage(System.err);
+      return EXIT_USAGE;
+    }
+    if (help) {
+      System.out.println("sequoiareachd --settings FILE [--check-settings]");
+      parser.printUsage(System.out);
+      return 0;
+    }
+    if (version) {
+      System.out.println("sequoiareachd " + ProgramVersion.VERSION);
+      return 0;
+    }
+    if (settingsFile == null) {
+      System.err.println("--settings FILE is required; see --help");
+      return EXIT_USAGE;
+    }
+    return start();
+  }
+
+  private int start() {
+    DaemonSettings settings;
+    try {
+      settings = DaemonSettingsReader.read(settingsFile);
+    } catch (IOException e) {
+      System.err.println("The settings file " + settingsFile + " cannot be read: " + e);
+      return EXIT_FAILED;
+    } catch (InvalidDocumentException e) {
+      System.err.println("The settings file " + settingsFile + " is wrong:\n" + e.getMessage());
+      return EXIT_FAILED;
+    }
+    if (checkOnly) {
+      System.out.println("The settings file " + settingsFile + " is right.");
+      return 0;
+    }
+    return serve(settings);
+  }
+
+  private static int serve(DaemonSettings settings) {
+    Daemon daemon = new Daemon(settings);
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "stop"));
+    daemon.start();
+    try {
+      daemon.awaitStop();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return 0;
+  }
+
+  /** Runs on SIGTERM: the process lives until every request in progress is over. */
+  private static void stop(Daemon daemon) {
+    try {
+      daemon.drain();
+      daemon.awaitStop();
+      daemon.close();
+      LogManager.shutdown();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/ProgramVersion.java
@@ -0,0 +1,9 @@
+package org.sequoiareach.daemon;
+
+/** Holds the version of the program. */
+final class ProgramVersion {
+
+  static final String VERSION = "0.1.0";
+
+  private ProgramVersion() {}
+}
--- /dev/null
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/ErrorResponses.java
@@ -0,0 +1,86 @@
+package org.sequoiareach.daemon.caller;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
+import org.reactivestreams.Publisher;
+import org.sequoiareach.model.json.Json;
+import org.sequoiareach.model.request.Reason;
+import org.sequoiareach.model.request.RequestFailedException;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Writes failures to callers: the OpenAI error envelope, or problem JSON for plain services. */
+final class ErrorResponses {
+
+  static final String VERDICT_HEADER = "Sequoiareach-Verdict";
+  private static final long MS_PER_SECOND = 1_000;
+
+  private ErrorResponses() {}
+
+  /** Writes a failure under {@code /v1} before any part of an answer was sent. */
+  static Publisher<Void> openAi(HttpServerResponse response, RequestFailedException failure) {
+    return write(response, failure, "application/json", envelope(failure));
+  }
+
+  /** Writes a failure of a plain call, in the form of RFC 9457. */
+  static Publisher<Void> problem(HttpServerResponse response, RequestFailedException failure) {
+    ObjectNode body = Json.mapper().createObjectNode();
+    body.put("type", "about:blank");
+    body.put("title", failure.reason().label());
+    body.put("status", failure.reason().httpStatus());
+    body.put("detail", failure.getMessage());
+    body.put("verdict", failure.verdict().label());
+    failure.retryAfterMs().ifPresent(ms -> body.put("retryAfterMs", ms));
+    return write(response, failure, "application/problem+json", body);
+  }
+
+  /** Returns the OpenAI error envelope of a failure. */
+  static ObjectNode envelope(RequestFailedException failure) {
+    ObjectNode error = Json.mapper().createObjectNode();
+    error.put("message", failure.getMessage());
+    error.put("type", type(failure.reason()));
+    error.putNull("param");
+    error.put("code", failure.reason().label());
+    error.put("verdict", failure.verdict().label());
+    failure.retryAfterMs().ifPresent(ms -> error.put("retry_after_ms", ms));
+    ObjectNode body = Json.mapper().createObjectNode();
+    body.set("error", error);
+    return body;
+  }
+
+  private static Publisher<Void> write(
+      HttpServerResponse response,
+      RequestFailedException failure,
+      String contentType,
+      ObjectNode body) {
+    response.status(HttpResponseStatus.valueOf(failure.reason().httpStatus()));
+    response.header("Content-Type", contentType);
+    response.header(VERDICT_HEADER, failure.verdict().label());
+    failure.retryAfterMs().ifPresent(ms -> response.header("Retry-After", seconds(ms)));
+    return response.sendByteArray(Mono.just(bytes(body)));
+  }
+
+  static byte[] bytes(ObjectNode body) {
+    try {
+      return Json.mapper().writeValueAsBytes(body);
+    } catch (JsonProcessingException e) {
+      return "{}".getBytes(StandardCharsets.UTF_8);
+    }
+  }
+
+  private static String seconds(long ms) {
+    return Long.toString(Math.max(1, (ms + MS_PER_SECOND - 1) / MS_PER_SECOND));
+  }
+
+  private static String type(Reason reason) {
+    return switch (reason) {
+      case UNKNOWN_KEY -> "authentication_error";
+      case NOT_ALLOWED -> "permission_error";
+      case ORGANISATION_LIMIT, BUDGET_SPENT -> "rate_limit_error";
+      case BAD_REQUEST, NOT_FOUND, TOO_LARGE, IDEMPOTENCY_KEY_REQUIRED -> "invalid_request_error";
+      default -> "server_error";
+    };
+  }
+}
--- /dev/null
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/ServiceHandler.java
@@ -0,0 +1,163 @@
+package org.sequoiareach.daemon.caller;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.reactivestreams.Publisher;
+import org.sequoiareach.daemon.answer.AnswerPart;
+import org.sequoiareach.daemon.answer.HeaderField;
+import org.sequoiareach.daemon.answer.RequestContent;
+import org.sequoiareach.daemon.attempt.Exchange;
+import org.sequoiareach.daemon.attempt.Failures;
+import org.sequoiareach.daemon.target.ServiceClient;
+import org.sequoiareach.model.request.Reason;
+import org.sequoiareach.model.request.RequestKind;
+import org.sequoiareach.model.request.RequestSpec;
+import org.sequoiareach.model.request.Verdict;
+import org.sequoiareach.model.sheet.OperationEntry;
+import org.sequoiareach.model.sheet.OrganisationEntry;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Takes calls to plain services: {@code ANY /services/{service}/{path}}. */
+final class ServiceHandler {
+
+  private static final String PREFIX = "/services/";
+  private static final String KEY_HEADER = "Idempotency-Key";
+  private static final int MAX_KEY_CHARS = 200;
+
+  private final KeyDirectory keys;
+  private final CallContext calls;
+  private final RequestIds ids;
+  private final BodyReader bodies;
+  private final DeadlineResolver deadlines;
+
+  ServiceHandler(
+      KeyDirectory keys,
+      CallContext calls,
+      RequestIds ids,
+      BodyReader bodies,
+      DeadlineResolver deadlines) {
+    this.keys = keys;
+    this.calls = calls;
+    this.ids = ids;
+    this.bodies = bodies;
+    this.deadlines = deadlines;
+  }
+
+  static boolean covers(HttpServerRequest request) {
+    return request.uri().startsWith(PREFIX);
+  }
+
+  Publisher<Void> call(HttpServerRequest request, HttpServerResponse response) {
+    String key = request.requestHeaders().get("Authorization");
+    Optional<OrganisationEntry> organisation = keys.findOrganisation(key);
+    if (organisation.isEmpty()) {
+      return ErrorResponses.problem(response, KeyRefusal.of(keys));
+    }
+    return bodies
+        .read(request)
+        .flatMap(body -> run(request, response, organisation.get(), body))
+        .onErrorResume(
+            thrown -> Mono.from(ErrorResponses.problem(response, Failures.classify(thrown))));
+  }
+
+  private Mono<Void> run(
+      HttpServerRequest request,
+      HttpServerResponse response,
+      OrganisationEntry organisation,
+      byte[] body) {
+    String rest = request.uri().substring(PREFIX.length());
+    int slash = rest.indexOf('/');
+    String service = slash < 0 ? rest : rest.substring(0, slash);
+    String path = slash < 0 ? "/" : rest.substring(slash);
+    RequestSpec spec = spec(request, organisation, service, path);
+    RequestContent content =
+        new RequestContent(request.method().name(), path, headers(request), body);
+    Exchange exchange = new Exchange(spec, content);
+    response.header("X-Request-Id", spec.requestId());
+    Flux<AnswerPart> answer = calls.submit(exchange, deadlines.resolve(request));
+    return answer
+        .switchOnFirst(
+            (first, parts) -> {
+              if (first.get() instanceof AnswerPart.Head head) {
+                writeHead(response, head);
+                return response.sendByteArray(parts.concatMap(ServiceHandler::bytes, 1));
+              }
+              return ErrorResponses.problem(response, Failures.classify(first.getThrowable()));
+            })
+        .then();
+  }
+
+  private RequestSpec spec(
+      HttpServerRequest request, OrganisationEntry organisation, String service, String path) {
+    int query = path.indexOf('?');
+    String pathOnly = query < 0 ? path : path.substring(0, query);
+    OperationEntry operation =
+        keys.findSheet()
+            .filter(sheet -> organisation.services().contains(service))
+            .flatMap(sheet -> sheet.findService(service))
+            .flatMap(entry -> entry.findOperation(request.method().name(), pathOnly))
+            .orElseThrow(() -> unknown(request.method().name(), service, pathOnly));
+    return new RequestSpec(
+        ids.next(),
+        organisation.id(),
+        RequestKind.SERVICE_CALL,
+        service,
+        operation.path(),
+        operation.repeatable(),
+        idempotencyKey(request),
+        0,
+        0,
+        List.of(),
+        false);
+  }
+
+  private static String idempotencyKey(HttpServerRequest request) {
+    String key = request.requestHeaders().get(KEY_HEADER);
+    if (key == null || key.isBlank()) {
+      return "";
+    }
+    if (key.length() > MAX_KEY_CHARS) {
+      String message = "'" + KEY_HEADER + "' is longer than " + MAX_KEY_CHARS + " characters";
+      throw Refusals.of(Reason.BAD_REQUEST, message);
+    }
+    return key.trim();
+  }
+
+  private static List<HeaderField> headers(HttpServerRequest request) {
+    List<HeaderField> passed = new ArrayList<>();
+    request
+        .requestHeaders()
+        .forEach(
+            field -> {
+              if (ServiceClient.isPassedOn(field.getKey())) {
+                passed.add(new HeaderField(field.getKey(), field.getValue()));
+              }
+            });
+    return passed;
+  }
+
+  private static void writeHead(HttpServerResponse response, AnswerPart.Head head) {
+    response.status(HttpResponseStatus.valueOf(head.status()));
+    for (HeaderField field : head.headers()) {
+      if (!field.name().toLowerCase(Locale.ROOT).startsWith("sequoiareach-")) {
+        response.addHeader(field.name(), field.value());
+      }
+    }
+    response.header(ErrorResponses.VERDICT_HEADER, Verdict.RAN.label());
+  }
+
+  private static Mono<byte[]> bytes(AnswerPart part) {
+    return part instanceof AnswerPart.Data data ? Mono.just(data.payload()) : Mono.empty();
+  }
+
+  private static RuntimeException unknown(String method, String service, String path) {
+    String message = method + " " + path + " of service '" + service + "' is not open to you";
+    return Refusals.of(Reason.NOT_FOUND, message);
+  }
+}
--- /dev/null
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/platform/PlatformPoller.java
@@ -0,0 +1,111 @@
+package org.sequoiareach.daemon.platform;
+
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.sequoiareach.daemon.control.EffectHandler;
+import org.sequoiareach.daemon.control.EventSink;
+import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.event.PlatformEvent;
+import org.sequoiareach.model.sheet.Sheet;
+import org.sequoiareach.platform.sheet.SheetStore;
+import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.platform.vm.VmList;
+
+/** Reads the sheet and the list of VMs, at a steady period and when the reducer asks. */
+public final class PlatformPoller implements EffectHandler {
+
+  private static final long SHEET_PERIOD_MS = 2_000;
+  private static final long LIST_PERIOD_MS = 1_000;
+  private static final long READ_TIMEOUT_MS = 1_500;
+  private static final Logger LOGGER = LogManager.getLogger(PlatformPoller.class);
+
+  private final SheetStore sheets;
+  private final VmList vmList;
+  private final EventSink events;
+  private final ScheduledExecutorService timer;
+  private final AtomicBoolean readingSheet = new AtomicBoolean();
+  private final AtomicBoolean readingList = new AtomicBoolean();
+  private volatile Optional<Sheet> known = Optional.empty();
+
+  /**
+   * Creates a poller that is not started.
+   *
+   * @param sheets the store of the sheet
+   * @param vmList the list of VMs
+   * @param events the reducer's sink
+   * @param timer runs the periods
+   */
+  public PlatformPoller(
+      SheetStore sheets, VmList vmList, EventSink events, ScheduledExecutorService timer) {
+    this.sheets = sheets;
+    this.vmList = vmList;
+    this.events = events;
+    this.timer = timer;
+  }
+
+  /** Starts the periods. */
+  public void start() {
+    timer.scheduleWithFixedDelay(this::readSheet, 0, SHEET_PERIOD_MS, TimeUnit.MILLISECONDS);
+    timer.scheduleWithFixedDelay(this::readList, 0, LIST_PERIOD_MS, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void handle(Effect effect) {
+    if (effect instanceof Effect.ReadPlatform) {
+      readSheet();
+      readList();
+    }
+  }
+
+  private void readSheet() {
+    if (!readingSheet.compareAndSet(false, true)) {
+      return;
+    }
+    long askedMs = MonotonicClock.nowMs();
+    sheets
+        .findCurrent(known, askedMs + READ_TIMEOUT_MS)
+        .whenComplete(
+            (sheet, thrown) -> {
+              readingSheet.set(false);
+              sheetAnswered(askedMs, sheet, thrown);
+            });
+  }
+
+  private void sheetAnswered(long askedMs, Optional<Sheet> sheet, Throwable thrown) {
+    long nowMs = MonotonicClock.nowMs();
+    if (thrown != null) {
+      LOGGER.warn("The sheet could not be read: {}", thrown.toString());
+      events.post(new PlatformEvent.SheetReadFailed(nowMs));
+      return;
+    }
+    if (sheet.isEmpty()) {
+      return;
+    }
+    known = sheet;
+    events.post(new PlatformEvent.SheetRead(nowMs, askedMs, sheet.get()));
+  }
+
+  private void readList() {
+    if (!readingList.compareAndSet(false, true)) {
+      return;
+    }
+    long askedMs = MonotonicClock.nowMs();
+    vmList
+        .read(askedMs + READ_TIMEOUT_MS)
+        .whenComplete(
+            (vms, thrown) -> {
+              readingList.set(false);
+              long nowMs = MonotonicClock.nowMs();
+              if (thrown != null) {
+                LOGGER.warn("The list of VMs could not be read: {}", thrown.toString());
+                events.post(new PlatformEvent.VmListFailed(nowMs));
+                return;
+              }
+              events.post(new PlatformEvent.VmsListed(nowMs, askedMs, vms));
+            });
+  }
+}
--- /dev/null
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Holds the daemon's settings and reads them from one checked JSON file. */
+package org.sequoiareach.daemon.settings;
