Prove the thin path end to end against stand-ins

Cause: the daemon was not yet shown to serve anything. Two daemons in one JVM, over real connections, stream, answer whole, resume through the other daemon, cancel, refuse and route plain calls.

--- /dev/null
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/DaemonEndToEndTest.java
@@ -0,0 +1,156 @@
+package org.sequoiareach.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiareach.model.json.Json;
+
+/** Serves callers through daemons against stand-ins, over real connections. */
+class DaemonEndToEndTest {
+
+  private static final Pattern ID = Pattern.compile("\"id\":\"(chatcmpl-[^\"]+)\"");
+  private static final String VERDICT = "Sequoiareach-Verdict";
+
+  private static Deployment deployment;
+  private static Daemon first;
+  private static Daemon second;
+
+  @BeforeAll
+  static void start() {
+    deployment = new Deployment(2);
+    first = deployment.startDaemon("d1");
+    second = deployment.startDaemon("d2");
+  }
+
+  @AfterAll
+  static void stop() {
+    deployment.close();
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 7, 200})
+  void streamsEveryTokenOnceInOrder(int tokens) {
+    HttpResponse<String> answer = deployment.complete(first, Deployment.KEY, tokens, true).join();
+    assertThat(answer.statusCode()).isEqualTo(200);
+    assertThat(answer.headers().firstValue(VERDICT)).contains("ran");
+    assertThat(Streams.contents(answer.body())).isEqualTo(Streams.expected("m", 1, tokens));
+    assertThat(answer.body()).endsWith("data: [DONE]\n\n");
+  }
+
+  @Test
+  void answersWhole() throws Exception {
+    HttpResponse<String> answer = deployment.complete(first, Deployment.KEY, 12, false).join();
+    JsonNode body = Json.mapper().readTree(answer.body());
+    assertThat(answer.statusCode()).isEqualTo(200);
+    assertThat(body.at("/choices/0/message/content").asText())
+        .isEqualTo(String.join("", Streams.expected("m", 1, 12)));
+    assertThat(body.at("/usage/completion_tokens").asInt()).isEqualTo(12);
+  }
+
+  @Test
+  void resumesTheSameGenerationThroughAnotherDaemon() {
+    String stream = deployment.complete(first, Deployment.KEY, 30, true).join().body();
+    HttpResponse<String> rest = resume(second, Deployment.KEY, id(stream), "20");
+    assertThat(rest.statusCode()).isEqualTo(200);
+    assertThat(Streams.contents(rest.body())).isEqualTo(Streams.expected("m", 21, 30));
+    assertThat(id(rest.body())).isEqualTo(id(stream));
+  }
+
+  @Test
+  void hidesStoredAnswersFromOtherOrganisations() {
+    String stream = deployment.complete(first, Deployment.KEY, 5, true).join().body();
+    HttpResponse<String> other = resume(second, Deployment.OTHER_KEY, id(stream), "0");
+    HttpResponse<String> none = resume(second, Deployment.OTHER_KEY, "chatcmpl-e1.x.y", "0");
+    assertThat(other.statusCode()).isEqualTo(404);
+    assertThat(other.body()).isEqualTo(none.body());
+    assertThat(cancel(second, Deployment.OTHER_KEY, id(stream)).statusCode()).isEqualTo(404);
+  }
+
+  @Test
+  void cancelsThroughAnotherDaemon() {
+    String stream = deployment.complete(first, Deployment.KEY, 5, true).join().body();
+    assertThat(cancel(second, Deployment.KEY, id(stream)).statusCode()).isIn(204, 404);
+  }
+
+  @Test
+  void listsModelsOpenToTheOrganisation() {
+    HttpRequest request = deployment.request(first, Deployment.KEY, "/v1/models").build();
+    assertThat(deployment.send(request).join().body()).contains("\"id\":\"contract-70b\"");
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "sk-wrong|{}|401|unknown-key",
+        "sk-test|{|400|bad-request",
+        "sk-test|[]|400|bad-request",
+        "sk-test|{\"model\":\"contract-70b\"}|400|bad-request",
+        "sk-test|{\"model\":7,\"messages\":[{\"role\":\"user\"}]}|400|bad-request",
+        "sk-test|{\"model\":\"none\",\"messages\":[{\"role\":\"user\"}]}|404|not-found",
+      })
+  void refusesBadRequestsInTheOpenAiEnvelope(String key, String body, int status, String code)
+      throws Exception {
+    HttpRequest request =
+        deployment
+            .request(first, key, "/v1/chat/completions")
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    HttpResponse<String> answer = deployment.send(request).join();
+    JsonNode error = Json.mapper().readTree(answer.body()).path("error");
+    assertThat(answer.statusCode()).isEqualTo(status);
+    assertThat(error.path("code").asText()).isEqualTo(code);
+    assertThat(answer.headers().firstValue(VERDICT)).contains("not-run");
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "GET,/services/dispatch/bookings/7,200",
+    "POST,/services/dispatch/bookings,400",
+    "DELETE,/services/dispatch/bookings/7,404",
+    "GET,/services/none/x,404",
+  })
+  void routesPlainCallsByTheirOperation(String method, String path, int status) {
+    HttpRequest request =
+        deployment
+            .request(first, Deployment.KEY, path)
+            .method(method, HttpRequest.BodyPublishers.noBody())
+            .build();
+    assertThat(deployment.send(request).join().statusCode()).isEqualTo(status);
+  }
+
+  private static HttpResponse<String> resume(Daemon daemon, String key, String id, String after) {
+    return deployment
+        .send(
+            deployment
+                .request(daemon, key, "/v1/chat/completions/" + id)
+                .header("Last-Event-ID", after)
+                .build())
+        .join();
+  }
+
+  private static HttpResponse<String> cancel(Daemon daemon, String key, String id) {
+    return deployment
+        .send(deployment.request(daemon, key, "/v1/chat/completions/" + id).DELETE().build())
+        .join();
+  }
+
+  private static String id(String stream) {
+    Matcher matcher = ID.matcher(stream);
+    assertThat(matcher.find()).as("an id in %s", stream).isTrue();
+    List<String> ids = ID.matcher(stream).results().map(found -> found.group(1)).toList();
+    assertThat(ids).as("one id in the whole stream").containsOnly(matcher.group(1));
+    return matcher.group(1);
+  }
+}
--- /dev/null
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/Deployment.java
@@ -0,0 +1,200 @@
+package org.sequoiareach.daemon;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.sequoiareach.daemon.settings.DaemonSettings;
+import org.sequoiareach.model.platform.VmEntry;
+import org.sequoiareach.model.platform.VmKind;
+import org.sequoiareach.model.sheet.LimitsEntry;
+import org.sequoiareach.model.sheet.ModelEntry;
+import org.sequoiareach.model.sheet.OperationEntry;
+import org.sequoiareach.model.sheet.OrganisationEntry;
+import org.sequoiareach.model.sheet.PlanEntry;
+import org.sequoiareach.model.sheet.ServiceEntry;
+import org.sequoiareach.model.sheet.Sheet;
+import org.sequoiareach.platform.kv.EtcdKeyValueService;
+import org.sequoiareach.platform.kv.KeyValueCallListener;
+import org.sequoiareach.platform.sheet.KeyValueSheetStore;
+import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.standin.engine.EngineSettings;
+import org.sequoiareach.standin.engine.EngineStandin;
+import org.sequoiareach.standin.engine.StepSettings;
+import org.sequoiareach.standin.kv.KvSettings;
+import org.sequoiareach.standin.kv.KvStandin;
+import org.sequoiareach.standin.service.ServiceSettings;
+import org.sequoiareach.standin.service.ServiceStandin;
+import org.sequoiareach.standin.vms.VmListSettings;
+import org.sequoiareach.standin.vms.VmListStandin;
+
+/** Runs stand-ins and daemons in this process, on free loopback ports. */
+final class Deployment implements AutoCloseable {
+
+  static final String KEY = "sk-test";
+  static final String OTHER_KEY = "sk-other";
+  private static final long WAIT_MS = 15_000;
+  private static final StepSettings FAST_STEPS = new StepSettings(4, 0, 0, 0.001, 4_096, 64);
+
+  final KvStandin keyValues = new KvStandin(new KvSettings("127.0.0.1:0"));
+  final VmListStandin vms = new VmListStandin(new VmListSettings("127.0.0.1:0", 0, List.of()));
+  final ServiceStandin service =
+      new ServiceStandin(new ServiceSettings("127.0.0.1:0", "dispatch", "dispatch-1", 0));
+  final Map<String, EngineStandin> engines = new HashMap<>();
+  final List<Daemon> daemons = new ArrayList<>();
+  private final HttpClient http = HttpClient.newHttpClient();
+  private final String keyValueAddress;
+  private final String vmListAddress;
+  private long sheetVersion;
+
+  Deployment(int engineCount) {
+    keyValueAddress = text(keyValues.start());
+    vmListAddress = text(vms.start());
+    put("dispatch-1", VmKind.SERVICE, text(service.start()), "dispatch", false);
+    for (int i = 1; i <= engineCount; i++) {
+      EngineSettings settings = EngineSettings.of("e" + i, "contract-70b").withSteps(FAST_STEPS);
+      EngineStandin engine = new EngineStandin(settings);
+      engines.put("e" + i, engine);
+      put("e" + i, VmKind.ENGINE, text(engine.start()), "contract-70b", false);
+    }
+    export(sheet(50));
+  }
+
+  static Sheet sheet(int concurrentRequests) {
+    OperationEntry book = new OperationEntry("POST", "/bookings", false);
+    OperationEntry look = new OperationEntry("GET", "/bookings/*", true);
+    return new Sheet(
+        0,
+        List.of(new ModelEntry("contract-70b", "1", 32_768, 1, 2)),
+        List.of(new ServiceEntry("dispatch", List.of(book, look))),
+        List.of(
+            organisation("acme", KEY, concurrentRequests),
+            organisation("other", OTHER_KEY, concurrentRequests)));
+  }
+
+  private static OrganisationEntry organisation(String id, String key, int concurrentRequests) {
+    return new OrganisationEntry(
+        id,
+        List.of(org.sequoiareach.daemon.caller.TestKeys.digest(key)),
+        5,
+        List.of("contract-70b"),
+        List.of("dispatch"),
+        new PlanEntry(1_000_000, 1_000_000),
+        new LimitsEntry(concurrentRequests, 1_000));
+  }
+
+  void export(Sheet sheet) {
+    EtcdKeyValueService client =
+        new EtcdKeyValueService(
+            List.of(keyValueAddress),
+            reactor.netty.http.client.HttpClient.create(),
+            KeyValueCallListener.NONE);
+    long deadlineMs = MonotonicClock.nowMs() + WAIT_MS;
+    sheetVersion = new KeyValueSheetStore(client).export(sheet, sheetVersion, deadlineMs).join();
+  }
+
+  void put(String id, VmKind kind, String address, String serves, boolean leaving) {
+    List<String> names = serves.isEmpty() ? List.of() : List.of(serves);
+    vms.put(new VmEntry(id, kind, address, "zone-a", leaving, names));
+  }
+
+  Daemon startDaemon(String id) {
+    String free = "127.0.0.1:0";
+    Daemon daemon =
+        new Daemon(
+            new DaemonSettings(
+                id,
+                "zone-a",
+                new DaemonSettings.CallerSettings(free, 0, 0, 0),
+                new DaemonSettings.ListenerSettings(free),
+                new DaemonSettings.ListenerSettings(free),
+                new DaemonSettings.KeyValueSettings(List.of(keyValueAddress)),
+                new DaemonSettings.VmListSettings(vmListAddress),
+                null,
+                20_000,
+                Optional.of(1L)));
+    daemon.start();
+    daemons.add(daemon);
+    await("daemon " + id + " is ready", () -> status(daemon, "/readyz") == 200);
+    return daemon;
+  }
+
+  int status(Daemon daemon, String path) {
+    URI uri = URI.create("http://" + text(daemon.operatorAddress()) + path);
+    return send(HttpRequest.newBuilder(uri).build()).join().statusCode();
+  }
+
+  /** Starts a request for an answer of so many tokens. */
+  CompletableFuture<HttpResponse<String>> complete(
+      Daemon daemon, String key, int tokens, boolean stream) {
+    String body =
+        "{\"model\":\"contract-70b\",\"stream\":"
+            + stream
+            + ",\"max_tokens\":2000,\"metadata\":{\"marker\":\"m\",\"answer_tokens\":\""
+            + tokens
+            + "\"},\"messages\":[{\"role\":\"user\",\"content\":\"Hello\"}]}";
+    return send(
+        request(daemon, key, "/v1/chat/completions")
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+            .build());
+  }
+
+  HttpRequest.Builder request(Daemon daemon, String key, String path) {
+    URI uri = URI.create("http://" + text(daemon.callerAddress()) + path);
+    return HttpRequest.newBuilder(uri)
+        .timeout(Duration.ofMillis(WAIT_MS))
+        .header("Authorization", "Bearer " + key);
+  }
+
+  CompletableFuture<HttpResponse<String>> send(HttpRequest request) {
+    return http.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+  }
+
+  CompletableFuture<HttpResponse<String>> book(Daemon daemon, String key, String idempotencyKey) {
+    return send(
+        request(daemon, key, "/services/dispatch/bookings")
+            .header("Idempotency-Key", idempotencyKey)
+            .POST(HttpRequest.BodyPublishers.ofString("{\"truck\":1}"))
+            .build());
+  }
+
+  static void await(String what, BooleanSupplier condition) {
+    long deadlineMs = MonotonicClock.nowMs() + WAIT_MS;
+    while (!condition.getAsBoolean()) {
+      if (MonotonicClock.nowMs() > deadlineMs) {
+        throw new AssertionError("not within " + WAIT_MS + " ms: " + what);
+      }
+      sleep(20);
+    }
+  }
+
+  static void sleep(long ms) {
+    try {
+      Thread.sleep(ms);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  static String text(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
+  @Override
+  public void close() {
+    daemons.forEach(Daemon::close);
+    engines.values().forEach(EngineStandin::close);
+    service.close();
+    vms.close();
+    keyValues.close();
+  }
+}
--- /dev/null
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/Streams.java
@@ -0,0 +1,37 @@
+package org.sequoiareach.daemon;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.sequoiareach.model.json.Json;
+
+/** Reads recorded streams of completions. */
+final class Streams {
+
+  private static final String DATA = "data: ";
+
+  private Streams() {}
+
+  /** Returns the content of each token, in the order received. */
+  static List<String> contents(String stream) {
+    return stream
+        .lines()
+        .filter(line -> line.startsWith(DATA + "{"))
+        .map(line -> content(line.substring(DATA.length())))
+        .filter(content -> !content.isEmpty())
+        .toList();
+  }
+
+  /** Returns the contents that the stand-in gives to a range of tokens. */
+  static List<String> expected(String marker, int from, int to) {
+    return IntStream.rangeClosed(from, to).mapToObj(n -> marker + ":" + n + " ").toList();
+  }
+
+  private static String content(String json) {
+    try {
+      return Json.mapper().readTree(json).at("/choices/0/delta/content").asText("");
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("not JSON: " + json, e);
+    }
+  }
+}
