Find live daemons by probing and owners by rendezvous hashing

Cause: owners of targets need a shared belief of which daemons live that outlasts an outage of the VM list.

MembershipReducer is SWIM with suspicion, incarnations and news bounded to 512 bytes a message; seeded from the list, never shrunk by it. A paused process forgives what it missed.

Two owners at once each admit without the other's reservations: the target may be overcommitted until views agree; nothing else follows. Not measured: a whole zone lost at once at 1,500, where the bound on news slows the spread.

--- /dev/null
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/membership/MembershipMeasurement.java
@@ -0,0 +1,103 @@
+package org.sequoiareach.decision.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.model.platform.MemberState;
+import org.sequoiareach.model.sheet.SheetDigest;
+import org.sequoiareach.peer.MembershipMessage;
+import org.sequoiareach.peer.PeerFrames;
+
+/** Measures traffic, detection time and processor time of the membership at several sizes. */
+final class MembershipMeasurement {
+
+  /** Two handshakes and the headers of a dozen TCP segments, paid by the side that opens. */
+  static final int CONNECTION_BYTES = 2 * 120 + 12 * 40 + 2 * 20;
+
+  private static final SheetDigest SHEET = new SheetDigest(1_234, 0x123456789abcdefL);
+  private static final int WARM_UP_SECONDS = 20;
+  private static final int STEADY_SECONDS = 60;
+
+  private final MembershipNetwork network;
+  private final int daemons;
+  private long frameBytes;
+  private long probes;
+
+  MembershipMeasurement(int daemons, long seed) {
+    this.daemons = daemons;
+    this.network = new MembershipNetwork(daemons, seed);
+    network.observe(this::count);
+  }
+
+  /** Runs the sizes given as arguments and prints a line for each. */
+  public static void main(String[] sizes) {
+    for (String size : sizes) {
+      MembershipMeasurement measurement = new MembershipMeasurement(Integer.parseInt(size), 1);
+      System.out.println(measurement.report());
+    }
+  }
+
+  /** Returns bytes that one daemon sends a second while nothing changes, connections included. */
+  double steadyBytesPerSecond() {
+    network.run(WARM_UP_SECONDS * 1_000L);
+    return bytesPerSecond(STEADY_SECONDS);
+  }
+
+  private double bytesPerSecond(int seconds) {
+    frameBytes = 0;
+    probes = 0;
+    network.run(seconds * 1_000L);
+    return (double) (frameBytes + probes * CONNECTION_BYTES) / seconds / daemons;
+  }
+
+  private String report() {
+    final double steady = steadyBytesPerSecond();
+    final double frames = (double) frameBytes / STEADY_SECONDS / daemons;
+    long startNs = System.nanoTime();
+    network.run(STEADY_SECONDS * 1_000L);
+    final double micros = (System.nanoTime() - startNs) / 1e3 / STEADY_SECONDS / daemons;
+    List<Long> suspected = new ArrayList<>();
+    List<Long> dead = new ArrayList<>();
+    int rounds = Math.min(5, daemons / 2);
+    for (int i = 0; i < rounds; i++) {
+      String victim = MembershipNetwork.id(i);
+      network.stop(victim);
+      suspected.add(network.runUntilAllBelieve(victim, MemberState.SUSPECT, 20_000));
+      dead.add(suspected.get(i) + network.runUntilAllBelieve(victim, MemberState.DEAD, 60_000));
+    }
+    double churn = churnBytesPerSecond(rounds);
+    return ("%d daemons: %.0f B/s steady (%.0f in frames), %.0f B/s with one stopping every 2 s,"
+            + " suspected by all after %s ms, dead for all after %s ms, %.0f us/s in this run")
+        .formatted(daemons, steady, frames, churn, suspected, dead, micros);
+  }
+
+  private double churnBytesPerSecond(int firstLeft) {
+    int stops = Math.min(10, daemons / 3);
+    long bytes = 0;
+    for (int i = 0; i < stops; i++) {
+      network.stop(MembershipNetwork.id(firstLeft + i));
+      bytes += (long) bytesPerSecond(2);
+    }
+    return (double) bytes / stops;
+  }
+
+  private void count(Effect effect) {
+    if (effect instanceof MembershipEffect.SendProbe probe) {
+      probes++;
+      frameBytes +=
+          PeerFrames.sizeOf(new MembershipMessage.Probe(probe.sequence(), probe.updates(), SHEET));
+    } else if (effect instanceof MembershipEffect.SendProbeAck ack) {
+      frameBytes +=
+          PeerFrames.sizeOf(
+              new MembershipMessage.ProbeAck(
+                  ack.sequence(), ack.memberId(), ack.updates(), Optional.of(SHEET)));
+    } else if (effect instanceof MembershipEffect.SendIndirectProbe asked) {
+      probes++;
+      frameBytes +=
+          PeerFrames.sizeOf(
+              new MembershipMessage.IndirectProbe(
+                  asked.sequence(), asked.memberId(), asked.memberAddress(), asked.updates()));
+    }
+  }
+}
--- /dev/null
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/membership/RendezvousOwnershipTest.java
@@ -0,0 +1,84 @@
+package org.sequoiareach.decision.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.sequoiareach.model.platform.MemberState;
+
+class RendezvousOwnershipTest {
+
+  private static final String[] ZONES = {"a", "b", "c"};
+
+  @Property(tries = 100)
+  void differencesGiveTheOwnersOfAnewStart(
+      @ForAll long seed, @ForAll @IntRange(min = 1, max = 30) int daemons) {
+    Random random = new Random(seed);
+    RendezvousOwnership kept = new RendezvousOwnership();
+    for (int version = 1; version < 6; version++) {
+      MembershipView view = view(version, daemons, random);
+      RendezvousOwnership fresh = new RendezvousOwnership();
+      for (int i = 0; i < 40; i++) {
+        assertThat(kept.findOwner("t" + i, ZONES[i % 3], view))
+            .isEqualTo(fresh.findOwner("t" + i, ZONES[i % 3], view));
+      }
+    }
+  }
+
+  @Test
+  void onlyTargetsOfTheLeavingDaemonMove() {
+    MembershipView before = view(1, 12, new Random(1), 0);
+    List<Member> left = new ArrayList<>(before.owners());
+    final String gone = left.remove(3).daemonId();
+    MembershipView after = new MembershipView(2, left);
+    RendezvousOwnership first = new RendezvousOwnership();
+    RendezvousOwnership second = new RendezvousOwnership();
+    for (int i = 0; i < 1_000; i++) {
+      String was = first.findOwner("t" + i, ZONES[i % 3], before).orElseThrow().daemonId();
+      String is = second.findOwner("t" + i, ZONES[i % 3], after).orElseThrow().daemonId();
+      assertThat(is.equals(was) || was.equals(gone)).isTrue();
+    }
+  }
+
+  @Test
+  void targetsSpreadEvenlyAndMostlyWithinTheirZone() {
+    MembershipView view = view(1, 6, new Random(1), 0);
+    RendezvousOwnership ownership = new RendezvousOwnership();
+    Map<String, Integer> counts = new HashMap<>();
+    int near = 0;
+    for (int i = 0; i < 6_000; i++) {
+      Member owner = ownership.findOwner("t" + i, ZONES[i % 3], view).orElseThrow();
+      counts.merge(owner.daemonId(), 1, Integer::sum);
+      near += owner.zone().equals(ZONES[i % 3]) ? 1 : 0;
+    }
+    assertThat(counts.values()).allSatisfy(count -> assertThat(count).isBetween(850, 1_150));
+    assertThat(near / 6_000.0).isBetween(0.77, 0.83);
+  }
+
+  @Test
+  void nobodyOwnsWhereNobodyMay() {
+    MembershipView view = new MembershipView(7, List.of());
+    assertThat(new RendezvousOwnership().findOwner("t", "a", view)).isEmpty();
+  }
+
+  private static MembershipView view(long version, int daemons, Random random) {
+    return view(version, daemons, random, 0.3);
+  }
+
+  private static MembershipView view(long version, int daemons, Random random, double absent) {
+    List<Member> members = new ArrayList<>();
+    for (int i = 0; i < daemons; i++) {
+      if (random.nextDouble() >= absent) {
+        members.add(new Member("d" + i, "x:1", ZONES[i % 3], 1, MemberState.ALIVE, false, 0));
+      }
+    }
+    return new MembershipView(version, members);
+  }
+}
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerCodec.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerCodec.java
@@ -10,6 +10,7 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
+import org.sequoiareach.model.platform.MemberState;
 import org.sequoiareach.model.platform.MemberUpdate;
 import org.sequoiareach.model.platform.TargetHint;
 import org.sequoiareach.model.request.Outcome;
@@ -116,6 +117,9 @@
     for (Class<?> type : COMPACT) {
       mapper.configOverride(type).setFormat(JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY));
     }
+    mapper
+        .configOverride(MemberState.class)
+        .setFormat(JsonFormat.Value.forShape(JsonFormat.Shape.NUMBER));
     return mapper;
   }
 }
