--- /dev/null
+++ b/sequoiareach-platform/src/main/java/org/sequoiareach/platform/claim/ClaimValue.java
@@ -0,0 +1,35 @@
+package org.sequoiareach.platform.claim;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.util.Optional;
+import org.sequoiareach.model.json.Json;
+
+/**
+ * Is the stored value of a claim.
+ *
+ * @param author the request that claimed the key
+ * @param attempt the identity of the one call of the registry that wrote it
+ * @param finished whether the author's call has finished
+ */
+record ClaimValue(String author, String attempt, boolean finished) {
+
+  static Optional<ClaimValue> parse(String text) {
+    try {
+      return Optional.ofNullable(Json.mapper().readValue(text, ClaimValue.class));
+    } catch (JsonProcessingException e) {
+      return Optional.empty();
+    }
+  }
+
+  ClaimValue asFinished() {
+    return new ClaimValue(author, attempt, true);
+  }
+
+  String toText() {
+    try {
+      return Json.mapper().writeValueAsString(this);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/kv/EtcdKeyValueService.java
+++ b/sequoiareach-platform/src/main/java/org/sequoiareach/platform/kv/EtcdKeyValueService.java
@@ -253,6 +253,9 @@
 
   private static TransactionResult toResult(EtcdMessages.TxnResponse response) {
     long revision = response.header() == null ? 0 : response.header().revision();
+    if (revision <= 0) {
+      throw new IllegalStateException("the answer to a transaction carries no revision");
+    }
     List<KeyValueEntry> found = response.succeeded() ? List.of() : response.entries();
     return new TransactionResult(response.succeeded(), revision, found);
   }
