--- a/sequoiareach-load/src/main/java/org/sequoiareach/load/run/GenerationSender.java
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/run/GenerationSender.java
@@ -1,7 +1,6 @@
 package org.sequoiareach.load.run;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.reactivestreams.Publisher;
@@ -48,7 +47,7 @@
     String body = write(request, generation);
     Flux<Void> asked =
         client
-            .headers(headers -> authorise(headers, request))
+            .headers(request::setCommonHeaders)
             .headers(headers -> headers.set("Content-Type", "application/json"))
             .post()
             .uri(request.caller(0) + COMPLETIONS)
@@ -67,7 +66,7 @@
     String uri = request.caller(attempt) + COMPLETIONS + "/" + state.completionId().get();
     Flux<Void> resumed =
         client
-            .headers(headers -> authorise(headers, request))
+            .headers(request::setCommonHeaders)
             .headers(headers -> headers.set("Last-Event-ID", state.lastEventId()))
             .get()
             .uri(uri)
@@ -125,7 +124,7 @@
       return Mono.empty();
     }
     return client
-        .headers(headers -> authorise(headers, request))
+        .headers(request::setCommonHeaders)
         .delete()
         .uri(request.caller(0) + COMPLETIONS + "/" + state.completionId().get())
         .response()
@@ -145,10 +144,6 @@
     return Refusal.ofResponse(response.status().code(), response.responseHeaders(), text);
   }
 
-  private static void authorise(HttpHeaders headers, OutgoingRequest request) {
-    headers.set("Authorization", "Bearer " + request.arrival().organisation().apiKey());
-  }
-
   private static String write(OutgoingRequest request, GenerationClass generation) {
     try {
       return Json.mapper()
--- a/sequoiareach-load/src/main/java/org/sequoiareach/load/run/OutgoingRequest.java
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/run/OutgoingRequest.java
@@ -1,5 +1,6 @@
 package org.sequoiareach.load.run;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.List;
 import org.sequoiareach.load.trace.Arrival;
@@ -26,6 +27,12 @@
     return Duration.ofNanos(Math.max(NANOS_PER_MILLI, deadlineNs() - System.nanoTime()));
   }
 
+  /** Sets the headers that every call of a request carries. */
+  void setCommonHeaders(HttpHeaders headers) {
+    headers.set("Authorization", "Bearer " + arrival.organisation().apiKey());
+    headers.set("Sequoiareach-Timeout-Ms", Long.toString(timeLeft().toMillis()));
+  }
+
   String caller(int attempt) {
     return callers.get(attempt % callers.size());
   }
--- a/sequoiareach-load/src/main/java/org/sequoiareach/load/run/Refusal.java
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/run/Refusal.java
@@ -64,8 +64,7 @@
 
   /** Finds the reason in the OpenAI error envelope or in problem JSON. */
   private static Optional<String> reasonOf(JsonNode body) {
-    for (JsonNode found :
-        new JsonNode[] {body.at("/error/code"), body.path("reason"), body.path("code")}) {
+    for (JsonNode found : new JsonNode[] {body.at("/error/code"), body.path("title")}) {
       if (found.isTextual() && !found.asText().isEmpty()) {
         return Optional.of(found.asText());
       }
--- a/sequoiareach-load/src/main/java/org/sequoiareach/load/run/ServiceCallSender.java
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/run/ServiceCallSender.java
@@ -59,7 +59,7 @@
 
   private static void setHeaders(
       HttpHeaders headers, OutgoingRequest request, ServiceCallClass call) {
-    headers.set("Authorization", "Bearer " + request.arrival().organisation().apiKey());
+    request.setCommonHeaders(headers);
     if (call.body().isPresent()) {
       headers.set("Content-Type", "application/json");
     }
--- a/sequoiareach-load/src/test/java/org/sequoiareach/load/TestSettings.java
+++ b/sequoiareach-load/src/test/java/org/sequoiareach/load/TestSettings.java
@@ -42,11 +42,21 @@
    * @return the class
    */
   public static ServiceCallClass booking() {
+    return bookingAt();
+  }
+
+  /**
+   * Builds a class of calls that may not be repeated and go to addresses of their own.
+   *
+   * @param callers the addresses
+   * @return the class
+   */
+  public static ServiceCallClass bookingAt(String... callers) {
     return new ServiceCallClass(
         "booking",
         1,
         List.of("shop"),
-        List.of(),
+        List.of(callers),
         "POST",
         "/bookings",
         false,
