Add the operators' client: sheet check, export and show, status, explain

Cause: operators drive the system only by exporting a sheet, and examples/local.sh needs the client, its settings and a sample sheet.

An export whose answer is lost after the write is recognised (tested against the stand-in).

Tests: 20 run.

--- /dev/null
+++ b/sequoiareach-client/src/main/java/org/sequoiareach/client/command/Connections.java
@@ -0,0 +1,110 @@
+package org.sequoiareach.client.command;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.sequoiareach.client.settings.ClientSettings;
+import org.sequoiareach.model.request.Verdict;
+import org.sequoiareach.platform.http.HttpCaller;
+import org.sequoiareach.platform.kv.EtcdKeyValueService;
+import org.sequoiareach.platform.kv.KeyValueCallListener;
+import org.sequoiareach.platform.kv.KeyValueException;
+import org.sequoiareach.platform.sheet.KeyValueSheetStore;
+import org.sequoiareach.platform.sheet.SheetConflictException;
+import org.sequoiareach.platform.time.MonotonicClock;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
+import reactor.netty.resources.LoopResources;
+
+/** Holds the connections of one run of the client. */
+public final class Connections implements AutoCloseable {
+
+  private static final int MAX_CONNECTIONS = 64;
+  private static final int MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+  private static final Duration CLOSE_TIME = Duration.ofSeconds(2);
+
+  private final ClientSettings settings;
+  private final ConnectionProvider pool = ConnectionProvider.create("client", MAX_CONNECTIONS);
+  private final LoopResources threads = LoopResources.create("client", 1, true);
+  private final HttpClient http = HttpClient.create(pool).runOn(threads, false);
+  private final long deadlineMs;
+
+  /**
+   * Opens connections as they are needed.
+   *
+   * @param settings the settings
+   */
+  public Connections(ClientSettings settings) {
+    this.settings = settings;
+    this.deadlineMs = MonotonicClock.nowMs() + settings.callTimeoutMs();
+  }
+
+  /**
+   * Waits for a call to the key-value service.
+   *
+   * @param call the call
+   * @param <T> the type of its value
+   * @return the value
+   * @throws CommandException if the service can't be reached or refuses
+   */
+  public static <T> T await(CompletableFuture<T> call) {
+    try {
+      return call.join();
+    } catch (CompletionException e) {
+      throw toCommandException(e.getCause());
+    }
+  }
+
+  /**
+   * Returns when the whole command gives up.
+   *
+   * @return milliseconds of {@code System.nanoTime()}
+   */
+  public long deadlineMs() {
+    return deadlineMs;
+  }
+
+  /**
+   * Returns the store of the sheet.
+   *
+   * @return the store
+   */
+  public KeyValueSheetStore sheets() {
+    return new KeyValueSheetStore(
+        new EtcdKeyValueService(
+            settings.keyValueService().addresses(), http, KeyValueCallListener.NONE));
+  }
+
+  /**
+   * Returns a caller for daemons.
+   *
+   * @return the caller
+   */
+  public HttpCaller daemons() {
+    return new HttpCaller(http, MAX_ANSWER_BYTES);
+  }
+
+  @Override
+  public void close() {
+    pool.dispose();
+    threads.disposeLater(Duration.ZERO, CLOSE_TIME).block(CLOSE_TIME.multipliedBy(2));
+  }
+
+  private static CommandException toCommandException(Throwable cause) {
+    if (cause instanceof SheetConflictException conflict) {
+      return new CommandException(ExitCode.CONFLICT, conflict.getMessage());
+    }
+    if (cause instanceof KeyValueException failure) {
+      return new CommandException(ExitCode.UNREACHABLE, describe(failure));
+    }
+    return new CommandException(ExitCode.FAILED, String.valueOf(cause.getMessage()));
+  }
+
+  private static String describe(KeyValueException failure) {
+    if (failure.verdict() == Verdict.NOT_RUN) {
+      return failure.getMessage();
+    }
+    return failure.getMessage()
+        + " The change may have taken effect; 'sheet show' tells once the service answers.";
+  }
+}
--- a/sequoiareach-client/src/main/java/org/sequoiareach/client/package-info.java
+++ b/sequoiareach-client/src/main/java/org/sequoiareach/client/package-info.java
@@ -1,1 +1,2 @@
+/** Runs the operators' command line {@code sequoiareach}. */
 package org.sequoiareach.client;
--- /dev/null
+++ b/sequoiareach-client/src/main/java/org/sequoiareach/client/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Reads the client's settings. */
+package org.sequoiareach.client.settings;
--- /dev/null
+++ b/sequoiareach-client/src/main/java/org/sequoiareach/client/sheet/package-info.java
@@ -0,0 +1,2 @@
+/** Checks, exports, shows and imports sheets. */
+package org.sequoiareach.client.sheet;
--- /dev/null
+++ b/sequoiareach-client/src/test/java/org/sequoiareach/client/ClientProgramTest.java
@@ -0,0 +1,165 @@
+package org.sequoiareach.client;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiareach.client.command.ExitCode;
+import org.sequoiareach.standin.kv.KvFaults;
+import org.sequoiareach.standin.kv.KvSettings;
+import org.sequoiareach.standin.kv.KvStandin;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+
+class ClientProgramTest {
+
+  private static final Path CONF = Path.of("..", "dist", "conf");
+  private static final String SAMPLE = CONF.resolve("sample-sheet.json").toString();
+
+  @TempDir private Path directory;
+  private final KvStandin keyValues = new KvStandin(new KvSettings("127.0.0.1:0"));
+  private DisposableServer daemon;
+  private ClientRunner client;
+
+  @BeforeEach
+  void start() {
+    InetSocketAddress address = keyValues.start();
+    daemon =
+        HttpServer.create()
+            .host("127.0.0.1")
+            .port(0)
+            .route(
+                routes ->
+                    routes
+                        .get(
+                            "/status",
+                            (request, response) ->
+                                response.sendString(
+                                    Mono.just(
+                                        "{\"zone\":\"liberia-a\",\"ready\":true,"
+                                            + "\"sheetVersion\":4}")))
+                        .get(
+                            "/explain/r1",
+                            (request, response) ->
+                                response.sendString(
+                                    Mono.just(
+                                        "[{\"decision\":\"route\",\"targetId\":\"e1\","
+                                            + "\"reason\":\"least load\",\"losers\":[\"e2=9\"]}]")))
+                        .get(
+                            "/explain/r2",
+                            (request, response) ->
+                                response.status(404).sendString(Mono.just("[]"))))
+            .bindNow();
+    client =
+        new ClientRunner(directory, "127.0.0.1:" + address.getPort(), "127.0.0.1:" + daemon.port());
+  }
+
+  @AfterEach
+  void stop() {
+    daemon.disposeNow();
+    keyValues.close();
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "--help,OK,sheet export",
+    "--version,OK,sequoiareach 0.1.0",
+    "sheet check --help,OK,--json",
+    "sheet export --version,OK,sequoiareach 0.1.0",
+    "status --help,OK,--settings"
+  })
+  void helpAndVersionArePrinted(String line, ExitCode code, String expected) {
+    ClientRunner.Run run = ClientRunner.runBare(line.split(" "));
+    assertThat(run.code()).isEqualTo(code);
+    assertThat(run.out()).contains(expected);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"nothing", "sheet", "sheet check", "status --bad", "status", "explain x"})
+  void wrongCommandLineExitsWithUsage(String line) {
+    ClientRunner.Run run = ClientRunner.runBare(line.split(" "));
+    assertThat(run.code()).isEqualTo(ExitCode.USAGE);
+    assertThat(run.err()).startsWith("sequoiareach: ");
+  }
+
+  @Test
+  void sampleFilesAreRight() {
+    assertThat(ClientRunner.runBare("sheet", "check", SAMPLE).code()).isEqualTo(ExitCode.OK);
+    String settings = CONF.resolve("client.json").toString();
+    ClientRunner.Run run = ClientRunner.runBare("--check-settings", "--settings", settings);
+    assertThat(run.code()).isEqualTo(ExitCode.OK);
+  }
+
+  @Test
+  void everyWrongFieldIsNamedAtOnce() throws IOException {
+    String text =
+        Files.readString(Path.of(SAMPLE))
+            .replace("\"priority\": 2", "\"priority\": 12")
+            .replace("\"contextTokens\": 32768", "\"contextTokens\": \"many\"");
+    Path file = client.write("wrong.json", text);
+    ClientRunner.Run run = ClientRunner.runBare("sheet", "check", file.toString());
+    assertThat(run.code()).isEqualTo(ExitCode.FAILED);
+    assertThat(run.err())
+        .contains("/organisations/0/priority = 12", "/models/0/contextTokens = \"many\"");
+    ClientRunner.Run json = ClientRunner.runBare("sheet", "check", file.toString(), "--json");
+    assertThat(json.out()).contains("\"path\" : \"/organisations/0/priority\"");
+  }
+
+  @Test
+  void exportComparesAndSwaps() {
+    assertThat(client.run("sheet", "export", SAMPLE).out()).contains("version 1");
+    assertThat(client.run("sheet", "export", SAMPLE).code()).isEqualTo(ExitCode.CONFLICT);
+    assertThat(client.run("sheet", "export", SAMPLE, "--base", "1").out()).contains("version 2");
+    assertThat(client.run("sheet", "show").out()).contains("Version 2", "aserradero-sur");
+  }
+
+  @Test
+  void shownSheetCanBeExportedAgain() {
+    client.run("sheet", "export", SAMPLE);
+    Path file = directory.resolve("shown.json");
+    client.run("sheet", "show", "--out", file.toString());
+    assertThat(client.run("sheet", "export", file.toString()).out()).contains("version 2");
+  }
+
+  @Test
+  void exportWhoseAnswerIsLostIsRecognised() {
+    keyValues.setFaults(new KvFaults(false, 0, 1, 0, false));
+    assertThat(client.run("sheet", "export", SAMPLE).out()).contains("version 1");
+  }
+
+  @Test
+  void unreachablePlatformHasItsOwnExitCode() {
+    keyValues.close();
+    ClientRunner.Run run = client.run("sheet", "show", "--json");
+    assertThat(run.code()).isEqualTo(ExitCode.UNREACHABLE);
+    assertThat(run.out()).contains("\"code\" : \"UNREACHABLE\"");
+  }
+
+  @Test
+  void daemonThatDoesNotAnswerIsShownAsSuch() {
+    String address = "127.0.0.1:" + daemon.port();
+    ClientRunner both = new ClientRunner(directory, "127.0.0.1:1", address, "127.0.0.1:1");
+    ClientRunner.Run run = both.run("status");
+    assertThat(run.out()).contains("ready", "liberia-a", "no answer");
+    assertThat(run.code()).isEqualTo(ExitCode.FAILED);
+    assertThat(client.run("status").code()).isEqualTo(ExitCode.OK);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"r1,OK,losers: e2=9", "r2,FAILED,No daemon"})
+  void explanationsAreGathered(String requestId, ExitCode code, String expected) {
+    ClientRunner.Run run = client.run("explain", requestId);
+    assertThat(run.code()).isEqualTo(code);
+    assertThat(run.out()).contains(expected);
+  }
+}
