Forward attempts to the owners of their targets

Cause: an owner keeps exact accounts only if every daemon's attempts for its target pass through it. Attempts cross as one message, answers come back part by part under the receiver's credit, and a lost owner is reported as what it was. A caller that goes away releases its generation or cancels it, also through an owner.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/Daemon.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/Daemon.java
@@ -19,6 +19,8 @@
 import org.sequoiareach.daemon.operator.DaemonStatus;
 import org.sequoiareach.daemon.operator.OperatorServer;
 import org.sequoiareach.daemon.operator.ReadinessFlag;
+import org.sequoiareach.daemon.peer.PeerBridge;
+import org.sequoiareach.daemon.peer.PeerDirectory;
 import org.sequoiareach.daemon.platform.ClaimGateway;
 import org.sequoiareach.daemon.platform.LoadPoller;
 import org.sequoiareach.daemon.platform.PlatformPoller;
@@ -36,6 +38,10 @@
 import org.sequoiareach.decision.reducer.SoleOwnership;
 import org.sequoiareach.decision.routing.LeastOutstandingRouting;
 import org.sequoiareach.model.request.RequestKind;
+import org.sequoiareach.peer.PeerLimits;
+import org.sequoiareach.peer.PeerSettings;
+import org.sequoiareach.peer.PeerTransport;
+import org.sequoiareach.peer.TcpPeerTransport;
 import org.sequoiareach.platform.kv.EtcdKeyValueService;
 import org.sequoiareach.platform.sheet.KeyValueSheetStore;
 import org.sequoiareach.platform.time.MonotonicClock;
@@ -71,6 +77,9 @@
   private final LoadPoller loads;
   private final CallerServer callerServer;
   private final OperatorServer operatorServer;
+  private final PeerBridge bridge;
+  private final long incarnation = System.currentTimeMillis();
+  private PeerTransport transport;
   private DisposableServer callers;
   private DisposableServer operators;
 
@@ -81,7 +90,6 @@
    */
   public Daemon(DaemonSettings settings) {
     this.settings = settings;
-    long incarnation = System.currentTimeMillis();
     this.reducer = createReducer(settings, settings.seed().orElse(incarnation));
     DecisionLog decisions = new DecisionLog(metrics);
     KeyDirectory keys = new KeyDirectory();
@@ -94,7 +102,10 @@
             settings.keyValueService().addresses(),
             platformHttp,
             call -> metrics.meter("keyvalue." + call).mark());
-    AttemptRunner attempts = new AttemptRunner(engines, services, this::post, metrics);
+    PeerDirectory peers = new PeerDirectory();
+    this.bridge = new PeerBridge(this::post, peers);
+    AttemptRunner attempts = new AttemptRunner(engines, services, bridge, this::post, metrics);
+    bridge.setRunner(attempts);
     this.platform =
         new PlatformPoller(
             new KeyValueSheetStore(keyValues),
@@ -110,6 +121,8 @@
                 decisions,
                 keys,
                 readiness,
+                peers,
+                bridge,
                 attempts,
                 platform,
                 loads,
@@ -125,6 +138,8 @@
 
   /** Starts listening and reading the platform. */
   public void start() {
+    transport = startTransport();
+    bridge.setTransport(transport);
     loop.start();
     platform.start();
     loads.start();
@@ -170,10 +185,20 @@
     return (InetSocketAddress) operators.address();
   }
 
+  /**
+   * Returns where other daemons are taken.
+   *
+   * @return the IP number and port bound
+   */
+  public String peerAddress() {
+    return transport.address();
+  }
+
   @Override
   public void close() {
     loop.close();
     timer.shutdownNow();
+    transport.close();
     callers.disposeNow();
     operators.disposeNow();
     targetPool.dispose();
@@ -182,6 +207,19 @@
     stopped.countDown();
   }
 
+  private PeerTransport startTransport() {
+    InetSocketAddress address = parse(settings.peers().address());
+    PeerSettings peerSettings =
+        new PeerSettings(
+            settings.daemonId(),
+            incarnation,
+            settings.zone(),
+            address.getHostString(),
+            address.getPort(),
+            PeerLimits.DEFAULT);
+    return TcpPeerTransport.start(peerSettings, bridge);
+  }
+
   private void post(Event event) {
     loop.post(event);
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/answer/AnswerPart.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/answer/AnswerPart.java
@@ -1,6 +1,7 @@
 package org.sequoiareach.daemon.answer;
 
 import java.util.List;
+import org.sequoiareach.peer.Header;
 
 /** Is a part of an answer on its way from a target to a caller. */
 public interface AnswerPart {
@@ -11,7 +12,7 @@
    * @param status the HTTP status
    * @param headers the headers to pass on
    */
-  record Head(int status, List<HeaderField> headers) implements AnswerPart {}
+  record Head(int status, List<Header> headers) implements AnswerPart {}
 
   /**
    * Carries content.
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/answer/RequestContent.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/answer/RequestContent.java
@@ -1,6 +1,7 @@
 package org.sequoiareach.daemon.answer;
 
 import java.util.List;
+import org.sequoiareach.peer.Header;
 
 /**
  * Holds what is sent to a target; decisions never look into it.
@@ -10,4 +11,4 @@
  * @param headers the headers to pass on
  * @param body the body
  */
-public record RequestContent(String method, String path, List<HeaderField> headers, byte[] body) {}
+public record RequestContent(String method, String path, List<Header> headers, byte[] body) {}
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/AttemptRunner.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/AttemptRunner.java
@@ -3,7 +3,6 @@
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import org.sequoiareach.daemon.answer.AnswerPart;
@@ -23,13 +22,15 @@
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
-/** Runs attempts against targets and tells the reducer how they go. Thread-safe. */
+/** Runs attempts against targets or through owners, and tells the reducer how they go. */
 public final class AttemptRunner implements EffectHandler {
 
   private final Map<String, Exchange> exchanges = new ConcurrentHashMap<>();
+  private final Map<String, AnswerReceiver> forwarded = new ConcurrentHashMap<>();
   private final Map<String, RunningAttempt> running = new ConcurrentHashMap<>();
   private final EngineClient engines;
   private final ServiceClient services;
+  private final AttemptForwarder forwarder;
   private final EventSink events;
   private final MetricRegistry metrics;
 
@@ -38,16 +39,24 @@
    *
    * @param engines the client of model engines
    * @param services the client of plain services
+   * @param forwarder sends attempts to the owners of their targets
    * @param events the reducer's sink
    * @param metrics the registry for metrics of attempts
    */
   public AttemptRunner(
-      EngineClient engines, ServiceClient services, EventSink events, MetricRegistry metrics) {
+      EngineClient engines,
+      ServiceClient services,
+      AttemptForwarder forwarder,
+      EventSink events,
+      MetricRegistry metrics) {
     this.engines = engines;
     this.services = services;
+    this.forwarder = forwarder;
     this.events = events;
     this.metrics = metrics;
-    metrics.gauge("exchanges", () -> exchanges::size);
+    metrics.gauge("requests.open", () -> exchanges::size);
+    metrics.gauge("attempts.running", () -> running::size);
+    metrics.gauge("attempts.forwarded-here", () -> forwarded::size);
   }
 
   /**
@@ -68,82 +77,129 @@
     exchanges.remove(requestId);
   }
 
+  /**
+   * Registers an attempt that another daemon forwarded here, before it is told to the reducer.
+   *
+   * @param attemptId the attempt
+   * @param receiver takes its answer
+   */
+  public void openForwarded(String attemptId, AnswerReceiver receiver) {
+    forwarded.put(attemptId, receiver);
+  }
+
+  /**
+   * Forgets a forwarded attempt that is over.
+   *
+   * @param attemptId the attempt
+   */
+  public void closeForwarded(String attemptId) {
+    forwarded.remove(attemptId);
+  }
+
   @Override
   public void handle(Effect effect) {
     if (effect instanceof Effect.Dispatch dispatch) {
       dispatch(dispatch);
+    } else if (effect instanceof Effect.Forward forward) {
+      forward(forward);
     } else if (effect instanceof Effect.Resume resume) {
       resume(resume);
     } else if (effect instanceof Effect.CancelAttempt cancel) {
-      cancel(cancel.attemptId());
+      stop(cancel.attemptId(), false);
+    } else if (effect instanceof Effect.ReleaseAttempt release) {
+      stop(release.attemptId(), true);
     } else if (effect instanceof Effect.FailRequest failure) {
       fail(failure);
     }
   }
 
   private void dispatch(Effect.Dispatch dispatch) {
-    Exchange exchange = exchanges.get(dispatch.requestId());
-    if (exchange == null) {
-      String message = "the request is no longer known here";
-      ended(dispatch.attemptId(), Outcome.failed(Verdict.NOT_RUN, Reason.CANCELLED, message));
-      return;
+    String attemptId = dispatch.attemptId();
+    AnswerReceiver receiver = forwarded.get(attemptId);
+    if (receiver == null) {
+      receiver = exchanges.get(dispatch.requestId());
     }
-    Flux<AnswerPart> parts = Flux.defer(() -> send(dispatch, exchange));
-    add(exchange, dispatch.attemptId(), dispatch.targetId(), dispatch.address(), parts);
-  }
-
-  private Flux<AnswerPart> send(Effect.Dispatch dispatch, Exchange exchange) {
-    if (MonotonicClock.nowMs() > dispatch.sendByMs()) {
-      return Flux.error(
-          new RequestFailedException(
-              Verdict.NOT_RUN,
-              Reason.NOT_READY,
-              "the decision to send to " + dispatch.targetId() + " is too old",
-              OptionalLong.empty()));
+    if (receiver == null) {
+      endUnknown(attemptId, Verdict.NOT_RUN);
+      return;
     }
-    if (exchange.spec().kind() == RequestKind.SERVICE_CALL) {
-      return services.call(dispatch, exchange.content());
+    AnswerReceiver known = receiver;
+    boolean generation = receiver.kind() == RequestKind.GENERATION;
+    StopAction stopping =
+        keep -> {
+          if (generation && !keep) {
+            engines.cancel(dispatch.address(), attemptId).subscribe();
+          }
+        };
+    add(receiver, attemptId, dispatch.targetId(), stopping, send(dispatch, known));
+  }
+
+  private Flux<AnswerPart> send(Effect.Dispatch dispatch, AnswerReceiver receiver) {
+    return Flux.defer(
+        () -> {
+          if (MonotonicClock.nowMs() > dispatch.sendByMs()) {
+            return Flux.error(tooOld(dispatch.targetId()));
+          }
+          if (receiver.kind() == RequestKind.SERVICE_CALL) {
+            return services.call(dispatch, receiver.content());
+          }
+          return engines.generate(dispatch, receiver.content());
+        });
+  }
+
+  private void forward(Effect.Forward forward) {
+    Exchange exchange = exchanges.get(forward.spec().requestId());
+    if (exchange == null) {
+      endUnknown(forward.attemptId(), Verdict.NOT_RUN);
+      return;
     }
-    return engines.generate(dispatch, exchange.content());
+    StopAction stopping = keep -> forwarder.stop(forward.attemptId(), keep);
+    Flux<AnswerPart> parts = Flux.defer(() -> forwarder.forward(forward, exchange.content()));
+    add(exchange, forward.attemptId(), forward.targetId(), stopping, parts);
   }
 
   private void resume(Effect.Resume resume) {
     Exchange exchange = exchanges.get(resume.requestId());
     if (exchange == null) {
-      String message = "the request is no longer known here";
-      ended(resume.attemptId(), Outcome.failed(Verdict.MAY_HAVE_RUN, Reason.CANCELLED, message));
+      endUnknown(resume.attemptId(), Verdict.MAY_HAVE_RUN);
       return;
     }
     metrics.meter("attempts.resumed").mark();
     long waitMs = Math.max(0, resume.notBeforeMs() - MonotonicClock.nowMs());
     Flux<AnswerPart> parts =
         Mono.delay(Duration.ofMillis(waitMs)).thenMany(Flux.defer(() -> readOn(resume, exchange)));
-    add(exchange, resume.attemptId(), resume.targetId(), resume.address(), parts);
+    StopAction stopping =
+        keep -> {
+          if (!keep) {
+            engines.cancel(resume.address(), resume.attemptId()).subscribe();
+          }
+        };
+    add(exchange, resume.attemptId(), resume.targetId(), stopping, parts);
   }
 
   private Flux<AnswerPart> readOn(Effect.Resume resume, Exchange exchange) {
-    long after = exchange.guard().lastSequence(resume.attemptId());
+    long after = exchange.lastSequence(resume.attemptId());
     return engines.resume(resume.targetId(), resume.address(), resume.attemptId(), after);
   }
 
   private void add(
-      Exchange exchange,
+      AnswerReceiver receiver,
       String attemptId,
       String targetId,
-      String address,
+      StopAction stopping,
       Flux<AnswerPart> parts) {
-    RunningAttempt attempt = new RunningAttempt(address, exchange.spec().kind());
+    RunningAttempt attempt = new RunningAttempt(stopping);
     running.put(attemptId, attempt);
     ProgressMeter meter = new ProgressMeter(attemptId, targetId, events);
     Flux<AnswerPart> watched =
         parts
-            .filter(part -> !(part instanceof AnswerPart.Data d) || exchange.guard().admits(d))
+            .filter(part -> !(part instanceof AnswerPart.Data data) || receiver.admits(data))
             .doOnNext(meter::received)
             .doOnNext(part -> endIfWhole(attemptId, part))
-            .onErrorResume(thrown -> endInFailure(attemptId, thrown))
+            .doOnError(thrown -> endInFailure(attemptId, thrown))
             .doFinally(signal -> running.remove(attemptId, attempt))
-            .takeUntilOther(attempt.cancelled.asMono());
-    exchange.add(watched);
+            .takeUntilOther(attempt.stopped.asMono());
+    receiver.add(watched);
   }
 
   private void endIfWhole(String attemptId, AnswerPart part) {
@@ -152,29 +208,19 @@
     }
   }
 
-  private Mono<AnswerPart> endInFailure(String attemptId, Throwable thrown) {
+  private void endInFailure(String attemptId, Throwable thrown) {
     RequestFailedException failure = Failures.classify(thrown);
     metrics.meter("attempts.failed." + failure.reason().label()).mark();
-    ended(
-        attemptId,
-        new Outcome(
-            failure.verdict(),
-            Optional.of(failure.reason()),
-            failure.getMessage(),
-            0,
-            failure.retryAfterMs().orElse(0)));
-    return Mono.empty();
-  }
-
-  private void cancel(String attemptId) {
+    ended(attemptId, Failures.outcome(failure));
+  }
+
+  private void stop(String attemptId, boolean keepGeneration) {
     RunningAttempt attempt = running.remove(attemptId);
     if (attempt == null) {
       return;
     }
-    attempt.cancelled.tryEmitEmpty();
-    if (attempt.kind == RequestKind.GENERATION) {
-      engines.cancel(attempt.address, attemptId).subscribe();
-    }
+    attempt.stopped.tryEmitEmpty();
+    attempt.stopping.stop(keepGeneration);
   }
 
   private void fail(Effect.FailRequest failure) {
@@ -189,20 +235,37 @@
             failure.verdict(), failure.reason(), failure.message(), retryAfterMs));
   }
 
+  private void endUnknown(String attemptId, Verdict verdict) {
+    String message = "the request is no longer known here";
+    ended(attemptId, Outcome.failed(verdict, Reason.CANCELLED, message));
+  }
+
   private void ended(String attemptId, Outcome outcome) {
     events.post(new RequestEvent.AttemptEnded(MonotonicClock.nowMs(), attemptId, outcome));
   }
 
+  private static RequestFailedException tooOld(String targetId) {
+    return new RequestFailedException(
+        Verdict.NOT_RUN,
+        Reason.NOT_READY,
+        "the decision to send to " + targetId + " is too old",
+        OptionalLong.empty());
+  }
+
+  /** Stops an attempt where it runs. */
+  @FunctionalInterface
+  private interface StopAction {
+    void stop(boolean keepGeneration);
+  }
+
   /** Holds an attempt in progress. */
   private static final class RunningAttempt {
 
-    private final String address;
-    private final RequestKind kind;
-    private final Sinks.Empty<Void> cancelled = Sinks.empty();
+    private final StopAction stopping;
+    private final Sinks.Empty<Void> stopped = Sinks.empty();
 
-    private RunningAttempt(String address, RequestKind kind) {
-      this.address = address;
-      this.kind = kind;
+    private RunningAttempt(StopAction stopping) {
+      this.stopping = stopping;
     }
   }
 }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/Exchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/Exchange.java
@@ -5,6 +5,7 @@
 import org.sequoiareach.daemon.answer.RequestContent;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.RequestFailedException;
+import org.sequoiareach.model.request.RequestKind;
 import org.sequoiareach.model.request.RequestSpec;
 import org.sequoiareach.model.request.Verdict;
 import reactor.core.publisher.Flux;
@@ -16,7 +17,7 @@
  * <p>Attempts are subscribed to one after another, with the caller's own demand, so that a slow
  * caller slows its target and fills no memory here. Thread-safe.
  */
-public final class Exchange {
+public final class Exchange implements AnswerReceiver {
 
   private final RequestSpec spec;
   private final RequestContent content;
@@ -45,11 +46,12 @@
     return spec;
   }
 
-  /**
-   * Returns what is sent to the target.
-   *
-   * @return the content
-   */
+  @Override
+  public RequestKind kind() {
+    return spec.kind();
+  }
+
+  @Override
   public RequestContent content() {
     return content;
   }
@@ -67,13 +69,23 @@
         .switchIfEmpty(Flux.error(Exchange::unanswered));
   }
 
+  @Override
+  public boolean admits(AnswerPart.Data part) {
+    return guard.admits(part);
+  }
+
+  @Override
+  public long lastSequence(String attemptId) {
+    return guard.lastSequence(attemptId);
+  }
+
   /**
-   * Adds an attempt, subscribed to when the one before it has ended.
-   *
-   * @param attempt the parts of the attempt's answer
+   * Adds an attempt. Its failure ends the attempt alone: the reducer is told of it and adds another
+   * attempt or gives the final answer.
    */
-  void add(Flux<AnswerPart> attempt) {
-    emit(attempt);
+  @Override
+  public void add(Flux<AnswerPart> attempt) {
+    emit(attempt.onErrorResume(thrown -> Flux.empty()));
   }
 
   /**
@@ -95,10 +107,6 @@
     return spec.streamed() && guard.hasDelivered();
   }
 
-  GenerationGuard guard() {
-    return guard;
-  }
-
   private synchronized void emit(Flux<AnswerPart> attempt) {
     attempts.tryEmitNext(attempt);
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/ServiceHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/ServiceHandler.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import org.reactivestreams.Publisher;
 import org.sequoiareach.daemon.answer.AnswerPart;
-import org.sequoiareach.daemon.answer.HeaderField;
 import org.sequoiareach.daemon.answer.RequestContent;
 import org.sequoiareach.daemon.attempt.Exchange;
 import org.sequoiareach.daemon.attempt.Failures;
@@ -18,6 +17,7 @@
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.sheet.OperationEntry;
 import org.sequoiareach.model.sheet.OrganisationEntry;
+import org.sequoiareach.peer.Header;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
@@ -129,14 +129,14 @@
     return key.trim();
   }
 
-  private static List<HeaderField> headers(HttpServerRequest request) {
-    List<HeaderField> passed = new ArrayList<>();
+  private static List<Header> headers(HttpServerRequest request) {
+    List<Header> passed = new ArrayList<>();
     request
         .requestHeaders()
         .forEach(
             field -> {
               if (ServiceClient.isPassedOn(field.getKey())) {
-                passed.add(new HeaderField(field.getKey(), field.getValue()));
+                passed.add(new Header(field.getKey(), field.getValue()));
               }
             });
     return passed;
@@ -144,7 +144,7 @@
 
   private static void writeHead(HttpServerResponse response, AnswerPart.Head head) {
     response.status(HttpResponseStatus.valueOf(head.status()));
-    for (HeaderField field : head.headers()) {
+    for (Header field : head.headers()) {
       if (!field.name().toLowerCase(Locale.ROOT).startsWith("sequoiareach-")) {
         response.addHeader(field.name(), field.value());
       }
--- /dev/null
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/PeerDirectory.java
@@ -0,0 +1,39 @@
+package org.sequoiareach.daemon.peer;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.sequoiareach.daemon.control.EffectHandler;
+import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.model.platform.VmEntry;
+import org.sequoiareach.model.platform.VmKind;
+
+/** Knows the addresses of the other daemons. Thread-safe. */
+public final class PeerDirectory implements EffectHandler {
+
+  private volatile Map<String, String> addresses = Map.of();
+
+  @Override
+  public void handle(Effect effect) {
+    if (!(effect instanceof Effect.UseVms use)) {
+      return;
+    }
+    Map<String, String> listed = new HashMap<>();
+    for (VmEntry vm : use.vms()) {
+      if (vm.kind() == VmKind.DAEMON) {
+        listed.put(vm.id(), vm.address());
+      }
+    }
+    addresses = Map.copyOf(listed);
+  }
+
+  /**
+   * Finds the address of a daemon.
+   *
+   * @param daemonId the daemon
+   * @return its IP number and port for other daemons, or empty if the list has no such daemon
+   */
+  public Optional<String> findAddress(String daemonId) {
+    return Optional.ofNullable(addresses.get(daemonId));
+  }
+}
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/effect/Effect.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/effect/Effect.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
 import java.util.Map;
+import org.sequoiareach.decision.placement.LoadHint;
 import org.sequoiareach.model.platform.VmEntry;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.RequestSpec;
@@ -20,6 +21,8 @@
   @JsonSubTypes.Type(Effect.Forward.class),
   @JsonSubTypes.Type(Effect.RejectForwarded.class),
   @JsonSubTypes.Type(Effect.CancelAttempt.class),
+  @JsonSubTypes.Type(Effect.ReleaseAttempt.class),
+  @JsonSubTypes.Type(Effect.PublishHint.class),
   @JsonSubTypes.Type(Effect.Claim.class),
   @JsonSubTypes.Type(Effect.SettleClaim.class),
   @JsonSubTypes.Type(Effect.FailRequest.class),
@@ -128,6 +131,20 @@
    */
   record CancelAttempt(String attemptId) implements Effect {}
 
+  /**
+   * Stops reading an attempt but lets its generation go on, as its caller may resume it.
+   *
+   * @param attemptId the attempt
+   */
+  record ReleaseAttempt(String attemptId) implements Effect {}
+
+  /**
+   * Gives answers to other daemons a summary of a target to carry.
+   *
+   * @param hint the summary
+   */
+  record PublishHint(LoadHint hint) implements Effect {}
+
   /**
    * Claims the idempotency key of a request in the key-value service.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/event/RequestEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/event/RequestEvent.java
@@ -77,12 +77,14 @@
       implements RequestEvent {}
 
   /**
-   * The daemon that forwarded an attempt here no longer wants it, or its connection was lost.
+   * The daemon that forwarded an attempt here no longer reads it, or its connection was lost.
    *
    * @param nowMs when it was observed
    * @param attemptId the attempt
+   * @param keepGeneration whether a generation that runs goes on, to be resumed directly
    */
-  record ForwardedAttemptCancelled(long nowMs, String attemptId) implements RequestEvent {}
+  record ForwardedAttemptCancelled(long nowMs, String attemptId, boolean keepGeneration)
+      implements RequestEvent {}
 
   /**
    * The first token of the attempt, or the answer's head, was received.
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/DecisionReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/DecisionReducer.java
@@ -119,7 +119,7 @@
     } else if (event instanceof RequestEvent.AttemptForwarded forwarded) {
       owner.forwarded(forwarded, readiness.takesForwarded(forwarded.nowMs()));
     } else if (event instanceof RequestEvent.ForwardedAttemptCancelled cancelled) {
-      owner.forwardedCancelled(cancelled.nowMs(), cancelled.attemptId());
+      owner.forwardedCancelled(cancelled);
     } else if (event instanceof RequestEvent.AttemptStarted started) {
       entry.started(started);
     } else if (event instanceof RequestEvent.AttemptProgressed progressed) {
@@ -194,13 +194,16 @@
     }
     if (targets.find(event.targetId()).isPresent()) {
       owner.reported(event.nowMs(), event.targetId(), event.load());
+      owner
+          .findHint(event.nowMs(), event.targetId())
+          .ifPresent(hint -> log.add(new Effect.PublishHint(hint)));
     }
   }
 
   private void pollOwned() {
     Map<String, String> owned = new LinkedHashMap<>();
     for (VmEntry engine : targets.engines()) {
-      if (ownership.ownerOf(engine.id()).equals(settings.daemonId())) {
+      if (ownership.ownerOf(engine.id(), engine.zone()).equals(settings.daemonId())) {
         owned.put(engine.id(), engine.address());
       }
     }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/EntryRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/EntryRole.java
@@ -149,6 +149,7 @@
     log.decision(
         "detach", request.spec, request.targetId, request.sheetVersion, "the caller is gone");
     owner.remove(nowMs, request.attemptId);
+    log.add(new Effect.ReleaseAttempt(request.attemptId));
     forget(request);
   }
 
@@ -301,7 +302,8 @@
   }
 
   private String ownerFor(String targetId) {
-    String ownerId = ownership.ownerOf(targetId);
+    String zone = targets.find(targetId).map(VmEntry::zone).orElse("");
+    String ownerId = ownership.ownerOf(targetId, zone);
     return ownership.findAddress(ownerId).isPresent() ? ownerId : settings.daemonId();
   }
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/OwnerRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/OwnerRole.java
@@ -94,16 +94,18 @@
   }
 
   /** Stops an attempt that the daemon which forwarded it no longer wants. */
-  void forwardedCancelled(long nowMs, String attemptId) {
+  void forwardedCancelled(RequestEvent.ForwardedAttemptCancelled event) {
+    String attemptId = event.attemptId();
     OwnedAttempt owned = attempts.get(attemptId);
     if (owned == null) {
       return;
     }
-    boolean running = owned.running;
-    remove(nowMs, attemptId);
-    if (running) {
+    if (owned.running && event.keepGeneration()) {
+      log.add(new Effect.ReleaseAttempt(attemptId));
+    } else if (owned.running) {
       log.add(new Effect.CancelAttempt(attemptId));
     }
+    remove(event.nowMs(), attemptId);
   }
 
   /** Forgets an attempt without learning from it. */
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/Ownership.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/Ownership.java
@@ -14,9 +14,10 @@
    * Returns the owner of a target.
    *
    * @param targetId the target
+   * @param zone the target's availability zone
    * @return the identity of a daemon
    */
-  String ownerOf(String targetId);
+  String ownerOf(String targetId, String zone);
 
   /**
    * Returns the address of a daemon for other daemons.
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/SoleOwnership.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/SoleOwnership.java
@@ -18,7 +18,7 @@
   }
 
   @Override
-  public String ownerOf(String targetId) {
+  public String ownerOf(String targetId, String zone) {
     return daemonId;
   }
 
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/AttemptMessage.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/AttemptMessage.java
@@ -205,8 +205,9 @@
    * Asks the owner to stop an attempt.
    *
    * @param attemptId the attempt
+   * @param keepGeneration whether a generation that runs goes on, to be resumed directly
    */
-  record CancelAttempt(String attemptId) implements AttemptMessage {
+  record CancelAttempt(String attemptId, boolean keepGeneration) implements AttemptMessage {
 
     /** Checks the parts. */
     public CancelAttempt {
--- a/sequoiareach-peer/src/test/java/org/sequoiareach/peer/TcpPeerTransportTest.java
+++ b/sequoiareach-peer/src/test/java/org/sequoiareach/peer/TcpPeerTransportTest.java
@@ -190,8 +190,8 @@
   void cancelDropsWhatWaitsAndReachesTheListener() throws Exception {
     open("a");
     List<CompletableFuture<Void>> parts = sendParts("a", 7);
-    send(one, "d2", two, new CancelAttempt("a"));
-    assertThat(right.nextMessage()).isEqualTo(new CancelAttempt("a"));
+    send(one, "d2", two, new CancelAttempt("a", false));
+    assertThat(right.nextMessage()).isEqualTo(new CancelAttempt("a", false));
     assertThat(failure(parts.get(6)).reason()).isEqualTo(Reason.CANCELLED);
     assertThat(two.statistics().heldBytes()).isZero();
   }
