Spread the ownership of targets over the live daemons

Cause: one daemon owned every target it used, so accounts of one target were kept six times over. Owners are chosen by rendezvous hashing over the members; a daemon believed dead ends the attempts that went through it, a suspected one gets no more.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/Daemon.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/Daemon.java
@@ -15,7 +15,6 @@
 import org.sequoiareach.daemon.caller.RequestIds;
 import org.sequoiareach.daemon.control.ControlLoop;
 import org.sequoiareach.daemon.control.DecisionLog;
-import org.sequoiareach.daemon.control.EffectHandler;
 import org.sequoiareach.daemon.operator.DaemonStatus;
 import org.sequoiareach.daemon.operator.OperatorServer;
 import org.sequoiareach.daemon.operator.ReadinessFlag;
@@ -28,16 +27,8 @@
 import org.sequoiareach.daemon.target.EngineClient;
 import org.sequoiareach.daemon.target.ServiceClient;
 import org.sequoiareach.decision.effect.Effect;
-import org.sequoiareach.decision.event.Event;
 import org.sequoiareach.decision.event.TimeEvent;
-import org.sequoiareach.decision.placement.AdmissionSettings;
-import org.sequoiareach.decision.policy.Policy;
-import org.sequoiareach.decision.policy.StrategyFactory;
 import org.sequoiareach.decision.reducer.DecisionReducer;
-import org.sequoiareach.decision.reducer.ReducerSettings;
-import org.sequoiareach.decision.reducer.SoleOwnership;
-import org.sequoiareach.decision.routing.LeastOutstandingRouting;
-import org.sequoiareach.model.request.RequestKind;
 import org.sequoiareach.peer.PeerLimits;
 import org.sequoiareach.peer.PeerSettings;
 import org.sequoiareach.peer.PeerTransport;
@@ -71,91 +62,86 @@
   private final ConnectionProvider platformPool =
       ConnectionProvider.builder("platform").maxConnections(PLATFORM_CONNECTIONS).build();
   private final CountDownLatch stopped = new CountDownLatch(1);
+  private final ControlLoop loop = new ControlLoop(metrics);
+  private final PeerTransport transport;
   private final DecisionReducer reducer;
-  private final ControlLoop loop;
-  private final PlatformPoller platform;
-  private final LoadPoller loads;
-  private final CallerServer callerServer;
-  private final OperatorServer operatorServer;
-  private final PeerBridge bridge;
-  private final long incarnation = System.currentTimeMillis();
-  private PeerTransport transport;
-  private DisposableServer callers;
-  private DisposableServer operators;
+  private final DisposableServer callers;
+  private final DisposableServer operators;
 
-  /**
-   * Creates a daemon that is not started.
-   *
-   * @param settings its settings
-   */
-  public Daemon(DaemonSettings settings) {
+  private Daemon(DaemonSettings settings) {
     this.settings = settings;
-    this.reducer = createReducer(settings, settings.seed().orElse(incarnation));
-    DecisionLog decisions = new DecisionLog(metrics);
-    KeyDirectory keys = new KeyDirectory();
-    ReadinessFlag readiness = new ReadinessFlag();
+    long incarnation = System.currentTimeMillis();
+    final DecisionLog decisions = new DecisionLog(metrics);
+    final KeyDirectory keys = new KeyDirectory();
+    final ReadinessFlag readiness = new ReadinessFlag();
     EngineClient engines = new EngineClient(traffic, targetPool);
-    ServiceClient services = new ServiceClient(traffic);
     HttpClient platformHttp = HttpClient.create(platformPool).runOn(traffic, false);
-    EtcdKeyValueService keyValues =
+    final EtcdKeyValueService keyValues =
         new EtcdKeyValueService(
             settings.keyValueService().addresses(),
             platformHttp,
             call -> metrics.meter("keyvalue." + call).mark());
     PeerDirectory peers = new PeerDirectory();
-    this.bridge = new PeerBridge(this::post, peers);
-    AttemptRunner attempts = new AttemptRunner(engines, services, bridge, this::post, metrics);
+    PeerBridge bridge = new PeerBridge(loop, peers);
+    AttemptRunner attempts =
+        new AttemptRunner(engines, new ServiceClient(traffic), bridge, loop, metrics);
     bridge.setRunner(attempts);
-    this.platform =
+    this.transport = startTransport(settings, incarnation, bridge);
+    bridge.setTransport(transport);
+    this.reducer = new ReducerFactory(settings, incarnation).create(transport.address());
+    PlatformPoller platform =
         new PlatformPoller(
             new KeyValueSheetStore(keyValues),
             new HttpVmList(List.of(settings.vmList().address()), platformHttp),
-            this::post,
+            loop,
             timer);
-    this.loads = new LoadPoller(engines, this::post, timer);
-    EffectHandler stopper = this::stopWhenTold;
-    this.loop =
-        new ControlLoop(
-            reducer,
-            List.of(
-                decisions,
-                keys,
-                readiness,
-                peers,
-                bridge,
-                attempts,
-                platform,
-                loads,
-                new ClaimGateway(new UnavailableClaims(), this::post),
-                stopper),
-            metrics);
+    LoadPoller loads = new LoadPoller(engines, loop, timer);
+    loop.start(
+        reducer,
+        List.of(
+            decisions,
+            keys,
+            readiness,
+            peers,
+            bridge,
+            attempts,
+            platform,
+            loads,
+            new ClaimGateway(new UnavailableClaims(), loop),
+            this::stopWhenTold));
+    platform.start();
+    loads.start();
     RequestIds ids = new RequestIds(settings.daemonId(), incarnation);
-    CallContext calls = new CallContext(attempts, this::post);
-    this.callerServer = new CallerServer(settings.callers(), keys, calls, ids, engines);
-    this.operatorServer =
-        new OperatorServer(readiness, () -> status(readiness), decisions, metrics);
+    CallContext calls = new CallContext(attempts, loop);
+    this.callers =
+        new CallerServer(settings.callers(), keys, calls, ids, engines)
+            .start(traffic, parse(settings.callers().address()));
+    this.operators =
+        new OperatorServer(readiness, () -> status(readiness), decisions, metrics)
+            .start(traffic, parse(settings.operators().address()));
   }
 
-  /** Starts listening and reading the platform. */
-  public void start() {
-    transport = startTransport();
-    bridge.setTransport(transport);
-    loop.start();
-    platform.start();
-    loads.start();
-    callers = callerServer.start(traffic, parse(settings.callers().address()));
-    operators = operatorServer.start(traffic, parse(settings.operators().address()));
+  /**
+   * Starts a daemon: it listens, reads the platform, and takes callers once it is ready.
+   *
+   * @param settings its settings
+   * @return the running daemon
+   */
+  public static Daemon start(DaemonSettings settings) {
+    Daemon daemon = new Daemon(settings);
     LOGGER.info(
-        "Daemon {} takes callers on {} and operators on {}.",
+        "Daemon {} takes callers on {}, operators on {} and peers on {}.",
         settings.daemonId(),
-        callers.address(),
-        operators.address());
+        daemon.callers.address(),
+        daemon.operators.address(),
+        daemon.transport.address());
+    return daemon;
   }
 
   /** Asks the daemon to finish what is in progress and stop. Returns at once. */
   public void drain() {
     long nowMs = MonotonicClock.nowMs();
-    post(new TimeEvent.DrainRequested(nowMs, nowMs + settings.drainDeadlineMs()));
+    loop.post(new TimeEvent.DrainRequested(nowMs, nowMs + settings.drainDeadlineMs()));
   }
 
   /**
@@ -207,7 +193,8 @@
     stopped.countDown();
   }
 
-  private PeerTransport startTransport() {
+  private static PeerTransport startTransport(
+      DaemonSettings settings, long incarnation, PeerBridge bridge) {
     InetSocketAddress address = parse(settings.peers().address());
     PeerSettings peerSettings =
         new PeerSettings(
@@ -220,10 +207,6 @@
     return TcpPeerTransport.start(peerSettings, bridge);
   }
 
-  private void post(Event event) {
-    loop.post(event);
-  }
-
   private void stopWhenTold(Effect effect) {
     if (effect instanceof Effect.Stop) {
       stopped.countDown();
@@ -242,17 +225,6 @@
         reducer.attemptsOwned());
   }
 
-  private static DecisionReducer createReducer(DaemonSettings settings, long seed) {
-    Policy policy = Policy.fromLabel(settings.policy().name());
-    StrategyFactory factory = new StrategyFactory(policy, AdmissionSettings.defaults());
-    return new DecisionReducer(
-        ReducerSettings.usual(settings.daemonId(), settings.zone(), seed),
-        new SoleOwnership(settings.daemonId()),
-        factory.createRouting(),
-        new LeastOutstandingRouting(),
-        targetId -> factory.createAdmission(targetId, RequestKind.GENERATION));
-  }
-
   private static InetSocketAddress parse(String address) {
     int colon = address.lastIndexOf(':');
     String host = address.substring(0, colon).replace("[", "").replace("]", "");
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/DaemonMain.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/DaemonMain.java
@@ -83,9 +83,8 @@
   }
 
   private static int serve(DaemonSettings settings) {
-    Daemon daemon = new Daemon(settings);
+    Daemon daemon = Daemon.start(settings);
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "stop"));
-    daemon.start();
     try {
       daemon.awaitStop();
     } catch (InterruptedException e) {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/control/ControlLoop.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/control/ControlLoop.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -21,28 +22,34 @@
 
   private static final Logger LOGGER = LogManager.getLogger(ControlLoop.class);
 
-  private final Reducer reducer;
-  private final List<EffectHandler> handlers;
   private final Timer eventTimer;
+  private final CountDownLatch started = new CountDownLatch(1);
   private final ScheduledThreadPoolExecutor executor;
+  private Reducer reducer;
+  private List<EffectHandler> handlers = List.of();
 
   /**
-   * Creates a loop that is not started.
+   * Creates a loop that is not started. Events posted before the start wait for it.
    *
-   * @param reducer the reducer; used on the control thread alone
-   * @param handlers those who perform effects; each is offered every effect
    * @param metrics the registry for the loop's metrics
    */
-  public ControlLoop(Reducer reducer, List<EffectHandler> handlers, MetricRegistry metrics) {
-    this.reducer = reducer;
-    this.handlers = List.copyOf(handlers);
+  public ControlLoop(MetricRegistry metrics) {
     this.eventTimer = metrics.timer("control.event");
     this.executor = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "control"));
     this.executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+    this.executor.execute(this::awaitStart);
   }
 
-  /** Starts the ticks. */
-  public void start() {
+  /**
+   * Starts the loop and its ticks.
+   *
+   * @param newReducer the reducer; used on the control thread alone
+   * @param newHandlers those who perform effects; each is offered every effect
+   */
+  public void start(Reducer newReducer, List<EffectHandler> newHandlers) {
+    this.reducer = newReducer;
+    this.handlers = List.copyOf(newHandlers);
+    started.countDown();
     executor.scheduleWithFixedDelay(
         () -> apply(new TimeEvent.Ticked(MonotonicClock.nowMs())),
         0,
@@ -62,6 +69,14 @@
     executor.shutdownNow();
   }
 
+  private void awaitStart() {
+    try {
+      started.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void apply(Event event) {
     Timer.Context timing = eventTimer.time();
     try {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/PeerBridge.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/PeerBridge.java
@@ -15,6 +15,7 @@
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.event.PeerEvent;
 import org.sequoiareach.decision.event.RequestEvent;
+import org.sequoiareach.decision.membership.MembershipEffect;
 import org.sequoiareach.decision.placement.LoadHint;
 import org.sequoiareach.model.platform.TargetHint;
 import org.sequoiareach.model.request.Outcome;
@@ -22,6 +23,7 @@
 import org.sequoiareach.model.request.RequestFailedException;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.peer.AttemptMessage;
+import org.sequoiareach.peer.MembershipMessage;
 import org.sequoiareach.peer.PeerListener;
 import org.sequoiareach.peer.PeerMessage;
 import org.sequoiareach.peer.PeerTransport;
@@ -41,6 +43,7 @@
   private final Map<String, String> forwardedFrom = new ConcurrentHashMap<>();
   private final Map<String, TargetHint> hints = new ConcurrentHashMap<>();
   private final CompletableFuture<PeerTransport> transport = new CompletableFuture<>();
+  private final MembershipBridge members;
   private final CompletableFuture<AttemptRunner> attempts = new CompletableFuture<>();
 
   /**
@@ -52,6 +55,7 @@
   public PeerBridge(EventSink events, PeerDirectory directory) {
     this.events = events;
     this.directory = directory;
+    this.members = new MembershipBridge(events, transport);
   }
 
   /**
@@ -104,7 +108,9 @@
 
   @Override
   public void handle(Effect effect) {
-    if (effect instanceof Effect.PublishHint publish) {
+    if (effect instanceof MembershipEffect membership) {
+      members.handle(membership);
+    } else if (effect instanceof Effect.PublishHint publish) {
       hints.put(publish.hint().targetId(), toMessage(publish.hint()));
     } else if (effect instanceof Effect.RejectForwarded rejected) {
       reject(rejected);
@@ -113,7 +119,9 @@
 
   @Override
   public void onMessage(String fromDaemon, PeerMessage message) {
-    if (message instanceof AttemptMessage.OpenAttempt open) {
+    if (message instanceof MembershipMessage membership) {
+      members.onMessage(fromDaemon, membership);
+    } else if (message instanceof AttemptMessage.OpenAttempt open) {
       opened(fromDaemon, open);
     } else if (message instanceof AttemptMessage.CancelAttempt cancel) {
       cancelled(cancel.attemptId(), cancel.keepGeneration());
@@ -133,6 +141,7 @@
 
   @Override
   public void onPeerLost(String daemonId) {
+    members.onPeerLost(daemonId);
     String message = "the connection with daemon " + daemonId + " was lost";
     Outcome lost = Outcome.failed(Verdict.MAY_HAVE_RUN, Reason.OWNER_FAILED, message);
     for (InboundAnswer answer : inbound.values()) {
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/Deployment.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/Deployment.java
@@ -110,7 +110,7 @@
   Daemon startDaemon(String id) {
     String free = "127.0.0.1:0";
     Daemon daemon =
-        new Daemon(
+        Daemon.start(
             new DaemonSettings(
                 id,
                 "zone-a",
@@ -122,8 +122,8 @@
                 null,
                 20_000,
                 Optional.of(1L)));
-    daemon.start();
     daemons.add(daemon);
+    put(id, VmKind.DAEMON, daemon.peerAddress(), "", false);
     await("daemon " + id + " is ready", () -> status(daemon, "/readyz") == 200);
     return daemon;
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/DecisionReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/DecisionReducer.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.event.Event;
@@ -9,9 +10,12 @@
 import org.sequoiareach.decision.event.PlatformEvent;
 import org.sequoiareach.decision.event.RequestEvent;
 import org.sequoiareach.decision.event.TimeEvent;
+import org.sequoiareach.decision.membership.MembershipEffect;
 import org.sequoiareach.decision.placement.AdmissionFactory;
 import org.sequoiareach.decision.routing.RoutingStrategy;
 import org.sequoiareach.model.Check;
+import org.sequoiareach.model.platform.MemberState;
+import org.sequoiareach.model.platform.MemberUpdate;
 import org.sequoiareach.model.platform.VmEntry;
 import org.sequoiareach.model.request.Outcome;
 import org.sequoiareach.model.request.Reason;
@@ -34,6 +38,7 @@
   private final Readiness readiness;
   private Sheet sheet = NO_SHEET;
   private Map<String, String> polled = Map.of();
+  private long polledVersion;
   private long lastEventMs;
 
   /**
@@ -67,6 +72,7 @@
       readiness.paused(nowMs);
     }
     lastEventMs = Math.max(lastEventMs, nowMs);
+    ownership.reduce(event).forEach(this::followMembers);
     if (event instanceof RequestEvent request) {
       applyRequest(request);
     } else if (event instanceof PlatformEvent platform) {
@@ -76,6 +82,9 @@
     } else if (event instanceof TimeEvent time) {
       applyTime(time);
     }
+    if (ownership.version() != polledVersion) {
+      pollOwned();
+    }
     readiness.announce(sheet.version());
     return log.take();
   }
@@ -200,7 +209,23 @@
     }
   }
 
+  /** Passes on what the membership wants done, and acts on the daemons it believes dead. */
+  private void followMembers(Effect effect) {
+    log.add(effect);
+    if (!(effect instanceof MembershipEffect.MembersChanged changed)) {
+      return;
+    }
+    for (MemberUpdate update : changed.changes()) {
+      String state = update.state().name().toLowerCase(Locale.ROOT);
+      log.control("member-" + state, "", sheet.version(), "daemon " + update.daemonId());
+      if (update.state() == MemberState.DEAD) {
+        entry.daemonLost(lastEventMs, update.daemonId());
+      }
+    }
+  }
+
   private void pollOwned() {
+    polledVersion = ownership.version();
     Map<String, String> owned = new LinkedHashMap<>();
     for (VmEntry engine : targets.engines()) {
       if (ownership.ownerOf(engine.id(), engine.zone()).equals(settings.daemonId())) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/EntryRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/EntryRole.java
@@ -304,7 +304,7 @@
   private String ownerFor(String targetId) {
     String zone = targets.find(targetId).map(VmEntry::zone).orElse("");
     String ownerId = ownership.ownerOf(targetId, zone);
-    return ownership.findAddress(ownerId).isPresent() ? ownerId : settings.daemonId();
+    return ownership.isReachable(ownerId) ? ownerId : settings.daemonId();
   }
 
   private List<TargetView> candidates(long nowMs, ActiveRequest request) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/Ownership.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/Ownership.java
@@ -1,6 +1,8 @@
 package org.sequoiareach.decision.reducer;
 
-import java.util.Optional;
+import java.util.List;
+import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.event.Event;
 
 /**
  * Tells which daemon owns a target: the one that keeps the target's accounts and queue.
@@ -10,6 +12,14 @@
  */
 public interface Ownership {
 
+  /**
+   * Takes an event that may change who owns what.
+   *
+   * @param event the event
+   * @return effects, in order
+   */
+  List<Effect> reduce(Event event);
+
   /**
    * Returns the owner of a target.
    *
@@ -20,12 +30,19 @@
   String ownerOf(String targetId, String zone);
 
   /**
-   * Returns the address of a daemon for other daemons.
+   * Tells whether attempts may be forwarded to a daemon now.
    *
    * @param daemonId the daemon
-   * @return its address; empty where it is not known
+   * @return false if it is unknown, suspected to have stopped, or this daemon itself
+   */
+  boolean isReachable(String daemonId);
+
+  /**
+   * Returns a number that changes whenever an owner may have changed.
+   *
+   * @return the version
    */
-  Optional<String> findAddress(String daemonId);
+  long version();
 
   /**
    * Returns how many daemons share the work.
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/SoleOwnership.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/SoleOwnership.java
@@ -1,6 +1,8 @@
 package org.sequoiareach.decision.reducer;
 
-import java.util.Optional;
+import java.util.List;
+import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.event.Event;
 import org.sequoiareach.model.Check;
 
 /** Makes this daemon the owner of every target: for a single daemon, and as a baseline. */
@@ -17,14 +19,24 @@
     this.daemonId = Check.hasText(daemonId, "daemonId");
   }
 
+  @Override
+  public List<Effect> reduce(Event event) {
+    return List.of();
+  }
+
   @Override
   public String ownerOf(String targetId, String zone) {
     return daemonId;
   }
 
   @Override
-  public Optional<String> findAddress(String otherDaemonId) {
-    return daemonId.equals(otherDaemonId) ? Optional.of("") : Optional.empty();
+  public boolean isReachable(String otherDaemonId) {
+    return false;
+  }
+
+  @Override
+  public long version() {
+    return 0;
   }
 
   @Override
--- a/sequoiareach-peer/src/test/java/org/sequoiareach/peer/PeerCodecTest.java
+++ b/sequoiareach-peer/src/test/java/org/sequoiareach/peer/PeerCodecTest.java
@@ -82,7 +82,8 @@
                         "/v1",
                         headers,
                         body));
-    Arbitrary<PeerMessage> cancel = text().map(AttemptMessage.id -> new CancelAttempt(id, id.length() % 2 == 0));
+    Arbitrary<PeerMessage> cancel =
+        text().map(id -> new AttemptMessage.CancelAttempt(id, id.length() % 2 == 0));
     Arbitrary<PeerMessage> grant =
         Combinators.combine(text(), Arbitraries.integers().greaterOrEqual(1))
             .as(AttemptMessage.GrantCredit::new);
