Claim the keys of calls that may not be repeated before they are sent

Cause: a booking that two daemons race for, or whose answer is lost, could have been sent twice. The group-commit registry is wired; a test races twenty calls with one key through two daemons, loses answers of service and key-value service, and takes the latter away. Before: every booking was refused as not run.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/Daemon.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/Daemon.java
@@ -33,10 +33,13 @@
 import org.sequoiareach.peer.PeerSettings;
 import org.sequoiareach.peer.PeerTransport;
 import org.sequoiareach.peer.TcpPeerTransport;
+import org.sequoiareach.platform.claim.GroupCommitClaimRegistry;
 import org.sequoiareach.platform.kv.EtcdKeyValueService;
 import org.sequoiareach.platform.sheet.KeyValueSheetStore;
 import org.sequoiareach.platform.time.MonotonicClock;
 import org.sequoiareach.platform.vm.HttpVmList;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
@@ -61,6 +64,7 @@
       ConnectionProvider.builder("targets").maxConnections(CONNECTIONS_PER_TARGET).build();
   private final ConnectionProvider platformPool =
       ConnectionProvider.builder("platform").maxConnections(PLATFORM_CONNECTIONS).build();
+  private final Scheduler claimScheduler = Schedulers.newSingle("claims");
   private final CountDownLatch stopped = new CountDownLatch(1);
   private final ControlLoop loop = new ControlLoop(metrics);
   private final PeerTransport transport;
@@ -107,7 +111,7 @@
             attempts,
             platform,
             loads,
-            new ClaimGateway(new UnavailableClaims(), loop),
+            new ClaimGateway(new GroupCommitClaimRegistry(keyValues, claimScheduler), loop),
             this::stopWhenTold));
     platform.start();
     loads.start();
@@ -184,6 +188,7 @@
   public void close() {
     loop.close();
     timer.shutdownNow();
+    claimScheduler.dispose();
     transport.close();
     callers.disposeNow();
     operators.disposeNow();
--- /dev/null
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/BookingTest.java
@@ -0,0 +1,102 @@
+package org.sequoiareach.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiareach.standin.kv.KvFaults;
+import org.sequoiareach.standin.service.ServiceFaults;
+
+/** Calls that may not be repeated run at most once, whatever fails. */
+class BookingTest {
+
+  private static final String VERDICT = "Sequoiareach-Verdict";
+
+  private static Deployment deployment;
+  private static Daemon first;
+  private static Daemon second;
+
+  @BeforeAll
+  static void start() {
+    deployment = new Deployment(0);
+    first = deployment.startDaemon("d1");
+    second = deployment.startDaemon("d2");
+  }
+
+  @AfterAll
+  static void stop() {
+    deployment.close();
+  }
+
+  @BeforeEach
+  void clearFaults() {
+    deployment.keyValues.setFaults(KvFaults.NONE);
+    deployment.service.setFaults(ServiceFaults.NONE);
+  }
+
+  @Test
+  void runsOnceWhenManyDaemonsRaceWithOneKey() {
+    List<CompletableFuture<HttpResponse<String>>> racing =
+        IntStream.range(0, 20)
+            .mapToObj(i -> deployment.book(i % 2 == 0 ? first : second, Deployment.KEY, "race"))
+            .toList();
+    List<Integer> statuses = racing.stream().map(answer -> answer.join().statusCode()).toList();
+    assertThat(statuses).containsOnlyOnce(200);
+    assertThat(statuses.stream().filter(status -> status != 200)).containsOnly(409);
+    assertThat(runs("race")).isEqualTo(1);
+  }
+
+  @Test
+  void answersMayHaveRunWhenTheAnswerIsLostAndNeverSendsAgain() {
+    deployment.service.setFaults(new ServiceFaults(0, 1, 0, 0, 0));
+    HttpResponse<String> lost = deployment.book(first, Deployment.KEY, "lost").join();
+    HttpResponse<String> again = deployment.book(second, Deployment.KEY, "lost").join();
+    assertThat(lost.headers().firstValue(VERDICT)).contains("may-have-run");
+    assertThat(again.headers().firstValue(VERDICT)).contains("may-have-run");
+    assertThat(runs("lost")).isEqualTo(1);
+  }
+
+  @Test
+  void refusesAsNotRunWhileTheKeyValueServiceIsAway() {
+    deployment.keyValues.setFaults(new KvFaults(true, 0, 0, 0, false));
+    HttpResponse<String> refused = deployment.book(first, Deployment.KEY, "away").join();
+    assertThat(refused.statusCode()).isEqualTo(503);
+    assertThat(refused.headers().firstValue(VERDICT)).contains("not-run");
+    assertThat(refused.headers().firstValue("Retry-After")).isPresent();
+    assertThat(runs("away")).isZero();
+    deployment.keyValues.setFaults(KvFaults.NONE);
+    Deployment.await(
+        "the key is free again",
+        () -> deployment.book(second, Deployment.KEY, "away").join().statusCode() == 200);
+    assertThat(runs("away")).isEqualTo(1);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3})
+  void recognisesItsOwnClaimWhenTheAnswerToTheWriteIsLost(int lostAnswers) {
+    deployment.keyValues.setFaults(new KvFaults(false, 0, lostAnswers, 0, false));
+    String key = "own-" + lostAnswers;
+    HttpResponse<String> answer = deployment.book(first, Deployment.KEY, key).join();
+    assertThat(answer.statusCode()).isIn(200, 503);
+    assertThat(runs(key)).isEqualTo(answer.statusCode() == 200 ? 1 : 0);
+  }
+
+  @Test
+  void keepsTheKeysOfOrganisationsApart() {
+    assertThat(deployment.book(first, Deployment.KEY, "shared").join().statusCode()).isEqualTo(200);
+    assertThat(deployment.book(second, Deployment.OTHER_KEY, "shared").join().statusCode())
+        .isEqualTo(200);
+  }
+
+  private static long runs(String idempotencyKey) {
+    return deployment.service.record().runsByKey().getOrDefault(idempotencyKey, 0L);
+  }
+}
