Admit by the memory that running answers are predicted to take

Cause: the longest answer allowed is far from the usual one, so reserving it wastes most of an engine, and starting everything fills its memory in mid-decode.

ExpectedMemoryAdmission sums, at 16 points of a horizon, the conditional tails of all running answers, and starts an attempt while the upper quantile of the sum fits the reported memory. It also keeps the predicted time between tokens under its target, from a line fitted in batch and context. Others' use is what a report shows beyond the most that this owner held within the lag.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/placement/AdmissionQueue.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/placement/AdmissionQueue.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeSet;
 
 /** Holds the attempts that wait for one target, bounded and in the order of service. */
@@ -49,6 +50,21 @@
     return sum;
   }
 
+  /** Returns how many attempts are served before the given one. */
+  int countBefore(QueuedAttempt queued) {
+    return order.headSet(queued).size();
+  }
+
+  /** Returns the attempt that is served first. */
+  Optional<QueuedAttempt> first() {
+    return order.isEmpty() ? Optional.empty() : Optional.of(order.first());
+  }
+
+  /** Returns the attempt that is served last. */
+  Optional<QueuedAttempt> last() {
+    return order.isEmpty() ? Optional.empty() : Optional.of(order.last());
+  }
+
   void add(QueuedAttempt queued) {
     byId.put(queued.attempt().attemptId(), queued);
     order.add(queued);
@@ -70,6 +86,18 @@
     return new ArrayList<>(order);
   }
 
+  /** Returns the attempts that are served first, at most the given number of them. */
+  List<QueuedAttempt> firstOnes(int most) {
+    List<QueuedAttempt> first = new ArrayList<>(Math.min(most, order.size()));
+    for (QueuedAttempt queued : order) {
+      if (first.size() == most) {
+        break;
+      }
+      first.add(queued);
+    }
+    return first;
+  }
+
   /** Takes out the attempts whose deadline has passed. */
   List<QueuedAttempt> removeExpired(long nowMs) {
     List<QueuedAttempt> expired = new ArrayList<>();
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/placement/AdmissionSettings.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/placement/AdmissionSettings.java
@@ -21,7 +21,7 @@
     double targetTokenGapMs) {
 
   private static final AdmissionSettings DEFAULTS =
-      new AdmissionSettings(16_384, 256, 2_000, 0.02, 20_000, 45.0);
+      new AdmissionSettings(16_384, 256, 2_000, 0.01, 20_000, 45.0);
 
   /** Checks the parts. */
   public AdmissionSettings {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/placement/MaximumLengthAdmission.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/placement/MaximumLengthAdmission.java
@@ -71,7 +71,7 @@
       return;
     }
     reservedTokens -= reservation.tokens();
-    drain.record(nowMs - reservation.startedMs());
+    drain.record(nowMs - reservation.startedMs(), reservation.tokens());
   }
 
   @Override
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/policy/StrategyFactory.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/policy/StrategyFactory.java
@@ -1,7 +1,10 @@
 package org.sequoiareach.decision.policy;
 
+import org.sequoiareach.decision.length.LengthSettings;
+import org.sequoiareach.decision.length.LengthStatistics;
 import org.sequoiareach.decision.placement.AdmissionSettings;
 import org.sequoiareach.decision.placement.AdmissionStrategy;
+import org.sequoiareach.decision.placement.ExpectedMemoryAdmission;
 import org.sequoiareach.decision.placement.MaximumLengthAdmission;
 import org.sequoiareach.decision.placement.PassThroughAdmission;
 import org.sequoiareach.decision.routing.LeastOutstandingRouting;
@@ -11,11 +14,15 @@
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.request.RequestKind;
 
-/** Creates the strategies of one policy. Not thread-safe: it belongs to the control thread. */
+/**
+ * Creates the strategies of one policy, which share what they learn of the lengths of answers. Not
+ * thread-safe: it belongs to the control thread.
+ */
 public final class StrategyFactory {
 
   private final Policy policy;
   private final AdmissionSettings settings;
+  private final LengthStatistics statistics = new LengthStatistics(LengthSettings.defaults());
 
   /**
    * Creates the factory.
@@ -54,8 +61,8 @@
     }
     return switch (policy) {
       case ROUND_ROBIN, LEAST_OUTSTANDING -> new PassThroughAdmission(targetId);
-      case MAX_LENGTH_RESERVATION, EXPECTED_MEMORY ->
-          new MaximumLengthAdmission(targetId, settings);
+      case MAX_LENGTH_RESERVATION -> new MaximumLengthAdmission(targetId, settings);
+      case EXPECTED_MEMORY -> new ExpectedMemoryAdmission(targetId, settings, statistics);
     };
   }
 }
