--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/KeyValueSheetStore.java
+++ b/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/KeyValueSheetStore.java
@@ -3,10 +3,12 @@
 import java.time.Clock;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.sheet.Sheet;
 import org.sequoiareach.platform.kv.KeyValueEntry;
 import org.sequoiareach.platform.kv.KeyValueService;
+import org.sequoiareach.platform.time.MonotonicClock;
 
 /**
  * Keeps the sheet in the key-value service as a manifest and one section an organisation. Immutable
@@ -20,6 +22,7 @@
 
   private final KeyValueService keyValues;
   private final Clock clock;
+  private final LongSupplier monotonicClock;
 
   /**
    * Creates a store that uses the system's clock.
@@ -37,8 +40,13 @@
    * @param clock tells the day of an export and when sections went out of use
    */
   public KeyValueSheetStore(KeyValueService keyValues, Clock clock) {
+    this(keyValues, clock, MonotonicClock::nowMs);
+  }
+
+  KeyValueSheetStore(KeyValueService keyValues, Clock clock, LongSupplier monotonicClock) {
     this.keyValues = Check.notNull(keyValues, "keyValues");
     this.clock = Check.notNull(clock, "clock");
+    this.monotonicClock = monotonicClock;
   }
 
   @Override
@@ -50,7 +58,9 @@
   public CompletableFuture<Long> export(Sheet sheet, long baseVersion, long deadlineMs) {
     Check.notNull(sheet, "sheet");
     Check.inRange(baseVersion, 0, Long.MAX_VALUE, "baseVersion");
-    return new SheetExport(keyValues, clock, sheet, baseVersion, deadlineMs).run().toFuture();
+    return new SheetExport(keyValues, clock, monotonicClock, sheet, baseVersion, deadlineMs)
+        .run()
+        .toFuture();
   }
 
   @Override
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/SheetExport.java
+++ b/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/SheetExport.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.sheet.Sheet;
@@ -17,7 +18,6 @@
 import org.sequoiareach.platform.kv.KeyValueService;
 import org.sequoiareach.platform.kv.Transaction;
 import org.sequoiareach.platform.kv.TransactionResult;
-import org.sequoiareach.platform.time.MonotonicClock;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.util.retry.Retry;
@@ -47,6 +47,7 @@
 
   private final KeyValueService keyValues;
   private final Clock clock;
+  private final LongSupplier monotonicClock;
   private final SheetSections sections;
   private final long baseVersion;
   private final long deadlineMs;
@@ -54,9 +55,15 @@
   private final AtomicBoolean manifestMayBeWritten = new AtomicBoolean();
 
   SheetExport(
-      KeyValueService keyValues, Clock clock, Sheet sheet, long baseVersion, long deadlineMs) {
+      KeyValueService keyValues,
+      Clock clock,
+      LongSupplier monotonicClock,
+      Sheet sheet,
+      long baseVersion,
+      long deadlineMs) {
     this.keyValues = keyValues;
     this.clock = clock;
+    this.monotonicClock = monotonicClock;
     this.sections = SheetSections.of(sheet);
     this.baseVersion = baseVersion;
     this.deadlineMs = deadlineMs;
@@ -132,13 +139,13 @@
     return Mono.fromFuture(
         () ->
             keyValues.commit(
-                transaction, Math.min(deadlineMs, MonotonicClock.nowMs() + ATTEMPT_MS)));
+                transaction, Math.min(deadlineMs, monotonicClock.getAsLong() + ATTEMPT_MS)));
   }
 
   private Retry retry() {
     return Retry.backoff(Long.MAX_VALUE, FIRST_BACKOFF)
         .maxBackoff(LAST_BACKOFF)
-        .filter(e -> e instanceof KeyValueException && MonotonicClock.nowMs() < deadlineMs);
+        .filter(e -> e instanceof KeyValueException && monotonicClock.getAsLong() < deadlineMs);
   }
 
   private void recordLostAnswer(Throwable error) {
--- a/sequoiareach-platform/src/test/java/org/sequoiareach/platform/kv/FakeKeyValueService.java
+++ b/sequoiareach-platform/src/test/java/org/sequoiareach/platform/kv/FakeKeyValueService.java
@@ -44,6 +44,8 @@
     public static final Fate LOST_AFTER = new Fate(false, 0, false, 0, true);
   }
 
+  private static final int MAX_OPERATIONS = 128;
+
   private final TreeMap<String, KeyValueEntry> entries = new TreeMap<>();
   private final Map<Long, Long> leaseExpiryMs = new HashMap<>();
   private final Timer timer;
@@ -51,6 +53,7 @@
   private Supplier<Fate> fates = () -> Fate.FINE;
   private long revision;
   private long calls;
+  private long keysRead;
 
   /** Creates a service whose calls take the time of their fates. */
   public FakeKeyValueService(Timer timer, LongSupplier clock) {
@@ -73,6 +76,11 @@
     return calls;
   }
 
+  /** Returns how many keys were asked for by reads of several keys. */
+  public long keysRead() {
+    return keysRead;
+  }
+
   /** Returns all entries in the order of their keys. */
   public List<KeyValueEntry> entries() {
     return List.copyOf(entries.values());
@@ -90,6 +98,7 @@
 
   @Override
   public CompletableFuture<List<KeyValueEntry>> findAll(List<String> keys, long deadlineMs) {
+    keysRead += keys.size();
     return call(false, deadlineMs, () -> present(keys));
   }
 
@@ -181,6 +190,10 @@
   }
 
   private TransactionResult apply(Transaction transaction) {
+    int writes = transaction.puts().size() + transaction.deletes().size();
+    if (Math.max(writes, transaction.conditions().size()) > MAX_OPERATIONS) {
+      throw new KeyValueException(Verdict.NOT_RUN, "Too many operations.", null);
+    }
     List<String> keys =
         transaction.conditions().stream().map(Transaction.Condition::key).distinct().toList();
     for (Transaction.Condition condition : transaction.conditions()) {
--- /dev/null
+++ b/sequoiareach-platform/src/test/java/org/sequoiareach/platform/sheet/KeyValueSheetStoreTest.java
@@ -0,0 +1,135 @@
+package org.sequoiareach.platform.sheet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiareach.model.sheet.Sheet;
+import org.sequoiareach.platform.kv.FakeKeyValueService;
+import org.sequoiareach.platform.kv.FakeKeyValueService.Fate;
+import org.sequoiareach.platform.kv.KeyValueException;
+import org.sequoiareach.platform.time.MonotonicClock;
+
+class KeyValueSheetStoreTest {
+
+  private static final Instant MORNING = Instant.parse("2026-12-03T06:00:00Z");
+  private static final int ORGANISATIONS = 3;
+
+  private final FakeKeyValueService keyValues = FakeKeyValueService.immediate();
+
+  @Test
+  void nothingIsFoundBeforeTheFirstExport() {
+    assertThat(read(Optional.empty())).isEmpty();
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1, 3, 250, 3_000})
+  void exportedSheetIsReadBackWhole(int organisations) {
+    Sheet sheet = SheetSamples.sheet(1, organisations);
+    assertThat(export(sheet, 0, MORNING)).isEqualTo(1);
+    assertThat(read(Optional.empty())).contains(sheet.withVersion(1));
+  }
+
+  @Test
+  void onlyChangedSectionsAreRead() {
+    export(SheetSamples.sheet(100, 200), 0, MORNING);
+    Sheet known = read(Optional.empty()).orElseThrow();
+    export(SheetSamples.sheet(101, 200), 1, MORNING);
+    long before = keyValues.keysRead();
+    assertThat(read(Optional.of(known))).contains(SheetSamples.sheet(101, 200).withVersion(2));
+    // Models changed, and the plans of those organisations whose share of 100 and 101 differs.
+    assertThat(keyValues.keysRead() - before).isEqualTo(3);
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {0, 2})
+  void exportOnAnotherVersionIsRefused(long base) {
+    export(SheetSamples.sheet(1, ORGANISATIONS), 0, MORNING);
+    assertThatThrownBy(() -> export(SheetSamples.sheet(2, ORGANISATIONS), base, MORNING))
+        .hasCauseInstanceOf(SheetConflictException.class);
+  }
+
+  static Stream<List<Fate>> faults() {
+    return Stream.of(
+        List.of(Fate.FINE, Fate.LOST_AFTER),
+        List.of(Fate.FINE, Fate.LOST_BEFORE),
+        List.of(Fate.FINE, Fate.DOWN),
+        List.of(Fate.FINE, Fate.LOST_AFTER, Fate.LOST_BEFORE, Fate.DOWN));
+  }
+
+  @ParameterizedTest
+  @MethodSource("faults")
+  void exportSurvivesFaultsOfItsWrite(List<Fate> faults) {
+    setFates(faults);
+    Sheet sheet = SheetSamples.sheet(1, ORGANISATIONS);
+    assertThat(export(sheet, 0, MORNING)).isEqualTo(1);
+    assertThat(read(Optional.empty())).contains(sheet.withVersion(1));
+  }
+
+  @Test
+  void sectionsOutOfUseAreDeletedLater() {
+    export(SheetSamples.sheet(1, ORGANISATIONS), 0, MORNING);
+    final int first = sections();
+    export(SheetSamples.sheet(2, ORGANISATIONS), 1, MORNING.plus(Duration.ofMinutes(1)));
+    final int second = sections();
+    export(SheetSamples.sheet(2, ORGANISATIONS), 2, MORNING.plus(Duration.ofMinutes(62)));
+    assertThat(second).isGreaterThan(first);
+    assertThat(sections()).isEqualTo(first);
+    assertThat(read(Optional.empty()))
+        .contains(SheetSamples.sheet(2, ORGANISATIONS).withVersion(3));
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"", "null", "[]", "{}", "{\"version\":0}", "not json", "{\"version\":1e99}"})
+  void unreadableManifestFailsClearly(String manifest) {
+    keyValues.corrupt(SheetKeys.MANIFEST, manifest);
+    assertThatThrownBy(() -> read(Optional.empty()))
+        .hasCauseInstanceOf(KeyValueException.class)
+        .hasMessageContaining(SheetKeys.MANIFEST);
+  }
+
+  @Test
+  void sectionWithAnotherTextIsRefused() {
+    export(SheetSamples.sheet(1, ORGANISATIONS), 0, MORNING);
+    keyValues.entries().stream()
+        .filter(entry -> entry.key().contains("/section/"))
+        .forEach(entry -> keyValues.corrupt(entry.key(), "{}"));
+    assertThatThrownBy(() -> read(Optional.empty())).hasMessageContaining("digest");
+  }
+
+  private int sections() {
+    return (int)
+        keyValues.entries().stream().filter(entry -> entry.key().contains("/section/")).count();
+  }
+
+  private long export(Sheet sheet, long base, Instant now) {
+    Clock clock = Clock.fixed(now, ZoneOffset.UTC);
+    return new KeyValueSheetStore(keyValues, clock).export(sheet, base, deadline()).join();
+  }
+
+  private Optional<Sheet> read(Optional<Sheet> known) {
+    return new KeyValueSheetStore(keyValues).findCurrent(known, deadline()).join();
+  }
+
+  private void setFates(List<Fate> faults) {
+    Deque<Fate> left = new ArrayDeque<>(faults);
+    keyValues.setFates(() -> left.isEmpty() ? Fate.FINE : left.remove());
+  }
+
+  private static long deadline() {
+    return MonotonicClock.nowMs() + 10_000;
+  }
+}
