Relay TCP connections with faults of a link

The first trial hung: the switch was put in force on an event loop, where waiting for the port is refused, and the test did not look at the status.

--- /dev/null
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/command/RelayCommand.java
@@ -0,0 +1,15 @@
+package org.sequoiareach.standin.command;
+
+import java.util.List;
+import org.sequoiareach.standin.relay.RelaySettings;
+import org.sequoiareach.standin.relay.RelayStandin;
+import org.sequoiareach.standin.server.Standin;
+
+/** Is the subcommand {@code relay}. */
+public final class RelayCommand extends StandinCommand {
+
+  @Override
+  List<Standin> createAll() {
+    return createOne(RelaySettings.class, RelayStandin::new);
+  }
+}
--- a/sequoiareach-standin/src/main/java/org/sequoiareach/standin/command/StandinProgram.java
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/command/StandinProgram.java
@@ -43,7 +43,8 @@
     @SubCommand(name = "kv", impl = KvCommand.class),
     @SubCommand(name = "vms", impl = VmListCommand.class),
     @SubCommand(name = "engine", impl = EngineCommand.class),
-    @SubCommand(name = "service", impl = ServiceCommand.class)
+    @SubCommand(name = "service", impl = ServiceCommand.class),
+    @SubCommand(name = "relay", impl = RelayCommand.class)
   })
   private StandinCommand command;
 
@@ -120,7 +121,7 @@
   private static String usage() {
     return String.join(
         System.lineSeparator(),
-        "usage: " + NAME + " kv|vms|engine|service --settings FILE",
+        "usage: " + NAME + " kv|vms|engine|service|relay --settings FILE",
         "  --settings FILE   the JSON settings",
         "  --check-settings  check the settings and exit",
         "  --help            show this text",
--- a/sequoiareach-standin/src/main/java/org/sequoiareach/standin/server/AbstractHttpStandin.java
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/server/AbstractHttpStandin.java
@@ -11,11 +11,11 @@
 import org.sequoiareach.standin.fault.FaultSwitches;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
-import reactor.netty.resources.LoopResources;
 
 /**
  * Serves {@code GET /healthz}, {@code GET /record} and {@code GET}/{@code PUT /faults}, and leaves
@@ -25,9 +25,7 @@
  */
 public abstract class AbstractHttpStandin<F> implements Standin {
 
-  private static final int EVENT_LOOPS = 2;
   private static final Duration STOP_TIMEOUT = Duration.ofSeconds(3);
-  private static final LoopResources LOOPS = LoopResources.create("standin", EVENT_LOOPS, true);
 
   private final InetSocketAddress listen;
   private final FaultSwitches<F> faults;
@@ -52,7 +50,7 @@
     }
     server =
         HttpServer.create()
-            .runOn(LOOPS, false)
+            .runOn(EventLoops.shared(), false)
             .bindAddress(() -> listen)
             .doOnChannelInit((observer, channel, remote) -> connections.add(channel))
             .handle(this::route)
@@ -157,8 +155,10 @@
     };
   }
 
+  /** Replaces the switches away from the event loops, since some of them wait for connections. */
   private Mono<Void> replaceFaults(String text, HttpServerResponse response) {
-    setFaults(faults.parse(text));
-    return Mono.from(Exchanges.json(response, 200, faults.get()));
+    return Mono.fromRunnable(() -> setFaults(faults.parse(text)))
+        .subscribeOn(Schedulers.boundedElastic())
+        .then(Mono.defer(() -> Mono.from(Exchanges.json(response, 200, faults.get()))));
   }
 }
--- a/sequoiareach-standin/src/test/java/org/sequoiareach/standin/engine/EngineStandinTest.java
+++ b/sequoiareach-standin/src/test/java/org/sequoiareach/standin/engine/EngineStandinTest.java
@@ -14,11 +14,13 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiareach.standin.server.Exchanges;
 import org.sequoiareach.standin.server.TestCalls;
 
+@Timeout(20)
 class EngineStandinTest {
 
   private static final String PATH = "/v1/chat/completions";
@@ -82,7 +84,7 @@
 
   @Test
   void goesOnWhenItsConnectionIsLost() throws Exception {
-    calls.send("PUT", "/faults", "{\"dropConnectionAfterTokens\":3}");
+    calls.setFaults("{\"dropConnectionAfterTokens\":3}");
     assertThatThrownBy(() -> stream("r1", 6)).hasRootCauseInstanceOf(IOException.class);
     List<String> rest =
         calls.lines("GET", PATH + "/chatcmpl-r1", "", "Last-Event-ID", "3").toList();
@@ -106,7 +108,7 @@
 
   @Test
   void diesBeforeTheFirstTokenOfOneGeneration() throws Exception {
-    calls.send("PUT", "/faults", "{\"dieBeforeFirstToken\":1}");
+    calls.setFaults("{\"dieBeforeFirstToken\":1}");
     assertThatThrownBy(() -> stream("r1", 3)).hasRootCauseInstanceOf(IOException.class);
     assertThat(engine.record().generations().get("chatcmpl-r1").tokens()).isZero();
     assertThat(contents(stream("r2", 3))).hasSize(4);
@@ -117,7 +119,7 @@
     try (Stream<String> lines = calls.lines("POST", PATH, body(4_000, true), "X-Request-Id", "r")) {
       Iterator<String> each = lines.iterator();
       each.next();
-      calls.send("PUT", "/faults", "{\"leaving\":true}");
+      calls.setFaults("{\"leaving\":true}");
       assertThat(post("r2", 3, false).statusCode()).isEqualTo(503);
       assertThat(calls.json("GET", "/load", "").path("leaving").asBoolean()).isTrue();
       assertThatThrownBy(() -> each.forEachRemaining(line -> {}))
@@ -125,7 +127,7 @@
     }
     assertThat(calls.send("GET", "/healthz", "").statusCode()).isEqualTo(503);
     assertThatThrownBy(() -> post("r3", 3, false)).isInstanceOf(IOException.class);
-    calls.send("PUT", "/faults", "{}");
+    calls.setFaults("{}");
     assertThat(post("r3", 3, false).statusCode()).isEqualTo(200);
   }
 
--- a/sequoiareach-standin/src/test/java/org/sequoiareach/standin/kv/KvStandinTest.java
+++ b/sequoiareach-standin/src/test/java/org/sequoiareach/standin/kv/KvStandinTest.java
@@ -12,11 +12,13 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.sequoiareach.standin.server.Exchanges;
 import org.sequoiareach.standin.server.TestCalls;
 
+@Timeout(20)
 class KvStandinTest {
 
   private final KvStandin kv = new KvStandin(new KvSettings("127.0.0.1:0"));
@@ -100,7 +102,7 @@
       put("k", "3");
       assertThat(Exchanges.parse(each.next()).at("/result/events/0/kv/value").asText())
           .isEqualTo(b64("3"));
-      calls.send("PUT", "/faults", "{\"watchCut\":true}");
+      calls.setFaults("{\"watchCut\":true}");
       assertThatThrownBy(each::hasNext).hasRootCauseInstanceOf(IOException.class);
     }
   }
@@ -116,9 +118,9 @@
 
   @Test
   void refusesWithoutEffectWhenDown() throws Exception {
-    calls.send("PUT", "/faults", "{\"down\":true}");
+    calls.setFaults("{\"down\":true}");
     assertThatThrownBy(() -> put("k", "1")).isInstanceOf(IOException.class);
-    calls.send("PUT", "/faults", "{}");
+    calls.setFaults("{}");
     assertThat(kv.record().keys()).isZero();
     assertThat(put("k", "1").statusCode()).isEqualTo(200);
   }
--- a/sequoiareach-standin/src/test/java/org/sequoiareach/standin/server/TestCalls.java
+++ b/sequoiareach-standin/src/test/java/org/sequoiareach/standin/server/TestCalls.java
@@ -1,5 +1,7 @@
 package org.sequoiareach.standin.server;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -70,6 +72,15 @@
         .body();
   }
 
+  /**
+   * Replaces the fault switches.
+   *
+   * @param faults a JSON object of switches
+   */
+  public void setFaults(String faults) throws IOException, InterruptedException {
+    assertThat(send("PUT", "/faults", faults).statusCode()).isEqualTo(200);
+  }
+
   private HttpRequest build(String method, String path, String body, String... headers) {
     HttpRequest.Builder builder =
         HttpRequest.newBuilder(URI.create(base + path))
--- a/sequoiareach-standin/src/test/java/org/sequoiareach/standin/service/ServiceStandinTest.java
+++ b/sequoiareach-standin/src/test/java/org/sequoiareach/standin/service/ServiceStandinTest.java
@@ -9,11 +9,13 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.sequoiareach.standin.server.Exchanges;
 import org.sequoiareach.standin.server.TestCalls;
 
+@Timeout(20)
 class ServiceStandinTest {
 
   private final ServiceStandin service =
@@ -44,7 +46,7 @@
   @ParameterizedTest
   @CsvSource({"failBeforeRun, 0", "dropAfterRun, 1"})
   void losesTheConnectionOfOneCall(String fault, long executions) throws Exception {
-    calls.send("PUT", "/faults", "{\"" + fault + "\":1}");
+    calls.setFaults("{\"" + fault + "\":1}");
     assertThatThrownBy(() -> calls.send("POST", "/x", "")).isInstanceOf(IOException.class);
     assertThat(service.record().executions()).isEqualTo(executions);
     assertThat(calls.send("POST", "/x", "").statusCode()).isEqualTo(200);
@@ -53,7 +55,7 @@
   @ParameterizedTest
   @CsvSource({"status, 500, 500, 1", "refuse, 1, 503, 0", "delayMs, 20, 200, 1"})
   void answersAsTold(String fault, int value, int status, long executions) throws Exception {
-    calls.send("PUT", "/faults", "{\"" + fault + "\":" + value + "}");
+    calls.setFaults("{\"" + fault + "\":" + value + "}");
     assertThat(calls.send("GET", "/x", "").statusCode()).isEqualTo(status);
     assertThat(service.record().executions()).isEqualTo(executions);
   }
--- a/sequoiareach-standin/src/test/java/org/sequoiareach/standin/vms/VmListStandinTest.java
+++ b/sequoiareach-standin/src/test/java/org/sequoiareach/standin/vms/VmListStandinTest.java
@@ -9,10 +9,12 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.sequoiareach.model.platform.VmEntry;
 import org.sequoiareach.model.platform.VmKind;
 import org.sequoiareach.standin.server.TestCalls;
 
+@Timeout(20)
 class VmListStandinTest {
 
   private static final VmEntry FIRST = entry("e1", false);
@@ -45,18 +47,18 @@
 
   @Test
   void staysAsItWasWhenFrozen() throws Exception {
-    calls.send("PUT", "/faults", "{\"frozen\":true,\"lagMs\":0}");
+    calls.setFaults("{\"frozen\":true,\"lagMs\":0}");
     clock.addAndGet(1);
     vms.put(entry("e1", true));
     clock.addAndGet(10_000);
     assertThat(vms.visible()).containsExactly(FIRST);
-    calls.send("PUT", "/faults", "{}");
+    calls.setFaults("{}");
     assertThat(vms.visible()).containsExactly(entry("e1", true));
   }
 
   @Test
   void losesConnectionsWhenDown() throws Exception {
-    calls.send("PUT", "/faults", "{\"down\":true}");
+    calls.setFaults("{\"down\":true}");
     assertThatThrownBy(this::visibleIds).isInstanceOf(IOException.class);
     assertThat(calls.send("PUT", "/faults", "{\"dwn\":true}").statusCode()).isEqualTo(400);
   }
