--- a/sequoiareach-standin/src/main/java/org/sequoiareach/standin/engine/EngineReports.java
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/engine/EngineReports.java
@@ -10,6 +10,9 @@
 /** Holds back load reports and cache events until they are old enough. Not thread-safe. */
 final class EngineReports {
 
+  // Old enough reports must be at hand when a fault switch makes the lag greater.
+  private static final double LEAST_KEPT_MS = 10_000;
+
   private final ReportSettings settings;
   private final SplittableRandom random;
   private final Deque<Dated<EngineLoad>> loads = new ArrayDeque<>();
@@ -20,7 +23,7 @@
   EngineReports(ReportSettings settings, long seed) {
     this.settings = settings;
     this.random = new SplittableRandom(seed);
-    this.keptMs = settings.loadLagMs();
+    this.keptMs = Math.max(settings.loadLagMs(), LEAST_KEPT_MS);
   }
 
   /** Keeps reports long enough for a lag. */
--- a/sequoiareach-standin/src/test/java/org/sequoiareach/standin/engine/EngineStandinTest.java
+++ b/sequoiareach-standin/src/test/java/org/sequoiareach/standin/engine/EngineStandinTest.java
@@ -153,6 +153,26 @@
     }
   }
 
+  @Test
+  void losesAndRepeatsNoTokenOverPreemptions() throws Exception {
+    try (EngineStandin small =
+        new EngineStandin(
+            EngineSettings.of("e2", "m").withSteps(FAST).withMemory(new MemorySettings(12, 4)))) {
+      TestCalls smallCalls = new TestCalls(small.start());
+      List<Stream<String>> streams = new ArrayList<>();
+      for (int i = 0; i < 4; i++) {
+        streams.add(smallCalls.lines("POST", PATH, body(30, true), "X-Request-Id", "r" + i));
+      }
+      List<String> expected =
+          Stream.concat(IntStream.rangeClosed(1, 30).mapToObj(n -> "x:" + n + " "), Stream.of(""))
+              .toList();
+      for (Stream<String> lines : streams) {
+        assertThat(contents(lines.toList())).isEqualTo(expected);
+      }
+      assertThat(small.record().preemptions()).isPositive();
+    }
+  }
+
   private HttpResponse<String> order(long fence) throws Exception {
     String body = "{\"order\":\"load-model\",\"model\":\"m2\",\"fence\":" + fence + "}";
     return calls.send("POST", "/orders", body);
