--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/routing/TwoChoicesRouting.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/routing/TwoChoicesRouting.java
@@ -54,7 +54,7 @@
       noteSent(nowMs, first);
       return Optional.of(new RouteChoice(first.targetId(), "only candidate", List.of()));
     }
-    int step = 1 + (int) Long.remainderUnsigned(mix(draw), size - 1);
+    int step = 1 + (int) Long.remainderUnsigned(Backoff.mix(draw), size - 1);
     return Optional.of(better(nowMs, first, candidates.get((i + step) % size)));
   }
 
@@ -113,12 +113,6 @@
     entry.count++;
   }
 
-  private static long mix(long draw) {
-    long z = (draw ^ (draw >>> 30)) * 0xbf58476d1ce4e5b9L;
-    z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
-    return z ^ (z >>> 31);
-  }
-
   private static String text(double cost) {
     return String.format(Locale.ROOT, "%.2f", cost);
   }
