--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/ReducerFactory.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/ReducerFactory.java
@@ -12,7 +12,7 @@
 import org.sequoiareach.decision.reducer.ReducerSettings;
 import org.sequoiareach.decision.routing.LeastOutstandingRouting;
 import org.sequoiareach.model.request.RequestKind;
-import org.sequoiareach.model.sheet.SheetDigest;
+import org.sequoiareach.model.sheet.SheetStatus;
 
 /** Creates the reducer that a daemon's settings ask for. */
 final class ReducerFactory {
@@ -32,7 +32,7 @@
     StrategyFactory factory = new StrategyFactory(policy, AdmissionSettings.defaults());
     MembershipSettings members =
         new MembershipSettings(daemonId, peerAddress, settings.zone(), incarnation, seed);
-    MembershipReducer membership = new MembershipReducer(members, () -> SheetDigest.NONE);
+    MembershipReducer membership = new MembershipReducer(members, nowMs -> SheetStatus.UNKNOWN);
     return new DecisionReducer(
         ReducerSettings.usual(daemonId, settings.zone(), seed),
         new MembershipOwnership(daemonId, membership, new RendezvousOwnership()),
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MemberTable.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MemberTable.java
@@ -1,6 +1,7 @@
 package org.sequoiareach.decision.membership;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -118,6 +119,19 @@
     return members.values();
   }
 
+  /** Tells whether a daemon is known and believed to be in a state. */
+  boolean isIn(String daemonId, MemberState state) {
+    return find(daemonId).filter(member -> member.state() == state).isPresent();
+  }
+
+  /** Returns the daemons believed to be in a state, ordered by identity. */
+  List<Member> inState(MemberState state) {
+    return members.values().stream()
+        .filter(member -> member.state() == state)
+        .sorted(Comparator.comparing(Member::daemonId))
+        .toList();
+  }
+
   private static boolean overrules(MemberUpdate update, Member known) {
     if (known == null) {
       return update.state() != MemberState.DEAD;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipEffect.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipEffect.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.model.platform.MemberUpdate;
-import org.sequoiareach.model.sheet.SheetDigest;
+import org.sequoiareach.model.sheet.SheetStatus;
 
 /** Is a message to another daemon, or news of the members. */
 @JsonSubTypes({
@@ -26,7 +26,7 @@
    * @param sheet the sheet this daemon holds
    */
   record SendProbe(
-      String daemonId, String address, long sequence, List<MemberUpdate> updates, SheetDigest sheet)
+      String daemonId, String address, long sequence, List<MemberUpdate> updates, SheetStatus sheet)
       implements MembershipEffect {}
 
   /**
@@ -45,7 +45,7 @@
       long sequence,
       String memberId,
       List<MemberUpdate> updates,
-      Optional<SheetDigest> sheet)
+      Optional<SheetStatus> sheet)
       implements MembershipEffect {}
 
   /**
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipEvent.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import org.sequoiareach.decision.event.Event;
 import org.sequoiareach.model.platform.MemberUpdate;
-import org.sequoiareach.model.sheet.SheetDigest;
+import org.sequoiareach.model.sheet.SheetStatus;
 
 /** Is something that another daemon sent, or that sending to it showed. */
 @JsonSubTypes({
@@ -27,7 +27,7 @@
    * @param sheet the sheet it holds
    */
   record ProbeReceived(
-      long nowMs, String fromDaemon, long sequence, List<MemberUpdate> updates, SheetDigest sheet)
+      long nowMs, String fromDaemon, long sequence, List<MemberUpdate> updates, SheetStatus sheet)
       implements MembershipEvent {}
 
   /**
@@ -46,7 +46,7 @@
       long sequence,
       String memberId,
       List<MemberUpdate> updates,
-      Optional<SheetDigest> sheet)
+      Optional<SheetStatus> sheet)
       implements MembershipEvent {}
 
   /**
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipReducer.java
@@ -6,7 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Supplier;
+import java.util.OptionalLong;
+import java.util.function.LongFunction;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.event.Event;
 import org.sequoiareach.decision.event.PlatformEvent;
@@ -17,7 +18,7 @@
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.platform.MemberState;
 import org.sequoiareach.model.platform.MemberUpdate;
-import org.sequoiareach.model.sheet.SheetDigest;
+import org.sequoiareach.model.sheet.SheetStatus;
 
 /**
  * Keeps the beliefs about all daemons by probing one of them a period.
@@ -35,7 +36,7 @@
   private static final int DEAD_PROBE_PERIODS = 5;
 
   private final MembershipSettings settings;
-  private final Supplier<SheetDigest> sheet;
+  private final LongFunction<SheetStatus> sheet;
   private final MemberTable table;
   private final GossipQueue gossip = new GossipQueue();
   private final ProbeSchedule schedule;
@@ -55,9 +56,9 @@
    * Creates the membership of a daemon that knows of no other.
    *
    * @param settings what it needs to know of its own daemon
-   * @param sheet tells the sheet this daemon holds
+   * @param sheet tells what this daemon holds of the sheet at a time
    */
-  public MembershipReducer(MembershipSettings settings, Supplier<SheetDigest> sheet) {
+  public MembershipReducer(MembershipSettings settings, LongFunction<SheetStatus> sheet) {
     this.settings = Check.notNull(settings, "settings");
     this.sheet = Check.notNull(sheet, "sheet");
     this.table = new MemberTable(settings.daemonId());
@@ -114,6 +115,17 @@
     return table.find(daemonId);
   }
 
+  /**
+   * Finds when a probe was sent that is not answered yet.
+   *
+   * @param number the number of the probe
+   * @return the time, or empty if no such probe is under way
+   */
+  public OptionalLong findAskedMs(long number) {
+    PendingProbe probe = pending.get(number);
+    return probe == null ? OptionalLong.empty() : OptionalLong.of(probe.sentMs());
+  }
+
   private void onTick(long nowMs, List<Effect> effects) {
     if (lastTickMs == 0) {
       nextProbeMs = nowMs + schedule.drawMs(PERIOD_MS);
@@ -141,13 +153,13 @@
     table.forgetDead(nowMs);
     relayed.values().removeIf(probe -> probe.deadlineMs() <= nowMs);
     schedule
-        .next(table.all(), id -> !isIn(id, MemberState.DEAD))
+        .next(table.all(), id -> !table.isIn(id, MemberState.DEAD))
         .ifPresent(id -> probe(nowMs, id, effects));
     if (periods % DEAD_PROBE_PERIODS == 0) {
       // A daemon taken for dead on the other side of a healed link learns of it and refutes.
       schedule
-          .draw(inState(MemberState.DEAD), 1)
-          .forEach(dead -> send(dead, nextSequence(), effects));
+          .draw(table.inState(MemberState.DEAD), 1)
+          .forEach(dead -> send(nowMs, dead, nextSequence(), effects));
     }
   }
 
@@ -159,11 +171,12 @@
     }
     long number = nextSequence();
     pending.put(
-        number, new PendingProbe(number, daemonId, nowMs + DIRECT_TIMEOUT_MS, nowMs + PERIOD_MS));
-    send(member.get(), number, effects);
+        number,
+        new PendingProbe(number, daemonId, nowMs, nowMs + DIRECT_TIMEOUT_MS, nowMs + PERIOD_MS));
+    send(nowMs, member.get(), number, effects);
   }
 
-  private void send(Member member, long number, List<Effect> effects) {
+  private void send(long nowMs, Member member, long number, List<Effect> effects) {
     List<MemberUpdate> first = new ArrayList<>();
     first.add(self().toUpdate());
     if (member.state() != MemberState.ALIVE) {
@@ -171,7 +184,7 @@
     }
     effects.add(
         new MembershipEffect.SendProbe(
-            member.daemonId(), member.address(), number, news(first), sheet.get()));
+            member.daemonId(), member.address(), number, news(first), sheet.apply(nowMs)));
   }
 
   private void advancePending(long nowMs, List<Effect> effects) {
@@ -191,7 +204,7 @@
     if (target.isEmpty()) {
       return;
     }
-    List<Member> helpers = new ArrayList<>(inState(MemberState.ALIVE));
+    List<Member> helpers = new ArrayList<>(table.inState(MemberState.ALIVE));
     helpers.removeIf(helper -> helper.daemonId().equals(probe.daemonId()));
     for (Member helper : schedule.draw(helpers, INDIRECT_PROBES)) {
       effects.add(
@@ -208,7 +221,7 @@
   private void suspect(long nowMs, String daemonId) {
     Optional<Member> member = table.find(daemonId);
     if (member.isPresent() && member.get().state().compareTo(MemberState.SUSPECT) < 0) {
-      adopt(nowMs, inState(member.get(), MemberState.SUSPECT));
+      adopt(nowMs, MemberUpdates.inState(member.get(), MemberState.SUSPECT));
     }
   }
 
@@ -220,7 +233,9 @@
             .sorted()
             .toList();
     for (String daemonId : overdue) {
-      table.find(daemonId).ifPresent(member -> adopt(nowMs, inState(member, MemberState.DEAD)));
+      table
+          .find(daemonId)
+          .ifPresent(member -> adopt(nowMs, MemberUpdates.inState(member, MemberState.DEAD)));
     }
   }
 
@@ -241,7 +256,7 @@
             probe.sequence(),
             settings.daemonId(),
             news(first),
-            Optional.of(sheet.get())));
+            Optional.of(sheet.apply(probe.nowMs()))));
   }
 
   private void onAck(ProbeAcked ack, List<Effect> effects) {
@@ -275,7 +290,7 @@
     long number = nextSequence();
     long deadlineMs = request.nowMs() + PERIOD_MS;
     relayed.put(number, new RelayedProbe(request.fromDaemon(), request.sequence(), deadlineMs));
-    send(member.get(), number, effects);
+    send(request.nowMs(), member.get(), number, effects);
   }
 
   private void onUnreachable(MembershipEvent.PeerUnreachable event, List<Effect> effects) {
@@ -312,14 +327,14 @@
       return;
     }
     Optional<Member> known = table.find(told.daemonId());
-    MemberUpdate update = known.map(member -> aboutKnown(told, member)).orElse(told);
+    MemberUpdate update = known.map(member -> MemberUpdates.aboutKnown(told, member)).orElse(told);
     if (table.adopt(nowMs, update).isEmpty()) {
       return;
     }
     if (known.isEmpty()) {
       schedule.add(update.daemonId());
     }
-    if (!confirmsList(known, update)) {
+    if (!MemberUpdates.confirmsList(known, update)) {
       gossip.add(update);
       changes.add(update);
     }
@@ -330,34 +345,10 @@
     }
   }
 
-  /**
-   * Takes a doubt by a daemon that knows the member from the list only as one about the incarnation
-   * known here; else the two would outlive each other in turn.
-   */
-  private static MemberUpdate aboutKnown(MemberUpdate update, Member known) {
-    return doubtsListed(update) && known.state().compareTo(MemberState.SUSPECT) < 0
-        ? inState(known, MemberState.SUSPECT)
-        : update;
-  }
-
-  private static boolean doubtsListed(MemberUpdate update) {
-    return update.incarnation() == 0 && update.state().compareTo(MemberState.SUSPECT) >= 0;
-  }
-
-  /** Each daemon finds by itself that the list was right, so this need not be passed on. */
-  private static boolean confirmsList(Optional<Member> known, MemberUpdate update) {
-    return update.state() == MemberState.ALIVE
-        && known
-            .filter(member -> member.incarnation() == 0)
-            .filter(member -> member.state() == MemberState.ALIVE)
-            .filter(member -> member.address().equals(update.address()))
-            .isPresent();
-  }
-
   /** Raises the incarnation over news of this daemon that is not its own latest. */
   private void refute(MemberUpdate update) {
     boolean own = update.incarnation() == incarnation && update.state() == self().state();
-    boolean older = update.incarnation() < incarnation && !doubtsListed(update);
+    boolean older = update.incarnation() < incarnation && !MemberUpdates.doubtsListed(update);
     boolean beforeLeaving =
         update.incarnation() == incarnation && update.state() == MemberState.ALIVE;
     if (own || older || beforeLeaving) {
@@ -387,13 +378,7 @@
       owners.add(self());
     }
     owners.sort(Comparator.comparing(Member::daemonId));
-    if (!identities(owners).equals(identities(view.owners()))) {
-      view = new MembershipView(view.version() + 1, owners);
-    }
-  }
-
-  private static List<String> identities(List<Member> members) {
-    return members.stream().map(member -> member.daemonId() + "@" + member.address()).toList();
+    view = view.withOwners(owners);
   }
 
   private List<MemberUpdate> news(List<MemberUpdate> first) {
@@ -406,22 +391,6 @@
         settings.daemonId(), settings.address(), settings.zone(), incarnation, state, leaving, 0);
   }
 
-  private boolean isIn(String daemonId, MemberState state) {
-    return table.find(daemonId).filter(member -> member.state() == state).isPresent();
-  }
-
-  private List<Member> inState(MemberState state) {
-    return table.all().stream()
-        .filter(member -> member.state() == state)
-        .sorted(Comparator.comparing(Member::daemonId))
-        .toList();
-  }
-
-  private static MemberUpdate inState(Member member, MemberState state) {
-    return new MemberUpdate(
-        member.daemonId(), member.address(), member.zone(), member.incarnation(), state);
-  }
-
   private long suspicionMs() {
     double digits = Math.log10(table.all().size() + 2.0);
     return (long) Math.ceil(SUSPICION_PERIODS_PER_DIGIT * digits * PERIOD_MS);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipView.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipView.java
@@ -15,4 +15,15 @@
   public MembershipView {
     owners = List.copyOf(owners);
   }
+
+  /** Returns the next version where the owners or their addresses differ, else this one. */
+  MembershipView withOwners(List<Member> others) {
+    return identities(others).equals(identities(owners))
+        ? this
+        : new MembershipView(version + 1, others);
+  }
+
+  private static List<String> identities(List<Member> members) {
+    return members.stream().map(member -> member.daemonId() + "@" + member.address()).toList();
+  }
 }
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/MembershipMessage.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/MembershipMessage.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.platform.MemberUpdate;
-import org.sequoiareach.model.sheet.SheetDigest;
+import org.sequoiareach.model.sheet.SheetStatus;
 
 /** Is a message of the failure detection between daemons; each carries news of other members. */
 public interface MembershipMessage extends PeerMessage {
@@ -30,7 +30,7 @@
    * @param updates news of members
    * @param sheet the sheet that the sender holds
    */
-  record Probe(long sequence, List<MemberUpdate> updates, SheetDigest sheet)
+  record Probe(long sequence, List<MemberUpdate> updates, SheetStatus sheet)
       implements MembershipMessage {
 
     /** Checks and copies the parts. */
@@ -49,7 +49,7 @@
    * @param sheet the sheet that the member holds; empty where the answer is passed on for it
    */
   record ProbeAck(
-      long sequence, String memberId, List<MemberUpdate> updates, Optional<SheetDigest> sheet)
+      long sequence, String memberId, List<MemberUpdate> updates, Optional<SheetStatus> sheet)
       implements MembershipMessage {
 
     /** Checks and copies the parts. */
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerCodec.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerCodec.java
@@ -17,6 +17,7 @@
 import org.sequoiareach.model.request.RequestSpec;
 import org.sequoiareach.model.sheet.SheetDigest;
 import org.sequoiareach.model.sheet.SheetManifest;
+import org.sequoiareach.model.sheet.SheetStatus;
 
 /** Turns messages into MessagePack and back. Thread-safe. */
 final class PeerCodec {
@@ -28,6 +29,7 @@
           Outcome.class,
           RequestSpec.class,
           SheetDigest.class,
+          SheetStatus.class,
           SheetManifest.class);
 
   private static final ObjectMapper MAPPER = createMapper();
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerMessage.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerMessage.java
@@ -26,6 +26,8 @@
   @JsonSubTypes.Type(value = MembershipMessage.IndirectProbe.class, name = "22"),
   @JsonSubTypes.Type(value = SheetMessage.SheetAnnounced.class, name = "30"),
   @JsonSubTypes.Type(value = SheetMessage.SheetPull.class, name = "31"),
-  @JsonSubTypes.Type(value = SheetMessage.SheetSections.class, name = "32")
+  @JsonSubTypes.Type(value = SheetMessage.SheetSections.class, name = "32"),
+  @JsonSubTypes.Type(value = SheetMessage.SheetStatusAsked.class, name = "33"),
+  @JsonSubTypes.Type(value = SheetMessage.SheetStatusAnswered.class, name = "34")
 })
 public interface PeerMessage {}
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/SheetMessage.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/SheetMessage.java
@@ -5,8 +5,8 @@
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.sheet.OrganisationEntry;
 import org.sequoiareach.model.sheet.SheetCatalogue;
-import org.sequoiareach.model.sheet.SheetDigest;
 import org.sequoiareach.model.sheet.SheetManifest;
+import org.sequoiareach.model.sheet.SheetStatus;
 
 /** Is a message by which a sheet spreads between daemons. */
 public interface SheetMessage extends PeerMessage {
@@ -14,13 +14,34 @@
   /**
    * Tells which sheet the sender holds.
    *
-   * @param sheet the sheet
+   * @param status what it holds
    */
-  record SheetAnnounced(SheetDigest sheet) implements SheetMessage {
+  record SheetAnnounced(SheetStatus status) implements SheetMessage {
 
     /** Checks the parts. */
     public SheetAnnounced {
-      Check.notNull(sheet, "sheet");
+      Check.notNull(status, "status");
+    }
+  }
+
+  /**
+   * Asks which sheet the receiver holds.
+   *
+   * @param sequence the number to answer with
+   */
+  record SheetStatusAsked(long sequence) implements SheetMessage {}
+
+  /**
+   * Answers which sheet the sender holds.
+   *
+   * @param sequence the number of the question
+   * @param status what it holds
+   */
+  record SheetStatusAnswered(long sequence, SheetStatus status) implements SheetMessage {
+
+    /** Checks the parts. */
+    public SheetStatusAnswered {
+      Check.notNull(status, "status");
     }
   }
 
