Tell of a lost connection only where attempts were cut

Cause: an idle connection closes after its deadline, and the listener was told as of a loss. The membership probes a daemon whose connection was lost, which opens the next idle connection: at 1,500 daemons probing would never end.

The two tests that read the close of an idle connection from the notice now read it from the count of connections and check that no notice came; unusedConnectionIsLostWithoutNotice failed before.

--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerConnection.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerConnection.java
@@ -40,6 +40,7 @@
   private final AtomicLong handedOverBytes = new AtomicLong();
   private long unwrittenBytes;
   private volatile boolean closed;
+  private volatile boolean cutAttempts;
 
   /**
    * Creates a connection over an accepted handshake.
@@ -132,6 +133,15 @@
     return !openAttempts.isEmpty();
   }
 
+  /**
+   * Tells whether attempts were open when the connection closed.
+   *
+   * @return true if there were any
+   */
+  boolean hasCutAttempts() {
+    return cutAttempts;
+  }
+
   /** Closes the channel; messages not yet written fail. Thread-safe. */
   void close() {
     closed = true;
@@ -141,6 +151,7 @@
   /** Fails what was not written. Called on the channel's thread once it has closed. */
   void onClosed() {
     closed = true;
+    cutAttempts = !openAttempts.isEmpty();
     streams.values().forEach(stream -> drain(stream, this::failLost));
     streams.clear();
     blocked.clear();
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerLink.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerLink.java
@@ -133,8 +133,11 @@
    * @param connection the connection
    */
   synchronized void lost(PeerConnection connection) {
-    if (current == connection) {
-      current = null;
+    if (current != connection) {
+      return;
+    }
+    current = null;
+    if (connection.hasCutAttempts()) {
       listener.onPeerLost(daemonId);
     }
   }
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerListener.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerListener.java
@@ -17,8 +17,9 @@
   void onMessage(String fromDaemon, PeerMessage message);
 
   /**
-   * The connection with a peer was lost. Every attempt opened over it before, in either direction,
-   * is cut; what was sent afterwards goes over a new connection.
+   * The connection with a peer was lost, or replaced by one that a restarted peer has opened. Every
+   * attempt opened over it before, in either direction, is cut; what was sent afterwards goes over
+   * a new connection. Not called for a connection without open attempts, which closes when idle.
    *
    * @param daemonId the peer
    */
--- a/sequoiareach-peer/src/test/java/org/sequoiareach/peer/RecordingListener.java
+++ b/sequoiareach-peer/src/test/java/org/sequoiareach/peer/RecordingListener.java
@@ -34,6 +34,10 @@
     return lost.poll(PATIENCE_MS, TimeUnit.MILLISECONDS);
   }
 
+  int lost() {
+    return lost.size();
+  }
+
   int received() {
     return messages.size();
   }
