Keep every failure of a key-value call within its exception

Cause: an answer that was JSON but lacked what the call needs (no revision, an entry without a key, text that is not base64) failed after the mapping to KeyValueException, so callers got a plain exception without a verdict.

Fix: the answer is read before failures are mapped. Also an answer 'null' is refused by name.

--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/kv/EtcdKeyValueService.java
+++ b/sequoiareach-platform/src/main/java/org/sequoiareach/platform/kv/EtcdKeyValueService.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import java.util.stream.Stream;
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.json.Json;
@@ -72,8 +73,12 @@
     List<EtcdMessages.RequestOp> reads = keys.stream().map(EtcdMessages.RequestOp::read).toList();
     EtcdMessages.TxnRequest request = new EtcdMessages.TxnRequest(List.of(), reads, List.of());
     return call(
-            KeyValueCall.READ, "/v3/kv/txn", request, EtcdMessages.TxnResponse.class, deadlineMs)
-        .map(EtcdMessages.TxnResponse::entries)
+            KeyValueCall.READ,
+            "/v3/kv/txn",
+            request,
+            EtcdMessages.TxnResponse.class,
+            EtcdMessages.TxnResponse::entries,
+            deadlineMs)
         .toFuture();
   }
 
@@ -81,8 +86,12 @@
   public CompletableFuture<TransactionResult> commit(Transaction transaction, long deadlineMs) {
     EtcdMessages.TxnRequest request = toRequest(transaction);
     return call(
-            KeyValueCall.WRITE, "/v3/kv/txn", request, EtcdMessages.TxnResponse.class, deadlineMs)
-        .map(EtcdKeyValueService::toResult)
+            KeyValueCall.WRITE,
+            "/v3/kv/txn",
+            request,
+            EtcdMessages.TxnResponse.class,
+            EtcdKeyValueService::toResult,
+            deadlineMs)
         .toFuture();
   }
 
@@ -95,8 +104,8 @@
             "/v3/lease/grant",
             request,
             EtcdMessages.LeaseGrantResponse.class,
+            EtcdKeyValueService::leaseId,
             deadlineMs)
-        .map(EtcdKeyValueService::leaseId)
         .toFuture();
   }
 
@@ -107,8 +116,8 @@
             "/v3/lease/keepalive",
             new EtcdMessages.LeaseRequest(Long.toString(leaseId)),
             EtcdMessages.KeepAliveResponse.class,
+            EtcdMessages.KeepAliveResponse::isAlive,
             deadlineMs)
-        .map(response -> response.result() != null && response.result().ttlSeconds() > 0)
         .toFuture();
   }
 
@@ -118,7 +127,8 @@
             KeyValueCall.LEASE_REVOKE,
             "/v3/lease/revoke",
             new EtcdMessages.LeaseRequest(Long.toString(leaseId)),
-            Object.class,
+            EtcdMessages.RevokeResponse.class,
+            Function.identity(),
             deadlineMs)
         .then()
         .toFuture();
@@ -162,21 +172,26 @@
 
   private Mono<List<KeyValueEntry>> range(EtcdMessages.RangeRequest request, long deadlineMs) {
     return call(
-            KeyValueCall.READ,
-            "/v3/kv/range",
-            request,
-            EtcdMessages.RangeResponse.class,
-            deadlineMs)
-        .map(EtcdMessages.RangeResponse::entries);
+        KeyValueCall.READ,
+        "/v3/kv/range",
+        request,
+        EtcdMessages.RangeResponse.class,
+        EtcdMessages.RangeResponse::entries,
+        deadlineMs);
   }
 
-  private <T> Mono<T> call(
-      KeyValueCall call, String path, Object request, Class<T> type, long deadlineMs) {
+  private <T, R> Mono<R> call(
+      KeyValueCall call,
+      String path,
+      Object request,
+      Class<T> type,
+      Function<T, R> reader,
+      long deadlineMs) {
     String address = address();
     listener.called(call);
     return caller
         .post(address, path, write(request), deadlineMs)
-        .map(answer -> parse(requireOk(answer, call, address), type))
+        .map(answer -> reader.apply(parse(requireOk(answer, call, address), type)))
         .onErrorMap(e -> toFailure(call, address, e));
   }
 
@@ -270,7 +285,11 @@
 
   private static <T> T parse(String text, Class<T> type) {
     try {
-      return Json.mapper().readValue(text, type);
+      T value = Json.mapper().readValue(text, type);
+      if (value == null) {
+        throw new IllegalStateException("the answer is null");
+      }
+      return value;
     } catch (JsonProcessingException e) {
       throw new IllegalStateException("the answer is not readable: " + e.getOriginalMessage(), e);
     }
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/kv/EtcdMessages.java
+++ b/sequoiareach-platform/src/main/java/org/sequoiareach/platform/kv/EtcdMessages.java
@@ -119,7 +119,14 @@
 
   record LeaseRequest(@JsonProperty("ID") String id) {}
 
-  record KeepAliveResponse(KeepAliveResult result) {}
+  record KeepAliveResponse(KeepAliveResult result) {
+
+    boolean isAlive() {
+      return result != null && result.ttlSeconds() > 0;
+    }
+  }
+
+  record RevokeResponse(Header header) {}
 
   record KeepAliveResult(@JsonProperty("ID") long id, @JsonProperty("TTL") long ttlSeconds) {}
 
