Weigh cached prompt prefixes against load in routing

Cause: a prompt whose prefix is cached costs less prefill and memory, and two random choices seldom meet the target that has it.

The likely holder is a third candidate of TwoChoicesRouting, and what it has cached lowers its cost by at most 0.15 of its memory for a long prompt.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/policy/StrategyFactory.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/policy/StrategyFactory.java
@@ -8,6 +8,7 @@
 import org.sequoiareach.decision.placement.MaximumLengthAdmission;
 import org.sequoiareach.decision.placement.PassThroughAdmission;
 import org.sequoiareach.decision.routing.LeastOutstandingRouting;
+import org.sequoiareach.decision.routing.PrefixLocality;
 import org.sequoiareach.decision.routing.RoundRobinRouting;
 import org.sequoiareach.decision.routing.RoutingStrategy;
 import org.sequoiareach.decision.routing.TwoChoicesRouting;
@@ -22,6 +23,7 @@
 
   private final Policy policy;
   private final AdmissionSettings settings;
+  private final PrefixLocality prefixes = new PrefixLocality();
   private final LengthStatistics statistics = new LengthStatistics(LengthSettings.defaults());
 
   /**
@@ -35,6 +37,15 @@
     this.settings = Check.notNull(settings, "settings");
   }
 
+  /**
+   * Returns what the daemon knows of prefixes cached on targets, to be fed with cache events.
+   *
+   * @return the knowledge that the routing strategies of this factory share
+   */
+  public PrefixLocality prefixLocality() {
+    return prefixes;
+  }
+
   /**
    * Creates the routing strategy of a daemon.
    *
@@ -44,7 +55,7 @@
     return switch (policy) {
       case ROUND_ROBIN -> new RoundRobinRouting();
       case LEAST_OUTSTANDING -> new LeastOutstandingRouting();
-      case MAX_LENGTH_RESERVATION, EXPECTED_MEMORY -> new TwoChoicesRouting();
+      case MAX_LENGTH_RESERVATION, EXPECTED_MEMORY -> new TwoChoicesRouting(prefixes);
     };
   }
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/routing/TwoChoicesRouting.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/routing/TwoChoicesRouting.java
@@ -1,5 +1,6 @@
 package org.sequoiareach.decision.routing;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -18,6 +19,9 @@
  * #HINT_HALF_LIFE_MS} ms, and the number of own attempts in progress takes its place. A candidate
  * whose tokens come slower than those of the other pays for it. Where costs are near, the one in
  * this daemon's availability zone wins.
+ *
+ * <p>The target that is likely to have the prompt's prefix cached is a third candidate. What it has
+ * cached lowers its cost, by at most {@link #WORTH_OF_CACHED_PROMPT}, so that load outweighs it.
  */
 public final class TwoChoicesRouting implements RoutingStrategy {
 
@@ -25,11 +29,14 @@
   static final double SHARE_OF_ONE_ATTEMPT = 0.04;
   static final double FILL_WITHOUT_HINT = 0.5;
   static final double NEAR_COSTS = 0.03;
+  static final double WORTH_OF_CACHED_PROMPT = 0.15;
+  static final int LONG_PROMPT_TOKENS = 1_024;
 
   private static final double SLOWNESS_TOLERATED = 1.25;
   private static final double MOST_SLOWNESS_COST = 1.0;
   private static final int TARGETS_REMEMBERED = 16_384;
 
+  private final PrefixLocality prefixes;
   private final Map<String, SentSinceHint> sent =
       new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1L;
@@ -40,6 +47,15 @@
         }
       };
 
+  /**
+   * Creates the strategy.
+   *
+   * @param prefixes tells where prefixes are cached; the strategy adds what it sends
+   */
+  public TwoChoicesRouting(PrefixLocality prefixes) {
+    this.prefixes = Check.notNull(prefixes, "prefixes");
+  }
+
   @Override
   public Optional<RouteChoice> choose(
       long nowMs, RequestSpec spec, List<TargetView> candidates, long draw) {
@@ -51,23 +67,41 @@
     int i = (int) Long.remainderUnsigned(draw, size);
     TargetView first = candidates.get(i);
     if (size == 1) {
-      noteSent(nowMs, first);
+      noteSent(nowMs, spec, first);
       return Optional.of(new RouteChoice(first.targetId(), "only candidate", List.of()));
     }
     int step = 1 + (int) Long.remainderUnsigned(Backoff.mix(draw), size - 1);
-    return Optional.of(better(nowMs, first, candidates.get((i + step) % size)));
+    TargetView second = candidates.get((i + step) % size);
+    Comparison drawn = compare(nowMs, spec, first, second);
+    Optional<TargetView> holder =
+        findHolder(spec, candidates).filter(view -> view != first && view != second);
+    Comparison last = holder.map(view -> compare(nowMs, spec, view, drawn.winner())).orElse(drawn);
+    noteSent(nowMs, spec, last.winner());
+    return Optional.of(last.toChoice(drawn));
+  }
+
+  private Optional<TargetView> findHolder(RequestSpec spec, List<TargetView> candidates) {
+    Optional<String> holder = prefixes.findHolder(spec);
+    if (holder.isEmpty()) {
+      return Optional.empty();
+    }
+    String id = holder.get();
+    return candidates.stream().filter(view -> view.targetId().equals(id)).findFirst();
   }
 
-  private RouteChoice better(long nowMs, TargetView a, TargetView b) {
-    double costA = cost(nowMs, a) + slowness(a, b);
-    double costB = cost(nowMs, b) + slowness(b, a);
+  private Comparison compare(long nowMs, RequestSpec spec, TargetView a, TargetView b) {
+    double costA = cost(nowMs, a) + slowness(a, b) - cachedWorth(spec, a);
+    double costB = cost(nowMs, b) + slowness(b, a) - cachedWorth(spec, b);
     boolean near = Math.abs(costA - costB) <= NEAR_COSTS && a.sameZone() != b.sameZone();
     boolean takeA = near ? a.sameZone() : costA <= costB;
-    TargetView winner = takeA ? a : b;
-    noteSent(nowMs, winner);
-    String reason = (near ? "same zone at cost " : "lower cost ") + text(takeA ? costA : costB);
-    String loser = (takeA ? b : a).targetId() + "=" + text(takeA ? costB : costA);
-    return new RouteChoice(winner.targetId(), reason, List.of(loser));
+    return takeA
+        ? new Comparison(a, costA, b, costB, near)
+        : new Comparison(b, costB, a, costA, near);
+  }
+
+  private double cachedWorth(RequestSpec spec, TargetView view) {
+    double length = Math.min(1, (double) spec.promptTokens() / LONG_PROMPT_TOKENS);
+    return WORTH_OF_CACHED_PROMPT * length * prefixes.match(view.targetId(), spec);
   }
 
   private double cost(long nowMs, TargetView view) {
@@ -103,7 +137,8 @@
     return entry == null || entry.hintMadeMs < nowMs - view.hintAgeMs() ? 0 : entry.count;
   }
 
-  private void noteSent(long nowMs, TargetView view) {
+  private void noteSent(long nowMs, RequestSpec spec, TargetView view) {
+    prefixes.sent(view.targetId(), spec);
     long hintMadeMs = view.hint().isEmpty() ? Long.MIN_VALUE : nowMs - view.hintAgeMs();
     SentSinceHint entry = sent.computeIfAbsent(view.targetId(), id -> new SentSinceHint());
     if (entry.hintMadeMs < hintMadeMs) {
@@ -113,8 +148,26 @@
     entry.count++;
   }
 
-  private static String text(double cost) {
-    return String.format(Locale.ROOT, "%.2f", cost);
+  private record Comparison(
+      TargetView winner, double cost, TargetView loser, double loserCost, boolean near) {
+
+    RouteChoice toChoice(Comparison earlier) {
+      List<String> losers = new ArrayList<>(2);
+      losers.add(text(loser, loserCost));
+      if (earlier != this) {
+        losers.add(text(earlier.loser, earlier.loserCost));
+      }
+      String why = near ? "same zone at cost " : "lower cost ";
+      return new RouteChoice(winner.targetId(), why + text(cost), losers);
+    }
+
+    private static String text(TargetView view, double cost) {
+      return view.targetId() + "=" + text(cost);
+    }
+
+    private static String text(double cost) {
+      return String.format(Locale.ROOT, "%.2f", cost);
+    }
   }
 
   private static final class SentSinceHint {
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/routing/RoutingStrategiesTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/routing/RoutingStrategiesTest.java
@@ -67,14 +67,16 @@
     TargetView b = hinted("b", true, new LoadHint("b", 10, queuedB, fillB, gapB), ageB);
 
     RouteChoice choice =
-        new TwoChoicesRouting().choose(100_000, SPEC, List.of(a, b), 0).orElseThrow();
+        new TwoChoicesRouting(new PrefixLocality())
+            .choose(100_000, SPEC, List.of(a, b), 0)
+            .orElseThrow();
 
     assertThat(choice.targetId()).isEqualTo(expected);
   }
 
   @Test
   void twoChoicesCountsWhatItSentSinceTheHint() {
-    TwoChoicesRouting routing = new TwoChoicesRouting();
+    TwoChoicesRouting routing = new TwoChoicesRouting(new PrefixLocality());
     TargetView a = hinted("a", true, new LoadHint("a", 10, 0, 0.50, 0), 0);
     TargetView b = hinted("b", true, new LoadHint("b", 10, 0, 0.58, 0), 0);
 
@@ -94,14 +96,14 @@
       views.add(view("t" + i, i % 3));
     }
     for (RoutingStrategy routing :
-        List.of(new LeastOutstandingRouting(), new TwoChoicesRouting())) {
+        List.of(new LeastOutstandingRouting(), new TwoChoicesRouting(new PrefixLocality()))) {
       Optional<RouteChoice> choice = routing.choose(0, SPEC, views, draw);
       assertThat(choice.isPresent()).isEqualTo(size > 0);
       choice.ifPresent(
           c -> assertThat(views).anyMatch(view -> view.targetId().equals(c.targetId())));
     }
-    assertThat(new TwoChoicesRouting().choose(0, SPEC, views, draw))
-        .isEqualTo(new TwoChoicesRouting().choose(0, SPEC, views, draw));
+    assertThat(new TwoChoicesRouting(new PrefixLocality()).choose(0, SPEC, views, draw))
+        .isEqualTo(new TwoChoicesRouting(new PrefixLocality()).choose(0, SPEC, views, draw));
   }
 
   private static TargetView view(String id, int outstanding) {
