Let the command line reach its commands and choose callers and classes

args4j creates subcommands by reflection and may not reach classes that are package-private: every "run" and "compare" died with an exception.

That a class has somewhere to go is therefore checked when the run starts.

--- a/sequoiareach-load/src/main/java/org/sequoiareach/load/Command.java
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/Command.java
@@ -4,7 +4,7 @@
 import java.io.PrintStream;
 
 /** Is one command of the command line. */
-interface Command {
+public interface Command {
 
   /**
    * Carries the command out.
--- a/sequoiareach-load/src/main/java/org/sequoiareach/load/CompareCommand.java
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/CompareCommand.java
@@ -13,7 +13,7 @@
 import org.sequoiareach.load.settings.SettingsReader;
 
 /** Runs several policies on the same traces and reports them side by side. */
-final class CompareCommand implements Command {
+public final class CompareCommand implements Command {
 
   @Option(name = "--settings", metaVar = "FILE", required = true, usage = "the settings file")
   private Path settings;
--- a/sequoiareach-load/src/main/java/org/sequoiareach/load/LoadMain.java
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/LoadMain.java
@@ -9,7 +9,6 @@
 import org.kohsuke.args4j.spi.SubCommand;
 import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
-import org.sequoiareach.model.json.InvalidDocumentException;
 
 /** Starts the load and experiment tool. */
 public final class LoadMain {
@@ -83,7 +82,7 @@
   private int executeCommand(PrintStream out, PrintStream err) {
     try {
       return command.execute(out);
-    } catch (InvalidDocumentException e) {
+    } catch (IllegalArgumentException e) {
       err.println(e.getMessage());
       return ExitCodes.USAGE;
     } catch (IOException e) {
--- a/sequoiareach-load/src/main/java/org/sequoiareach/load/RunCommand.java
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/RunCommand.java
@@ -4,18 +4,22 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.spi.StringArrayOptionHandler;
 import org.sequoiareach.load.report.RunReport;
 import org.sequoiareach.load.report.TextReport;
 import org.sequoiareach.load.run.LoadRunner;
 import org.sequoiareach.load.settings.RunSettings;
 import org.sequoiareach.load.settings.SettingsReader;
+import org.sequoiareach.load.settings.Targets;
 import org.sequoiareach.model.json.Json;
 
 /** Runs one load and reports it. */
-final class RunCommand implements Command {
+public final class RunCommand implements Command {
 
   @Option(name = "--settings", metaVar = "FILE", required = true, usage = "the settings file")
   private Path settings;
@@ -35,6 +39,33 @@
       usage = "the load factor in place of the settings'")
   private Double loadFactor;
 
+  @Option(
+      name = "--callers",
+      metaVar = "URL",
+      handler = StringArrayOptionHandler.class,
+      usage = "the addresses to send to in place of those of the settings")
+  private List<String> callers = new ArrayList<>();
+
+  @Option(
+      name = "--engines",
+      metaVar = "URL",
+      handler = StringArrayOptionHandler.class,
+      usage = "the engines to compare with in place of those of the settings")
+  private List<String> engines = new ArrayList<>();
+
+  @Option(
+      name = "--services",
+      metaVar = "URL",
+      handler = StringArrayOptionHandler.class,
+      usage = "the services to compare with in place of those of the settings")
+  private List<String> services = new ArrayList<>();
+
+  @Option(
+      name = "--class",
+      metaVar = "NAME",
+      usage = "send only this class, at its own rate; may be given again")
+  private List<String> classes = new ArrayList<>();
+
   @Option(name = "--json", metaVar = "FILE", usage = "also write the report as JSON")
   private Path json;
 
@@ -49,7 +80,7 @@
       out.println("The settings are right.");
       return ExitCodes.OK;
     }
-    RunReport report = run(read.with(Optional.ofNullable(seed), Optional.ofNullable(loadFactor)));
+    RunReport report = run(adapt(read));
     out.print(TextReport.write(report));
     if (json != null) {
       Files.writeString(json, Json.mapper().writeValueAsString(report));
@@ -57,6 +88,14 @@
     return report.violations().isEmpty() ? ExitCodes.OK : ExitCodes.VIOLATIONS;
   }
 
+  private RunSettings adapt(RunSettings read) {
+    RunSettings chosen =
+        read.only(classes).with(Optional.ofNullable(seed), Optional.ofNullable(loadFactor));
+    List<String> to = callers.isEmpty() ? read.callers() : callers;
+    boolean sameTargets = engines.isEmpty() && services.isEmpty();
+    return chosen.against(to, sameTargets ? read.targets() : new Targets(engines, services));
+  }
+
   private static RunReport run(RunSettings settings) throws InterruptedException {
     try (LoadRunner runner = new LoadRunner()) {
       return RunReport.of(runner.run(settings));
--- a/sequoiareach-load/src/main/java/org/sequoiareach/load/run/LoadRunner.java
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/run/LoadRunner.java
@@ -55,10 +55,11 @@
    *
    * @param settings the settings
    * @return what it brought
+   * @throws IllegalArgumentException if a class has no callers to go to
    * @throws InterruptedException if the thread is interrupted; requests in progress are left
    */
   public RunOutcome run(RunSettings settings) throws InterruptedException {
-    Check.notNull(settings, "settings");
+    Check.notNull(settings, "settings").requireCallers();
     List<Arrival> trace = TraceGenerator.generate(settings);
     Queue<RequestResult> results = new ConcurrentLinkedQueue<>();
     CountDownLatch open = new CountDownLatch(trace.size());
--- a/sequoiareach-load/src/main/java/org/sequoiareach/load/settings/RunSettings.java
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/settings/RunSettings.java
@@ -1,5 +1,6 @@
 package org.sequoiareach.load.settings;
 
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -56,11 +57,6 @@
     organisations = List.copyOf(organisations);
     classes = List.copyOf(classes);
     requireKnownOrganisations(organisations, classes);
-    for (RequestClass requestClass : classes) {
-      Check.isTrue(
-          !callers.isEmpty() || !requestClass.callers().isEmpty(),
-          "Class '" + requestClass.name() + "' has no callers to go to.");
-    }
   }
 
   /**
@@ -109,6 +105,55 @@
         classes);
   }
 
+  /**
+   * Keeps only some classes, each at the rate that it has in the whole mix.
+   *
+   * @param names the names of the classes to keep; empty to keep all
+   * @return the changed settings
+   * @throws IllegalArgumentException if a name is unknown
+   */
+  public RunSettings only(Collection<String> names) {
+    if (names.isEmpty()) {
+      return this;
+    }
+    List<RequestClass> kept =
+        classes.stream().filter(requestClass -> names.contains(requestClass.name())).toList();
+    Check.isTrue(
+        kept.size() == Set.copyOf(names).size(), "There is no class for each of " + names + ".");
+    double share = totalWeight(kept) / totalWeight(classes);
+    Arrivals thinned = new Arrivals(arrivals.ratePerSecond() * share, arrivals.burst());
+    return new RunSettings(
+        name,
+        seed,
+        loadFactor,
+        durationMs,
+        maxRequests,
+        drainMs,
+        stallThresholdMs,
+        callers,
+        targets,
+        thinned,
+        organisations,
+        kept);
+  }
+
+  /**
+   * Requires that every class has somewhere to go.
+   *
+   * @throws IllegalArgumentException if neither a class nor the run names callers
+   */
+  public void requireCallers() {
+    for (RequestClass requestClass : classes) {
+      Check.isTrue(
+          !callers.isEmpty() || !requestClass.callers().isEmpty(),
+          "Class '" + requestClass.name() + "' has no callers to go to.");
+    }
+  }
+
+  private static double totalWeight(List<RequestClass> classes) {
+    return classes.stream().mapToDouble(RequestClass::weight).sum();
+  }
+
   private static void requireKnownOrganisations(
       List<Organisation> organisations, List<RequestClass> classes) {
     Set<String> names = new HashSet<>();
