Keep the engine stand-in's followers whole when a reader asks in mid-event

Cause: a stream's reader that asks for more while it takes an event called back into the same round of followers. The inner round could end a stream that the outer one was just ending, so the caller saw the end twice; and where it removed a follower, the outer round died with ConcurrentModificationException and took the engine's timer with it, so the engine stood still until the next call.

Found by a load run of 590 requests against one engine ("the answer ended twice"). Ruled out: the load tool, which had one connection for that answer. Such calls now only ask for another round.

--- a/sequoiareach-standin/src/main/java/org/sequoiareach/standin/engine/EngineRunner.java
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/engine/EngineRunner.java
@@ -26,6 +26,8 @@
   private final EngineModel model;
   private final List<Follower> followers = new ArrayList<>();
   private ScheduledFuture<?> timer;
+  private boolean pumping;
+  private boolean pumpAgain;
 
   EngineRunner(EngineSettings settings) {
     this.model = new EngineModel(settings, nowMs());
@@ -70,7 +72,11 @@
   }
 
   private void pump() {
-    followers.removeIf(Follower::pump);
+    pumpAgain = true;
+    if (pumping) {
+      return;
+    }
+    pumpFollowers();
     if (timer != null) {
       timer.cancel(false);
     }
@@ -83,4 +89,17 @@
               timer = TIMER.schedule(this::tick, delayNanos, TimeUnit.NANOSECONDS);
             });
   }
+
+  /** A follower's reader asks for more while it takes an event: such calls only ask for a round. */
+  private void pumpFollowers() {
+    pumping = true;
+    try {
+      while (pumpAgain) {
+        pumpAgain = false;
+        followers.removeIf(Follower::pump);
+      }
+    } finally {
+      pumping = false;
+    }
+  }
 }
