Prove that a majority without memory does not confirm a sheet

The rule for pauses adds nothing to the bound while the clock runs on in a pause; it is kept for readiness right after a thaw.

The digest of the sheet held is now kept, not computed for each probe, and answers are weighed when one comes, not at each tick.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/sheet/SheetAssembly.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/sheet/SheetAssembly.java
@@ -10,6 +10,7 @@
 import org.sequoiareach.model.sheet.OrganisationEntry;
 import org.sequoiareach.model.sheet.Sheet;
 import org.sequoiareach.model.sheet.SheetCatalogue;
+import org.sequoiareach.model.sheet.SheetDigest;
 import org.sequoiareach.model.sheet.SheetManifest;
 
 /** Holds a sheet by its sections and puts a newer one together from those that arrive. */
@@ -20,6 +21,7 @@
 
   private Sheet sheet;
   private SheetManifest manifest;
+  private SheetDigest digest = SheetDigest.NONE;
   private SheetManifest staged;
   private final Map<Long, Record> held = new HashMap<>();
   private final Map<Long, Record> received = new HashMap<>();
@@ -33,14 +35,15 @@
     return Optional.ofNullable(sheet);
   }
 
-  Optional<SheetManifest> manifest() {
-    return Optional.ofNullable(manifest);
+  SheetDigest digest() {
+    return digest;
   }
 
   /** Takes over a whole sheet, in place of the one held. */
   void replace(Sheet newer) {
     sheet = newer;
     manifest = SheetManifest.of(newer);
+    digest = manifest.digest();
     staged = null;
     received.clear();
     held.clear();
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/sheet/SheetGuard.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/sheet/SheetGuard.java
@@ -18,8 +18,6 @@
 import org.sequoiareach.model.platform.VmEntry;
 import org.sequoiareach.model.platform.VmKind;
 import org.sequoiareach.model.sheet.Sheet;
-import org.sequoiareach.model.sheet.SheetDigest;
-import org.sequoiareach.model.sheet.SheetManifest;
 import org.sequoiareach.model.sheet.SheetStatus;
 
 /**
@@ -117,8 +115,7 @@
    * @return the status
    */
   public SheetStatus status(long nowMs) {
-    SheetDigest digest = assembly.manifest().map(SheetManifest::digest).orElse(SheetDigest.NONE);
-    return new SheetStatus(digest, confirmation.settled(), confirmation.ageMs(nowMs));
+    return new SheetStatus(assembly.digest(), confirmation.settled(), confirmation.ageMs(nowMs));
   }
 
   /**
@@ -160,7 +157,9 @@
       effects.add(new Effect.ReadPlatform("the process was paused"));
     }
     lastTickMs = nowMs;
-    confirmation.review(nowMs, assembly.version());
+    if (confirmation.listed().size() == 1) {
+      confirmation.review(nowMs, assembly.version());
+    }
     pullNewest(nowMs, effects);
     askListed(nowMs, effects);
   }
@@ -179,6 +178,7 @@
             .map(VmEntry::id)
             .collect(Collectors.toCollection(HashSet::new));
     confirmation.useList(daemons);
+    confirmation.review(event.nowMs(), assembly.version());
     askAgainMs.keySet().retainAll(daemons);
   }
 
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/sheet/SheetGuardFuzzTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/sheet/SheetGuardFuzzTest.java
@@ -6,6 +6,7 @@
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
@@ -31,6 +32,31 @@
     }
   }
 
+  @Example
+  void majorityThatForgotItsSheetIsNoMajority() {
+    SheetWorld world = new SheetWorld(1);
+    world.run(2_000);
+    for (int stale = 0; stale < 2; stale++) {
+      world.side(stale, 1);
+      world.cutFromService(stale, true);
+    }
+    world.export();
+    world.run(2 * SheetWorld.BOUND_MS);
+    assertThat(world.versionOf(2)).isEqualTo(2);
+    world.serviceAway(true);
+    world.pause(2, 10 * SheetWorld.BOUND_MS);
+    for (int fresh = 3; fresh < SheetWorld.DAEMONS; fresh++) {
+      world.restart(fresh);
+    }
+    for (int i = 0; i < SheetWorld.DAEMONS; i++) {
+      world.side(i, 0);
+    }
+    world.run(5 * SheetWorld.BOUND_MS);
+    for (int i = 0; i < SheetWorld.DAEMONS; i++) {
+      assertThat(world.isReady(i)).as("daemon %s", i).isFalse();
+    }
+  }
+
   @Provide
   Arbitrary<List<Step>> steps() {
     return Combinators.combine(
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/sheet/SheetWorld.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/sheet/SheetWorld.java
@@ -5,10 +5,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import java.util.stream.IntStream;
 import org.sequoiareach.decision.effect.Effect;
@@ -37,9 +37,11 @@
   private static final long READ_PERIOD_MS = 500;
   private static final long READ_TIMEOUT_MS = 1_500;
   private static final int MAX_DELAY_MS = 400;
+  private static final String ID_PREFIX = "daemon-";
 
   private final Random random;
-  private final Node[] nodes = new Node[DAEMONS];
+  private final Node[] nodes;
+  private final List<VmEntry> vms = new ArrayList<>();
   private final PriorityQueue<Delivery> queue =
       new PriorityQueue<>(
           Comparator.comparingLong(Delivery::atMs).thenComparingLong(Delivery::number));
@@ -51,14 +53,24 @@
   private long serviceAwaySinceMs;
   private double loss;
   private int readyInOutage;
+  private LongFunction<Sheet> sheets = SheetWorld::emptySheet;
+  private Consumer<Effect> observer = effect -> {};
 
   SheetWorld(long seed) {
+    this(DAEMONS, seed);
+  }
+
+  SheetWorld(int daemons, long seed) {
     random = new Random(seed);
-    for (int i = 0; i < DAEMONS; i++) {
+    nodes = new Node[daemons];
+    for (int i = 0; i < daemons; i++) {
+      vms.add(new VmEntry(id(i), VmKind.DAEMON, "10.0.0.1:" + i, "a", false, List.of()));
+    }
+    for (int i = 0; i < daemons; i++) {
       nodes[i] = new Node(i);
       nodes[i].start();
     }
-    at(nowMs, this::observe);
+    at(nowMs, this::inspect);
   }
 
   void export() {
@@ -67,6 +79,14 @@
     }
   }
 
+  void useSheets(LongFunction<Sheet> byVersion) {
+    sheets = byVersion;
+  }
+
+  void observe(Consumer<Effect> consumer) {
+    observer = consumer;
+  }
+
   void serviceAway(boolean away) {
     serviceAwaySinceMs = away && !serviceAway ? nowMs : serviceAwaySinceMs;
     serviceAway = away;
@@ -129,14 +149,14 @@
     return readyInOutage;
   }
 
-  private void observe() {
+  private void inspect() {
     long[] ready =
-        IntStream.range(0, DAEMONS)
+        IntStream.range(0, nodes.length)
             .filter(this::isReady)
             .mapToLong(this::versionOf)
             .sorted()
             .toArray();
-    int majority = DAEMONS / 2 + 1;
+    int majority = nodes.length / 2 + 1;
     long held = ready.length < majority ? 0 : ready[ready.length - majority];
     long known = inForce.isEmpty() ? 0 : inForce.lastEntry().getValue();
     inForce.put(nowMs, Math.max(known, held));
@@ -145,7 +165,7 @@
     for (Node node : nodes) {
       node.check();
     }
-    at(nowMs + TICK_MS, this::observe);
+    at(nowMs + TICK_MS, this::inspect);
   }
 
   private void at(long atMs, Runnable action) {
@@ -158,21 +178,13 @@
   }
 
   private static String id(int index) {
-    return "daemon-" + index;
+    return ID_PREFIX + index;
   }
 
-  static Sheet sheet(long version) {
+  private static Sheet emptySheet(long version) {
     return new Sheet(version, List.of(), List.of(), List.of());
   }
 
-  private static List<VmEntry> vms() {
-    List<VmEntry> vms = new ArrayList<>();
-    for (int i = 0; i < DAEMONS; i++) {
-      vms.add(new VmEntry(id(i), VmKind.DAEMON, "127.0.0.1:" + (7000 + i), "a", false, List.of()));
-    }
-    return vms;
-  }
-
   private record Delivery(long atMs, long number, Runnable action) {}
 
   /** Is one daemon, which forgets all when it restarts. */
@@ -198,9 +210,9 @@
       reducer =
           new GroupReducer(
               new GroupSettings(
-                  new MembershipSettings(id, vms().get(index).address(), "a", nowMs, index),
+                  new MembershipSettings(id, vms.get(index).address(), "a", nowMs, index),
                   new SheetGuardSettings(id, BOUND_MS, PAUSE_BOUND_MS, random.nextLong())));
-      deliver(nowMs, at -> new PlatformEvent.VmsListed(at, at, vms()));
+      deliver(nowMs, at -> new PlatformEvent.VmsListed(at, at, vms));
       tick(life);
       read(life);
     }
@@ -249,7 +261,7 @@
         return;
       }
       long version = serviceVersion;
-      deliver(answerMs, at -> new PlatformEvent.SheetRead(at, askedMs, sheet(version)));
+      deliver(answerMs, at -> new PlatformEvent.SheetRead(at, askedMs, sheets.apply(version)));
     }
 
     private void deliver(long atMs, LongFunction<Event> factory) {
@@ -270,6 +282,7 @@
     }
 
     private void perform(Effect effect) {
+      observer.accept(effect);
       String from = id(index);
       if (effect instanceof MembershipEffect.SendProbe m) {
         send(
@@ -310,8 +323,7 @@
     }
 
     private void send(String to, LongFunction<Event> factory) {
-      Node receiver =
-          Optional.of(to).map(id -> nodes[id.charAt(id.length() - 1) - '0']).orElseThrow();
+      Node receiver = nodes[Integer.parseInt(to.substring(ID_PREFIX.length()))];
       int copies = random.nextInt(10) == 0 ? 2 : 1;
       for (int i = 0; i < copies; i++) {
         if (receiver.side == side && random.nextDouble() >= loss) {
