--- /dev/null
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/peer/SheetBridgeTest.java
@@ -0,0 +1,149 @@
+package org.sequoiareach.daemon.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.event.Event;
+import org.sequoiareach.decision.event.PlatformEvent;
+import org.sequoiareach.decision.event.TimeEvent;
+import org.sequoiareach.decision.group.GroupReducer;
+import org.sequoiareach.decision.group.GroupSettings;
+import org.sequoiareach.decision.membership.MembershipEffect;
+import org.sequoiareach.decision.membership.MembershipSettings;
+import org.sequoiareach.decision.sheet.SheetEffect;
+import org.sequoiareach.decision.sheet.SheetGuardSettings;
+import org.sequoiareach.model.platform.VmEntry;
+import org.sequoiareach.model.platform.VmKind;
+import org.sequoiareach.model.sheet.Sheet;
+import org.sequoiareach.peer.MembershipMessage;
+import org.sequoiareach.peer.PeerLimits;
+import org.sequoiareach.peer.PeerListener;
+import org.sequoiareach.peer.PeerMessage;
+import org.sequoiareach.peer.PeerSettings;
+import org.sequoiareach.peer.PeerTransport;
+import org.sequoiareach.peer.SheetMessage;
+import org.sequoiareach.peer.TcpPeerTransport;
+import org.sequoiareach.platform.time.MonotonicClock;
+
+class SheetBridgeTest {
+
+  private static final long PATIENCE_MS = 10_000;
+
+  private final List<Node> nodes = new ArrayList<>();
+
+  @AfterEach
+  void stop() {
+    nodes.forEach(Node::close);
+  }
+
+  @Test
+  void sheetOfTwoDaemonsSettlesThirdThatStartsInOutage() throws Exception {
+    Sheet sheet = new Sheet(7, List.of(), List.of(), List.of());
+    for (int i = 0; i < 3; i++) {
+      nodes.add(new Node("d" + i));
+    }
+    nodes.forEach(node -> node.post(node.listed(nodes)));
+    long askedMs = MonotonicClock.nowMs();
+    nodes.get(0).post(new PlatformEvent.SheetRead(askedMs, askedMs, sheet));
+    nodes.get(1).post(new PlatformEvent.SheetRead(askedMs, askedMs, sheet));
+    await(nodes.get(2), sheet);
+  }
+
+  private static void await(Node node, Sheet sheet) throws Exception {
+    long deadlineMs = MonotonicClock.nowMs() + PATIENCE_MS;
+    while (!node.isReadyWith(sheet)) {
+      assertThat(MonotonicClock.nowMs()).as("ready in time").isLessThan(deadlineMs);
+      Thread.sleep(20);
+    }
+  }
+
+  /** Is one daemon's part among the others, over a real transport. */
+  private static final class Node implements PeerListener {
+
+    private final ScheduledExecutorService control =
+        Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control"));
+    private final CompletableFuture<PeerTransport> transport = new CompletableFuture<>();
+    private final PeerDirectory directory = new PeerDirectory();
+    private final MembershipBridge members = new MembershipBridge(this::post, transport);
+    private final SheetBridge sheets = new SheetBridge(this::post, directory, transport);
+    private final GroupReducer reducer;
+    private final VmEntry vm;
+
+    private Node(String id) {
+      PeerSettings settings = new PeerSettings(id, 1, "a", "127.0.0.1", 0, PeerLimits.DEFAULT);
+      PeerTransport started = TcpPeerTransport.start(settings, this);
+      this.vm = new VmEntry(id, VmKind.DAEMON, started.address(), "a", false, List.of());
+      this.reducer =
+          new GroupReducer(
+              new GroupSettings(
+                  new MembershipSettings(id, started.address(), "a", 1, 1),
+                  new SheetGuardSettings(id, 5_000, 2_000, 1)));
+      transport.complete(started);
+      control.scheduleWithFixedDelay(this::tick, 0, 50, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void onMessage(String fromDaemon, PeerMessage message) {
+      if (message instanceof MembershipMessage membership) {
+        members.onMessage(fromDaemon, membership);
+      } else if (message instanceof SheetMessage sheet) {
+        sheets.onMessage(fromDaemon, sheet);
+      }
+    }
+
+    @Override
+    public void onPeerLost(String daemonId) {
+      members.onPeerLost(daemonId);
+    }
+
+    private Event listed(List<Node> all) {
+      List<VmEntry> vms = all.stream().map(node -> node.vm).toList();
+      directory.handle(new Effect.UseVms(vms));
+      long nowMs = MonotonicClock.nowMs();
+      return new PlatformEvent.VmsListed(nowMs, nowMs, vms);
+    }
+
+    private void post(Event event) {
+      if (!control.isShutdown()) {
+        control.execute(() -> apply(event));
+      }
+    }
+
+    private void tick() {
+      apply(new TimeEvent.Ticked(MonotonicClock.nowMs()));
+    }
+
+    private void apply(Event event) {
+      for (Effect effect : reducer.reduce(event)) {
+        if (effect instanceof MembershipEffect membership) {
+          members.handle(membership);
+        } else if (effect instanceof SheetEffect sheet) {
+          sheets.handle(sheet);
+        }
+      }
+    }
+
+    private boolean isReadyWith(Sheet sheet) throws Exception {
+      return control
+          .submit(
+              () ->
+                  reducer.guard().sheet().equals(Optional.of(sheet))
+                      && reducer.guard().obstacle(MonotonicClock.nowMs()).isEmpty())
+          .get();
+    }
+
+    private void close() {
+      control.shutdownNow();
+      transport.join().close();
+    }
+  }
+}
