--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/placement/ExpectedMemoryAdmission.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/placement/ExpectedMemoryAdmission.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import org.sequoiareach.decision.budget.FairShare;
 import org.sequoiareach.decision.length.LengthEstimator;
 import org.sequoiareach.decision.length.LengthKey;
 import org.sequoiareach.decision.length.LengthStatistics;
@@ -20,11 +21,12 @@
  * with the engine's load reports, which also show what others have placed there. An engine on which
  * nothing runs takes any attempt whose prompt fits.
  *
- * <p>Other attempts wait by priority, then deadline; time spent waiting raises the priority step by
- * step, so that none waits for ever. A few attempts that fit may pass the first in the queue while
- * it does not fit. Where the queue is full, a newcomer may displace an attempt that is served later
- * than itself. An attempt is refused at once where the predicted wait passes its deadline, or where
- * it could hardly finish by it.
+ * <p>Other attempts wait by priority, then deadline; an organisation that was served more than its
+ * share of late is put some steps back, and time spent waiting raises the priority step by step, so
+ * that none waits for ever. A few attempts that fit may pass the first in the queue while it does
+ * not fit. Where the queue is full, a newcomer may displace an attempt that is served later than
+ * itself. An attempt is refused at once where the predicted wait passes its deadline, or where it
+ * could hardly finish by it.
  */
 public final class ExpectedMemoryAdmission implements AdmissionStrategy {
 
@@ -36,6 +38,7 @@
   private final String targetId;
   private final AdmissionSettings settings;
   private final LengthStatistics statistics;
+  private final FairShare shares;
   private final TargetForecast forecast;
   private final AdmissionQueue queue;
   private final List<QueuedAttempt> displaced = new ArrayList<>();
@@ -49,12 +52,14 @@
    * @param targetId the target
    * @param settings the settings of admission
    * @param statistics the lengths of answers, shared by all targets of the daemon
+   * @param shares what organisations have been served, shared by all targets of the daemon
    */
   public ExpectedMemoryAdmission(
-      String targetId, AdmissionSettings settings, LengthStatistics statistics) {
+      String targetId, AdmissionSettings settings, LengthStatistics statistics, FairShare shares) {
     this.targetId = Check.hasText(targetId, "targetId");
     this.settings = Check.notNull(settings, "settings");
     this.statistics = Check.notNull(statistics, "statistics");
+    this.shares = Check.notNull(shares, "shares");
     forecast = new TargetForecast(settings);
     queue = new AdmissionQueue(settings.queueBound());
   }
@@ -180,6 +185,7 @@
     int expected = queued.needTokens() - attempt.spec().promptTokens();
     int priority = EnginePriority.of(attempt.priority(), expected);
     forecast.start(nowMs, attempt, lengths);
+    shares.served(nowMs, attempt.spec().organisation(), queued.needTokens());
     String reason =
         String.format(
             Locale.ROOT,
@@ -224,7 +230,8 @@
   private QueuedAttempt place(long nowMs, PendingAttempt attempt, RemainingLength length) {
     // Time spent waiting lowers the level of all attempts alike, so the order between two of them
     // is fixed by their arrival.
-    long level = attempt.priority() + Math.floorDiv(nowMs, settings.ageStepMs());
+    int stepsBehind = shares.stepsBehind(nowMs, attempt.spec().organisation());
+    long level = attempt.priority() + stepsBehind + Math.floorDiv(nowMs, settings.ageStepMs());
     int expected = (int) length.mean(attempt.spec().maxTokens());
     int need = attempt.spec().promptTokens() + expected;
     sequence++;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/policy/StrategyFactory.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/policy/StrategyFactory.java
@@ -1,5 +1,6 @@
 package org.sequoiareach.decision.policy;
 
+import org.sequoiareach.decision.budget.FairShare;
 import org.sequoiareach.decision.length.LengthSettings;
 import org.sequoiareach.decision.length.LengthStatistics;
 import org.sequoiareach.decision.placement.AdmissionSettings;
@@ -23,6 +24,7 @@
 
   private final Policy policy;
   private final AdmissionSettings settings;
+  private final FairShare shares = new FairShare();
   private final PrefixLocality prefixes = new PrefixLocality();
   private final LengthStatistics statistics = new LengthStatistics(LengthSettings.defaults());
 
@@ -46,6 +48,15 @@
     return prefixes;
   }
 
+  /**
+   * Returns what organisations have been served, to be given their weights from the sheet.
+   *
+   * @return the shares that the admission strategies of this factory order their queues by
+   */
+  public FairShare fairShare() {
+    return shares;
+  }
+
   /**
    * Creates the routing strategy of a daemon.
    *
@@ -73,7 +84,7 @@
     return switch (policy) {
       case ROUND_ROBIN, LEAST_OUTSTANDING -> new PassThroughAdmission(targetId);
       case MAX_LENGTH_RESERVATION -> new MaximumLengthAdmission(targetId, settings);
-      case EXPECTED_MEMORY -> new ExpectedMemoryAdmission(targetId, settings, statistics);
+      case EXPECTED_MEMORY -> new ExpectedMemoryAdmission(targetId, settings, statistics, shares);
     };
   }
 }
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/placement/AdmissionPropertiesTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/placement/AdmissionPropertiesTest.java
@@ -13,6 +13,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.sequoiareach.decision.budget.FairShare;
 import org.sequoiareach.decision.length.LengthKey;
 import org.sequoiareach.decision.length.LengthSettings;
 import org.sequoiareach.decision.length.LengthStatistics;
@@ -32,7 +33,7 @@
   @Property(tries = 300, seed = "20261203")
   void predictionDecidesOnEveryAttemptOnce(@ForAll long seed) {
     LengthStatistics statistics = new LengthStatistics(LengthSettings.defaults());
-    new Walk(new ExpectedMemoryAdmission("t", SETTINGS, statistics), seed).run();
+    new Walk(new ExpectedMemoryAdmission("t", SETTINGS, statistics, new FairShare()), seed).run();
   }
 
   @Property(tries = 100, seed = "20261203")
@@ -46,7 +47,8 @@
       statistics.estimator(0, new LengthKey("org", "model", "draft")).ended(0, 0, 100_000);
     }
     AdmissionSettings settings = new AdmissionSettings(1, 50, 500, 0.001, 60_000, 1_000);
-    AdmissionStrategy admission = new ExpectedMemoryAdmission("t", settings, statistics);
+    AdmissionStrategy admission =
+        new ExpectedMemoryAdmission("t", settings, statistics, new FairShare());
     int memory = 4_000;
     for (int batch = 1; batch < 500; batch++) {
       admission.report(0, load(memory, batch * 7 % memory, 1, batch % 64, stepMs));
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/placement/ExpectedMemoryAdmissionTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/placement/ExpectedMemoryAdmissionTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiareach.decision.budget.FairShare;
 import org.sequoiareach.decision.length.LengthKey;
 import org.sequoiareach.decision.length.LengthSettings;
 import org.sequoiareach.decision.length.LengthStatistics;
@@ -23,7 +24,7 @@
       new LengthStatistics(new LengthSettings(1L << 40, 1e-6, 8));
   private final ExpectedMemoryAdmission admission =
       new ExpectedMemoryAdmission(
-          "t", new AdmissionSettings(1, 2, 1_000, 0.005, 10_000, 45), statistics);
+          "t", new AdmissionSettings(1, 2, 1_000, 0.005, 10_000, 45), statistics, new FairShare());
 
   @BeforeEach
   void learnLengthsAndReportMemory() {
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/placement/ExpectedMemoryTrialTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/placement/ExpectedMemoryTrialTest.java
@@ -4,6 +4,7 @@
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiareach.decision.budget.FairShare;
 import org.sequoiareach.decision.length.LengthSettings;
 import org.sequoiareach.decision.length.LengthStatistics;
 
@@ -28,6 +29,9 @@
 
   private static AdmissionStrategy expectedMemory() {
     return new ExpectedMemoryAdmission(
-        "t", AdmissionSettings.defaults(), new LengthStatistics(LengthSettings.defaults()));
+        "t",
+        AdmissionSettings.defaults(),
+        new LengthStatistics(LengthSettings.defaults()),
+        new FairShare());
   }
 }
