Commit the clients of the targets

Cause: the pattern target/ in .gitignore hid the package daemon.target, so main did not compile from a clean clone although every working tree did.

--- /dev/null
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/SseDecoder.java
@@ -0,0 +1,64 @@
+package org.sequoiareach.daemon.target;
+
+import io.netty.buffer.ByteBuf;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Splits a byte stream into server-sent events. Used by one response. */
+final class SseDecoder {
+
+  /** The most bytes of one line; a longer one fails the stream. */
+  static final int MAX_LINE_BYTES = 1 << 20;
+
+  private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+  private final StringBuilder data = new StringBuilder();
+  private String id = "";
+
+  /** Takes bytes and returns the events they complete. */
+  List<SseEvent> decode(ByteBuf bytes) {
+    List<SseEvent> events = new ArrayList<>();
+    while (bytes.isReadable()) {
+      byte next = bytes.readByte();
+      if (next == '\n') {
+        endLine(events);
+      } else if (next != '\r') {
+        append(next);
+      }
+    }
+    return events;
+  }
+
+  private void append(byte next) {
+    if (line.size() == MAX_LINE_BYTES) {
+      throw new IllegalStateException("a line of the stream exceeds " + MAX_LINE_BYTES + " bytes");
+    }
+    line.write(next);
+  }
+
+  private void endLine(List<SseEvent> events) {
+    String text = line.toString(StandardCharsets.UTF_8);
+    line.reset();
+    if (text.isEmpty()) {
+      endEvent(events);
+    } else if (text.startsWith("data:")) {
+      data.append(data.isEmpty() ? "" : "\n").append(value(text, "data:"));
+    } else if (text.startsWith("id:")) {
+      id = value(text, "id:");
+    }
+  }
+
+  private void endEvent(List<SseEvent> events) {
+    if (!data.isEmpty()) {
+      events.add(new SseEvent(id, data.toString()));
+    }
+    data.setLength(0);
+    id = "";
+  }
+
+  private static String value(String text, String field) {
+    String value = text.substring(field.length());
+    return value.startsWith(" ") ? value.substring(1) : value;
+  }
+}
--- /dev/null
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/package-info.java
@@ -0,0 +1,2 @@
+/** Speaks to targets: model engines and plain services. */
+package org.sequoiareach.daemon.target;
