--- /dev/null
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/json/DecisionJson.java
@@ -0,0 +1,89 @@
+package org.sequoiareach.decision.json;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.List;
+import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.event.Event;
+import org.sequoiareach.decision.event.PeerEvent;
+import org.sequoiareach.decision.event.PlatformEvent;
+import org.sequoiareach.decision.event.RequestEvent;
+import org.sequoiareach.decision.event.TimeEvent;
+import org.sequoiareach.decision.membership.MembershipEffect;
+import org.sequoiareach.decision.membership.MembershipEvent;
+import org.sequoiareach.model.json.Json;
+
+/**
+ * Converts events and effects from and to one JSON object a line. An event has the property {@code
+ * event} with its type's name, an effect the property {@code effect}. Thread-safe.
+ */
+public final class DecisionJson {
+
+  private static final List<Class<?>> GROUPS =
+      List.of(
+          RequestEvent.class,
+          PlatformEvent.class,
+          PeerEvent.class,
+          TimeEvent.class,
+          MembershipEvent.class,
+          Effect.class,
+          MembershipEffect.class);
+
+  private static final ObjectMapper MAPPER = createMapper();
+
+  private DecisionJson() {}
+
+  /**
+   * Reads an event.
+   *
+   * @param line one line of JSON
+   * @return the event
+   * @throws IllegalArgumentException if the line is not an event
+   */
+  public static Event readEvent(String line) {
+    try {
+      return MAPPER.readValue(line, Event.class);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("Not an event: " + e.getOriginalMessage(), e);
+    }
+  }
+
+  /**
+   * Writes an event.
+   *
+   * @param event the event
+   * @return one line of JSON
+   */
+  public static String write(Event event) {
+    return write(event, Event.class);
+  }
+
+  /**
+   * Writes an effect.
+   *
+   * @param effect the effect
+   * @return one line of JSON
+   */
+  public static String write(Effect effect) {
+    return write(effect, Effect.class);
+  }
+
+  private static String write(Object value, Class<?> type) {
+    try {
+      return MAPPER.writerFor(type).writeValueAsString(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("Cannot be written: " + e.getOriginalMessage(), e);
+    }
+  }
+
+  private static ObjectMapper createMapper() {
+    ObjectMapper mapper = Json.mapper().copy();
+    for (Class<?> group : GROUPS) {
+      for (JsonSubTypes.Type type : group.getAnnotation(JsonSubTypes.class).value()) {
+        mapper.registerSubtypes(type.value());
+      }
+    }
+    return mapper;
+  }
+}
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/ActiveRequest.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/ActiveRequest.java
@@ -21,6 +21,8 @@
   final long sheetVersion;
   final long deadlineMs;
   final Set<String> triedTargets = new HashSet<>();
+  final Set<String> failedOwners = new HashSet<>();
+  int attempts;
   Stage stage = Stage.TRYING;
   boolean claimed;
   String attemptId = "";
@@ -38,8 +40,9 @@
     this.deadlineMs = deadlineMs;
   }
 
-  /** Returns the identity of the next attempt; it is unique, as the request's identity is. */
+  /** Returns the identity of a new attempt; it is unique, as the request's identity is. */
   String nextAttemptId() {
-    return spec.requestId() + "-" + (triedTargets.size() + 1);
+    attempts++;
+    return spec.requestId() + "-" + attempts;
   }
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/DecisionReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/DecisionReducer.java
@@ -1,5 +1,6 @@
 package org.sequoiareach.decision.reducer;
 
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -32,7 +33,7 @@
   private final ReducerSettings settings;
   private final Ownership ownership;
   private final EffectLog log = new EffectLog();
-  private final TargetRegistry targets = new TargetRegistry();
+  private final TargetRegistry targets;
   private final OwnerRole owner;
   private final EntryRole entry;
   private final Readiness readiness;
@@ -58,10 +59,11 @@
       AdmissionFactory admissions) {
     this.settings = Check.notNull(settings, "settings");
     this.ownership = Check.notNull(ownership, "ownership");
+    this.readiness = new Readiness(settings, log);
+    this.targets = new TargetRegistry(readiness::knowsTargets);
     this.owner = new OwnerRole(settings, targets, admissions, log);
     this.entry =
         new EntryRole(settings, targets, ownership, generationRouting, serviceRouting, owner, log);
-    this.readiness = new Readiness(settings, log);
     owner.setRejectionListener((nowMs, attemptId, out) -> entry.ended(nowMs, attemptId, out));
   }
 
@@ -133,6 +135,7 @@
       entry.started(started);
     } else if (event instanceof RequestEvent.AttemptProgressed progressed) {
       owner.progressed(progressed);
+      entry.progressed(progressed);
     } else if (event instanceof RequestEvent.AttemptEnded ended) {
       ended(ended.nowMs(), ended.attemptId(), ended.outcome());
     }
@@ -164,6 +167,7 @@
       listed(listed);
     } else if (event instanceof PlatformEvent.VmListFailed failed) {
       readiness.listFailed(failed.nowMs());
+      routeParked(failed.nowMs());
     } else if (event instanceof PlatformEvent.LoadReported reported) {
       reported(reported);
     }
@@ -192,6 +196,13 @@
     owner.forgetUnlisted();
     log.add(new Effect.UseVms(event.vms()));
     pollOwned();
+    routeParked(event.nowMs());
+  }
+
+  private void routeParked(long nowMs) {
+    if (readiness.knowsTargets()) {
+      entry.targetsKnown(nowMs);
+    }
   }
 
   private void reported(PlatformEvent.LoadReported event) {
@@ -234,7 +245,7 @@
     }
     if (!owned.equals(polled)) {
       polled = owned;
-      log.add(new Effect.PollLoads(Map.copyOf(owned)));
+      log.add(new Effect.PollLoads(Collections.unmodifiableMap(owned)));
     }
   }
 
@@ -254,9 +265,7 @@
     }
     long nowMs = event.nowMs();
     entry.expire(nowMs);
-    if (readiness.knowsTargets()) {
-      owner.reviewAll(nowMs);
-    }
+    owner.reviewAll(nowMs);
     boolean idle = entry.requestsInProgress() == 0 && owner.attemptsInProgress() == 0;
     if (readiness.isDrained(nowMs, idle)) {
       entry.abandonAll(nowMs);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/EntryRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/EntryRole.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.event.ClaimResult;
 import org.sequoiareach.decision.event.PeerEvent;
@@ -44,6 +46,7 @@
   private final Map<String, ActiveRequest> byAttempt = new HashMap<>();
   private final Map<String, RequestSpec> unansweredClaims = new HashMap<>();
   private final Map<String, Integer> outstanding = new HashMap<>();
+  private final Set<ActiveRequest> parked = new LinkedHashSet<>();
 
   EntryRole(
       ReducerSettings settings,
@@ -176,7 +179,7 @@
     }
     request.verdict = request.verdict.and(outcome.verdict());
     request.retryAfterMs = Math.max(request.retryAfterMs, outcome.retryAfterMs());
-    if (mayResume(nowMs, request)) {
+    if (mayResume(nowMs, request, outcome)) {
       resume(nowMs, request, outcome);
       return true;
     }
@@ -185,6 +188,20 @@
     return false;
   }
 
+  /** Routes the requests that waited for the list of targets to be read again. */
+  void targetsKnown(long nowMs) {
+    List<ActiveRequest> waiting = List.copyOf(parked);
+    parked.clear();
+    waiting.forEach(request -> route(nowMs, request));
+  }
+
+  void progressed(RequestEvent.AttemptProgressed event) {
+    ActiveRequest request = byAttempt.get(event.attemptId());
+    if (request != null) {
+      request.resumes = 0;
+    }
+  }
+
   void hintReceived(PeerEvent.HintReceived event) {
     hints.record(event.nowMs(), event.hint());
   }
@@ -243,6 +260,10 @@
   }
 
   private void route(long nowMs, ActiveRequest request) {
+    if (!targets.isKnown()) {
+      parked.add(request);
+      return;
+    }
     RequestSpec spec = request.spec;
     boolean generation = spec.kind() == RequestKind.GENERATION;
     List<TargetView> candidates = candidates(nowMs, request);
@@ -260,7 +281,7 @@
     request.triedTargets.add(targetId);
     byAttempt.put(request.attemptId, request);
     outstanding.merge(targetId, 1, Integer::sum);
-    request.ownerId = generation ? ownerFor(targetId) : settings.daemonId();
+    request.ownerId = generation ? ownerFor(request, targetId) : settings.daemonId();
     String reason = choice.get().reason() + " owner=" + request.ownerId;
     log.decision("route", spec, targetId, request.sheetVersion, reason, choice.get().losers());
     send(nowMs, request);
@@ -301,10 +322,11 @@
             request.deadlineMs));
   }
 
-  private String ownerFor(String targetId) {
+  private String ownerFor(ActiveRequest request, String targetId) {
     String zone = targets.find(targetId).map(VmEntry::zone).orElse("");
     String ownerId = ownership.ownerOf(targetId, zone);
-    return ownership.isReachable(ownerId) ? ownerId : settings.daemonId();
+    boolean usable = ownership.isReachable(ownerId) && !request.failedOwners.contains(ownerId);
+    return usable ? ownerId : settings.daemonId();
   }
 
   private List<TargetView> candidates(long nowMs, ActiveRequest request) {
@@ -327,15 +349,23 @@
 
   private void retryOrFinish(long nowMs, ActiveRequest request, Outcome outcome) {
     boolean certain = outcome.verdict() == Verdict.NOT_RUN;
-    boolean allowed = certain || (request.spec.repeatable() && !request.started);
-    boolean left = request.triedTargets.size() < settings.maxAttempts();
-    if (allowed && left && nowMs < request.deadlineMs) {
+    boolean unseen = !request.started || !request.spec.streamed();
+    boolean allowed = certain || (request.spec.repeatable() && unseen);
+    boolean useful = outcome.reason().filter(EntryRole::isOfRequest).isEmpty();
+    boolean left = request.attempts < settings.maxAttempts();
+    if (isOfOwner(outcome)) {
+      // The target is not to blame: it may be tried again without this owner.
+      request.failedOwners.add(request.ownerId);
+      request.triedTargets.remove(request.targetId);
+    }
+    if (allowed && useful && left && nowMs < request.deadlineMs) {
       log.decision(
           "retry",
           request.spec,
           request.targetId,
           request.sheetVersion,
           outcome.message() + " verdict=" + outcome.verdict().label());
+      request.started = false;
       route(nowMs, request);
       return;
     }
@@ -343,9 +373,11 @@
     finish(request, request.verdict, reason, outcome.message(), retryAfter(request));
   }
 
-  private boolean mayResume(long nowMs, ActiveRequest request) {
+  private boolean mayResume(long nowMs, ActiveRequest request, Outcome outcome) {
+    boolean lost = outcome.reason().filter(reason -> reason == Reason.NOT_FOUND).isPresent();
     return request.spec.kind() == RequestKind.GENERATION
         && request.started
+        && !lost
         && request.resumes < settings.maxResumes()
         && nowMs < request.deadlineMs
         && targets.find(request.targetId).isPresent();
@@ -411,7 +443,8 @@
         request.targetId,
         request.sheetVersion,
         reason.label() + ": " + message + " verdict=" + verdict.label());
-    log.fail(request.spec, verdict, reason, message, retryAfterMs);
+    boolean useful = verdict == Verdict.NOT_RUN || request.spec.repeatable();
+    log.fail(request.spec, verdict, reason, message, useful ? retryAfterMs : 0);
   }
 
   private void settle(ActiveRequest request, Verdict verdict) {
@@ -429,6 +462,7 @@
 
   private void forget(ActiveRequest request) {
     requests.remove(request.spec.requestId());
+    parked.remove(request);
     endAttempt(request);
     if (request.stage == ActiveRequest.Stage.CLAIMING) {
       unansweredClaims.put(request.spec.requestId(), request.spec);
@@ -445,6 +479,18 @@
         spec.requestId(), spec.organisation(), spec.resource(), spec.idempotencyKey(), verdict);
   }
 
+  private static boolean isOfOwner(Outcome outcome) {
+    return outcome
+        .reason()
+        .filter(reason -> reason == Reason.OWNER_FAILED || reason == Reason.NOT_READY)
+        .isPresent();
+  }
+
+  /** Tells whether a reason lies in the request itself, so that every target would give it. */
+  private static boolean isOfRequest(Reason reason) {
+    return reason == Reason.BAD_REQUEST || reason == Reason.TOO_LARGE;
+  }
+
   private static boolean mayUse(OrganisationEntry organisation, RequestSpec spec) {
     List<String> allowed =
         spec.kind() == RequestKind.GENERATION ? organisation.models() : organisation.services();
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/OwnerRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/OwnerRole.java
@@ -176,6 +176,9 @@
   }
 
   private void review(long nowMs, String targetId) {
+    if (!targets.isKnown()) {
+      return;
+    }
     if (!targets.isPlaceable(targetId)) {
       withdraw(nowMs, targetId, "target " + targetId + " takes no more work");
       return;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/TargetRegistry.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/TargetRegistry.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.sequoiareach.model.platform.EngineLoad;
 import org.sequoiareach.model.platform.VmEntry;
 import org.sequoiareach.model.platform.VmKind;
@@ -20,11 +21,26 @@
  */
 final class TargetRegistry {
 
+  private final BooleanSupplier known;
   private final Map<String, VmEntry> listed = new LinkedHashMap<>();
   private final Set<String> leavingByReport = new HashSet<>();
   private final Map<String, List<VmEntry>> byResource = new LinkedHashMap<>();
   private final List<VmEntry> daemons = new ArrayList<>();
 
+  /**
+   * Creates an empty registry.
+   *
+   * @param known tells whether the list is fresh enough to send new work by
+   */
+  TargetRegistry(BooleanSupplier known) {
+    this.known = known;
+  }
+
+  /** Tells whether new work may be sent by what is known. */
+  boolean isKnown() {
+    return known.getAsBoolean();
+  }
+
   /** Replaces the list; returns the targets that are leaving or gone now but were not before. */
   List<String> replace(List<VmEntry> vms) {
     final Set<String> before = placeableIds();
