--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/AnswerReceiver.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/AnswerReceiver.java
@@ -31,6 +31,16 @@
    */
   boolean admits(AnswerPart.Data part);
 
+  /**
+   * Checks at the end of an answer that no part is missing.
+   *
+   * @param attemptId the attempt
+   * @param end the end
+   * @throws org.sequoiareach.model.request.RequestFailedException if the last part is not the one
+   *     that the end names
+   */
+  void requireWhole(String attemptId, AnswerPart.End end);
+
   /**
    * Returns the place of the last part delivered.
    *
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/AttemptRunner.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/AttemptRunner.java
@@ -195,15 +195,16 @@
         parts
             .filter(part -> !(part instanceof AnswerPart.Data data) || receiver.admits(data))
             .doOnNext(meter::received)
-            .doOnNext(part -> endIfWhole(attemptId, part))
+            .doOnNext(part -> endIfWhole(receiver, attemptId, part))
             .doOnError(thrown -> endInFailure(attemptId, thrown))
             .doFinally(signal -> running.remove(attemptId, attempt))
             .takeUntilOther(attempt.stopped.asMono());
     receiver.add(watched);
   }
 
-  private void endIfWhole(String attemptId, AnswerPart part) {
+  private void endIfWhole(AnswerReceiver receiver, String attemptId, AnswerPart part) {
     if (part instanceof AnswerPart.End end) {
+      receiver.requireWhole(attemptId, end);
       ended(attemptId, Outcome.finished(end.tokens()));
     }
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/Exchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/Exchange.java
@@ -74,6 +74,13 @@
     return guard.admits(part);
   }
 
+  @Override
+  public void requireWhole(String attemptId, AnswerPart.End end) {
+    if (kind() == RequestKind.GENERATION) {
+      guard.requireEnd(attemptId, end.tokens());
+    }
+  }
+
   @Override
   public long lastSequence(String attemptId) {
     return guard.lastSequence(attemptId);
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/GenerationGuard.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/GenerationGuard.java
@@ -41,16 +41,19 @@
       return false;
     }
     if (part.sequence() > lastSequence + 1) {
-      throw new RequestFailedException(
-          Verdict.MAY_HAVE_RUN,
-          Reason.TARGET_FAILED,
-          "token " + (lastSequence + 1) + " of " + attemptId + " is missing",
-          OptionalLong.empty());
+      throw missing(attemptId, lastSequence + 1);
     }
     lastSequence = part.sequence();
     return true;
   }
 
+  /** Checks that the last part of an attempt was delivered. */
+  synchronized void requireEnd(String endedAttemptId, long sequence) {
+    if (!endedAttemptId.equals(attemptId) || lastSequence != sequence) {
+      throw missing(endedAttemptId, lastSequence + 1);
+    }
+  }
+
   /** Returns whether any part was delivered. */
   synchronized boolean hasDelivered() {
     return lastSequence > 0;
@@ -60,4 +63,12 @@
   synchronized long lastSequence(String ofAttemptId) {
     return attemptId.equals(ofAttemptId) ? lastSequence : 0;
   }
+
+  private static RequestFailedException missing(String attemptId, long sequence) {
+    return new RequestFailedException(
+        Verdict.MAY_HAVE_RUN,
+        Reason.TARGET_FAILED,
+        "token " + sequence + " of " + attemptId + " is missing",
+        OptionalLong.empty());
+  }
 }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/ForwardedAttempt.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/ForwardedAttempt.java
@@ -57,6 +57,12 @@
     return true;
   }
 
+  /** Passes every end: the daemon of the caller checks it. */
+  @Override
+  public void requireWhole(String attemptId, AnswerPart.End end) {
+    // Nothing to check here.
+  }
+
   @Override
   public long lastSequence(String attemptId) {
     return 0;
