Add plan import and forecast to the client, with a small history of plans

Cause: planners write CSV, and finance staff ask for the month's cost.

Import: one line an organisation and model; every wrong cell is named with line, column, value and what is expected, contradictions between lines too.

Cost is a range, as a plan does not say which model its tokens go to. The result states that it goes by plan and prices alone and that departures from the plan are not covered.

An export also reads the manifest again when the first read fails. Seen as exportWhoseAnswerIsLostIsRecognised failing once the read became a transaction, whose answer the stand-in loses too; a case was added to KeyValueSheetStoreTest.

--- a/sequoiareach-client/src/main/java/org/sequoiareach/client/ClientProgram.java
+++ b/sequoiareach-client/src/main/java/org/sequoiareach/client/ClientProgram.java
@@ -4,6 +4,7 @@
 import java.io.StringWriter;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -125,6 +126,6 @@
   }
 
   private static String describe(ExitCode code) {
-    return code.code() + " " + code.name().toLowerCase(java.util.Locale.ROOT);
+    return code.code() + " " + code.name().toLowerCase(Locale.ROOT);
   }
 }
--- a/sequoiareach-client/src/main/java/org/sequoiareach/client/CommandEntry.java
+++ b/sequoiareach-client/src/main/java/org/sequoiareach/client/CommandEntry.java
@@ -6,6 +6,8 @@
 import org.sequoiareach.client.command.AbstractCommand;
 import org.sequoiareach.client.daemons.ExplainCommand;
 import org.sequoiareach.client.daemons.StatusCommand;
+import org.sequoiareach.client.forecast.ForecastCommand;
+import org.sequoiareach.client.plan.SheetImportCommand;
 import org.sequoiareach.client.sheet.SheetCheckCommand;
 import org.sequoiareach.client.sheet.SheetExportCommand;
 import org.sequoiareach.client.sheet.SheetShowCommand;
@@ -23,9 +25,11 @@
       List.of(
           entry("sheet check", "check a sheet file", SheetCheckCommand::new),
           entry("sheet export", "bring a sheet into force", SheetExportCommand::new),
+          entry("sheet import", "turn the planners' CSV into a sheet", SheetImportCommand::new),
           entry("sheet show", "show the sheet in force", SheetShowCommand::new),
           entry("status", "show every daemon's status", StatusCommand::new),
-          entry("explain", "show the decisions on a request", ExplainCommand::new));
+          entry("explain", "show the decisions on a request", ExplainCommand::new),
+          entry("forecast", "predict the cost of a month", ForecastCommand::new));
 
   static Optional<CommandEntry> find(List<String> args) {
     return ALL.stream()
--- a/sequoiareach-client/src/main/java/org/sequoiareach/client/command/Documents.java
+++ b/sequoiareach-client/src/main/java/org/sequoiareach/client/command/Documents.java
@@ -2,9 +2,11 @@
 
 import java.io.IOException;
 import java.nio.charset.MalformedInputException;
+import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.function.Function;
 import org.sequoiareach.model.json.InvalidDocumentException;
 
@@ -44,8 +46,8 @@
    */
   public static void write(Path file, String text) {
     try {
-      Files.writeString(file, text, java.nio.file.StandardOpenOption.CREATE_NEW);
-    } catch (java.nio.file.FileAlreadyExistsException e) {
+      Files.writeString(file, text, StandardOpenOption.CREATE_NEW);
+    } catch (FileAlreadyExistsException e) {
       throw new CommandException(ExitCode.FAILED, "The file " + file + " exists already.");
     } catch (IOException e) {
       throw new CommandException(
--- /dev/null
+++ b/sequoiareach-client/src/main/java/org/sequoiareach/client/forecast/package-info.java
@@ -0,0 +1,2 @@
+/** Predicts the cost of a month from the sheets of its days. */
+package org.sequoiareach.client.forecast;
--- a/sequoiareach-client/src/test/java/org/sequoiareach/client/ClientProgramTest.java
+++ b/sequoiareach-client/src/test/java/org/sequoiareach/client/ClientProgramTest.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -162,4 +163,33 @@
     assertThat(run.code()).isEqualTo(code);
     assertThat(run.out()).contains(expected);
   }
+
+  @Test
+  void forecastStatesItsBasis() {
+    assertThat(client.run("forecast").code()).isEqualTo(ExitCode.FAILED);
+    client.run("sheet", "export", SAMPLE);
+    ClientRunner.Run run = client.run("forecast");
+    assertThat(run.out()).contains("basis: ", "error: ", "aserradero-sur  6.00", "techos-brno");
+    assertThat(client.run("forecast", "--month", "soon").code()).isEqualTo(ExitCode.USAGE);
+  }
+
+  @Test
+  void importedPlanCanBeExported() {
+    Path plan =
+        client.write(
+            "plan.csv",
+            "organisation,key_digest,priority,model,model_version,context_tokens,"
+                + "prompt_tokens_per_day,completion_tokens_per_day,concurrent_requests,"
+                + "requests_per_second,services\ntechos-brno,sha256:"
+                + "0".repeat(64)
+                + ",5,contract-70b,v1,32768,100,200,10,20,dispatch\n");
+    Path out = directory.resolve("imported.json");
+    String[] line = {"sheet", "import", plan.toString(), "--out", out.toString()};
+    assertThat(ClientRunner.runBare(line).err()).contains("line 2, column services = dispatch");
+    String[] priced = Arrays.copyOf(line, line.length + 2);
+    priced[line.length] = "--catalogue";
+    priced[line.length + 1] = SAMPLE;
+    assertThat(ClientRunner.runBare(priced).out()).contains("1 organisations and 1 models");
+    assertThat(client.run("sheet", "export", out.toString()).out()).contains("version 1");
+  }
 }
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/KeyValueSheetStore.java
+++ b/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/KeyValueSheetStore.java
@@ -63,6 +63,16 @@
         .toFuture();
   }
 
+  /**
+   * Reads the planned costs of recent days.
+   *
+   * @param deadlineMs when to give up
+   * @return the history; empty where none is kept or it is not readable
+   */
+  public CompletableFuture<SheetHistory> findHistory(long deadlineMs) {
+    return keyValues.find(SheetKeys.HISTORY, deadlineMs).thenApply(SheetExport::history);
+  }
+
   @Override
   public CompletableFuture<Void> awaitChange(long knownVersion, long deadlineMs) {
     return keyValues
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/SheetExport.java
+++ b/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/SheetExport.java
@@ -3,6 +3,8 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneOffset;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -10,6 +12,8 @@
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.sheet.Sheet;
@@ -34,6 +38,8 @@
   /** How long a section out of use may still be read. */
   static final long RETIRED_SECTION_TTL_MS = Duration.ofHours(1).toMillis();
 
+  private static final Logger LOG = LogManager.getLogger(SheetExport.class);
+
   /** The service refuses transactions of more than 128 operations. */
   private static final int MAX_WRITES = 100;
 
@@ -48,6 +54,7 @@
   private final KeyValueService keyValues;
   private final Clock clock;
   private final LongSupplier monotonicClock;
+  private final Sheet sheet;
   private final SheetSections sections;
   private final long baseVersion;
   private final long deadlineMs;
@@ -64,18 +71,34 @@
     this.keyValues = keyValues;
     this.clock = clock;
     this.monotonicClock = monotonicClock;
+    this.sheet = sheet;
     this.sections = SheetSections.of(sheet);
     this.baseVersion = baseVersion;
     this.deadlineMs = deadlineMs;
   }
 
   Mono<Long> run() {
-    return Mono.fromFuture(() -> keyValues.find(SheetKeys.MANIFEST, deadlineMs))
+    List<String> keys = List.of(SheetKeys.MANIFEST, SheetKeys.HISTORY);
+    return Mono.fromFuture(() -> keyValues.findAll(keys, attemptDeadlineMs()))
+        .retryWhen(retry())
         .flatMap(this::writeOver)
         .onErrorMap(KeyValueException.class, this::withVerdictOfExport);
   }
 
-  private Mono<Long> writeOver(Optional<KeyValueEntry> found) {
+  /** Reads the history; one that is not readable must not keep a sheet from being exported. */
+  static SheetHistory history(Optional<KeyValueEntry> found) {
+    try {
+      return found
+          .map(entry -> SheetSections.read(entry.value(), SheetHistory.class))
+          .orElse(SheetHistory.EMPTY);
+    } catch (RuntimeException e) {
+      LOG.warn("The history of sheets is not readable and starts anew: {}", e.getMessage());
+      return SheetHistory.EMPTY;
+    }
+  }
+
+  private Mono<Long> writeOver(List<KeyValueEntry> entries) {
+    Optional<KeyValueEntry> found = find(entries, SheetKeys.MANIFEST);
     Optional<SheetManifest> current = found.map(SheetRead::parse);
     long currentVersion = current.map(SheetManifest::version).orElse(0L);
     if (currentVersion != baseVersion) {
@@ -88,13 +111,25 @@
             .orElseGet(() -> SheetManifest.first(exportId, sections));
     Set<String> stored = current.map(SheetManifest::digests).orElse(Set.of());
     List<Transaction.Put> changed = putsExcept(stored);
+    Transaction.Put history =
+        historyPut(history(find(entries, SheetKeys.HISTORY)), next.version(), nowEpochMs);
     long modRevision = found.map(KeyValueEntry::modRevision).orElse(0L);
     if (fitsOneTransaction(changed, next)) {
-      return writeManifest(next, changed, modRevision, nowEpochMs);
+      return writeManifest(next, history, changed, modRevision, nowEpochMs);
     }
     return Flux.fromIterable(batches(changed))
         .concatMap(this::writeSections)
-        .then(Mono.defer(() -> writeManifest(next, List.of(), modRevision, nowEpochMs)));
+        .then(Mono.defer(() -> writeManifest(next, history, List.of(), modRevision, nowEpochMs)));
+  }
+
+  private Transaction.Put historyPut(SheetHistory before, long version, long nowEpochMs) {
+    String today = Instant.ofEpochMilli(nowEpochMs).atZone(ZoneOffset.UTC).toLocalDate().toString();
+    SheetHistory.DayPlan plan = new SheetHistory.DayPlan(today, version, PlannedCost.of(sheet));
+    return put(SheetKeys.HISTORY, SheetSections.write(before.with(plan)));
+  }
+
+  private static Optional<KeyValueEntry> find(List<KeyValueEntry> entries, String key) {
+    return entries.stream().filter(entry -> entry.key().equals(key)).findFirst();
   }
 
   private List<Transaction.Put> putsExcept(Set<String> stored) {
@@ -111,13 +146,18 @@
   }
 
   private Mono<Long> writeManifest(
-      SheetManifest next, List<Transaction.Put> changed, long modRevision, long nowEpochMs) {
+      SheetManifest next,
+      Transaction.Put history,
+      List<Transaction.Put> changed,
+      long modRevision,
+      long nowEpochMs) {
     List<SheetManifest.RetiredSection> expired =
         next.retired().stream()
             .filter(old -> old.retiredAtMs() + RETIRED_SECTION_TTL_MS < nowEpochMs)
             .limit(MAX_WRITES - changed.size())
             .toList();
     List<Transaction.Put> puts = new ArrayList<>(changed);
+    puts.add(history);
     puts.add(put(SheetKeys.MANIFEST, SheetSections.write(next.without(expired))));
     Transaction transaction =
         new Transaction(
@@ -136,10 +176,11 @@
   }
 
   private Mono<TransactionResult> commit(Transaction transaction) {
-    return Mono.fromFuture(
-        () ->
-            keyValues.commit(
-                transaction, Math.min(deadlineMs, monotonicClock.getAsLong() + ATTEMPT_MS)));
+    return Mono.fromFuture(() -> keyValues.commit(transaction, attemptDeadlineMs()));
+  }
+
+  private long attemptDeadlineMs() {
+    return Math.min(deadlineMs, monotonicClock.getAsLong() + ATTEMPT_MS);
   }
 
   private Retry retry() {
@@ -159,10 +200,7 @@
       return version;
     }
     Optional<SheetManifest> inForce =
-        result.found().stream()
-            .filter(entry -> entry.key().equals(SheetKeys.MANIFEST))
-            .map(SheetRead::parse)
-            .findFirst();
+        find(result.found(), SheetKeys.MANIFEST).map(SheetRead::parse);
     return inForce
         .flatMap(manifest -> manifest.findVersionOf(exportId))
         .orElseThrow(
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/SheetManifest.java
+++ b/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/SheetManifest.java
@@ -1,6 +1,7 @@
 package org.sequoiareach.platform.sheet;
 
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -74,7 +75,7 @@
 
   Set<String> digests() {
     return Stream.concat(Stream.of(common), organisations.stream().map(SectionRef::digest))
-        .collect(Collectors.toCollection(java.util.LinkedHashSet::new));
+        .collect(Collectors.toCollection(LinkedHashSet::new));
   }
 
   /** Finds the version that an export wrote, if this manifest or a remembered one came of it. */
--- a/sequoiareach-platform/src/test/java/org/sequoiareach/platform/sheet/KeyValueSheetStoreTest.java
+++ b/sequoiareach-platform/src/test/java/org/sequoiareach/platform/sheet/KeyValueSheetStoreTest.java
@@ -63,6 +63,7 @@
 
   static Stream<List<Fate>> faults() {
     return Stream.of(
+        List.of(Fate.LOST_AFTER, Fate.DOWN),
         List.of(Fate.FINE, Fate.LOST_AFTER),
         List.of(Fate.FINE, Fate.LOST_BEFORE),
         List.of(Fate.FINE, Fate.DOWN),
