End stand-ins that are told to stop with exit code 0

A process ended by the signal left 143, which a caller cannot tell from one that did not stop by itself. All five kinds now exit with 0 after SIGTERM (run by hand; no test starts processes).

--- a/sequoiareach-standin/src/main/java/org/sequoiareach/standin/StandinMain.java
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/StandinMain.java
@@ -21,7 +21,13 @@
     if (program.started().isEmpty()) {
       System.exit(code);
     }
-    Runtime.getRuntime().addShutdownHook(new Thread(program::close, "standin-stop"));
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(program), "standin-stop"));
     new CountDownLatch(1).await();
   }
+
+  /** Stops the stand-ins and ends the process as a planned stop, in place of by the signal. */
+  private static void stop(StandinProgram program) {
+    program.close();
+    Runtime.getRuntime().halt(StandinProgram.EXIT_OK);
+  }
 }
