Take a watch whose first document arrives in pieces

Only the first part of the body was read, and half a document was answered 400. The test of leases now watches from the first revision, so that it does not depend on how soon it looks.

--- a/sequoiareach-standin/src/main/java/org/sequoiareach/standin/kv/KvStandin.java
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/kv/KvStandin.java
@@ -1,5 +1,6 @@
 package org.sequoiareach.standin.kv;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.ByteBuf;
@@ -12,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import org.reactivestreams.Publisher;
+import org.sequoiareach.model.json.Json;
 import org.sequoiareach.standin.fault.FaultCountdown;
 import org.sequoiareach.standin.fault.FaultSwitches;
 import org.sequoiareach.standin.server.AbstractHttpStandin;
@@ -103,10 +105,12 @@
     }
     String kind = path.substring(path.lastIndexOf('/') + 1);
     if (path.equals("/v3/watch")) {
-      // The call of a watch may stay open for more, so its first document is taken as it comes.
+      // The call of a watch may stay open for more, so its first document is taken once complete.
       return request
           .receive()
           .asString()
+          .scan(String::concat)
+          .filter(KvStandin::isComplete)
           .next()
           .flatMap(text -> Mono.from(watch(Exchanges.parse(text), request, response)));
     }
@@ -241,6 +245,14 @@
     return Unpooled.copiedBuffer(Exchanges.write(node) + "\n", StandardCharsets.UTF_8);
   }
 
+  private static boolean isComplete(String text) {
+    try {
+      return Json.mapper().readTree(text).isObject();
+    } catch (JsonProcessingException e) {
+      return false;
+    }
+  }
+
   private static long nowMs() {
     return System.nanoTime() / 1_000_000;
   }
--- a/sequoiareach-standin/src/test/java/org/sequoiareach/standin/command/StandinProgramTest.java
+++ b/sequoiareach-standin/src/test/java/org/sequoiareach/standin/command/StandinProgramTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-@Timeout(20)
+@Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class StandinProgramTest {
 
   private static final Path SAMPLES = Path.of("..", "dist", "conf", "standin");
--- a/sequoiareach-standin/src/test/java/org/sequoiareach/standin/kv/KvStandinTest.java
+++ b/sequoiareach-standin/src/test/java/org/sequoiareach/standin/kv/KvStandinTest.java
@@ -4,11 +4,16 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.Iterator;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -18,15 +23,17 @@
 import org.sequoiareach.standin.server.Exchanges;
 import org.sequoiareach.standin.server.TestCalls;
 
-@Timeout(20)
+@Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class KvStandinTest {
 
   private final KvStandin kv = new KvStandin(new KvSettings("127.0.0.1:0"));
+  private InetSocketAddress address;
   private TestCalls calls;
 
   @BeforeEach
   void start() {
-    calls = new TestCalls(kv.start());
+    address = kv.start();
+    calls = new TestCalls(address);
   }
 
   @AfterEach
@@ -75,15 +82,15 @@
 
   @Test
   void expiresLeasesWithTheirKeys() throws Exception {
-    JsonNode granted = calls.json("POST", "/v3/lease/grant", "{\"TTL\":\"1\"}");
+    JsonNode granted = calls.json("POST", "/v3/lease/grant", "{\"TTL\":\"2\"}");
     String id = granted.path("ID").asText();
     calls.json("POST", "/v3/kv/put", keyed("k", ",\"lease\":\"" + id + "\""));
     JsonNode kept = calls.json("POST", "/v3/lease/keepalive", "{\"ID\":\"" + id + "\"}");
-    assertThat(kept.at("/result/TTL").asText()).isEqualTo("1");
-    try (var lines = calls.lines("POST", "/v3/watch", watch("k", ""))) {
-      Iterator<String> each = lines.iterator();
-      each.next();
-      JsonNode event = Exchanges.parse(each.next()).at("/result/events/0");
+    assertThat(kept.at("/result/TTL").asText()).isEqualTo("2");
+    String watch = watch("k", ",\"start_revision\":\"1\"");
+    try (Stream<String> lines = calls.lines("POST", "/v3/watch", watch)) {
+      String last = lines.skip(2).findFirst().orElseThrow();
+      JsonNode event = Exchanges.parse(last).at("/result/events/0");
       assertThat(event.path("type").asText()).isEqualTo("DELETE");
     }
     JsonNode late = calls.json("POST", "/v3/lease/keepalive", "{\"ID\":\"" + id + "\"}");
@@ -151,11 +158,30 @@
     assertThat(answer.body()).contains(message);
   }
 
+  @Test
+  void takesWatchThatArrivesInPieces() throws Exception {
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      String head = "POST /v3/watch HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+      String body = watch("k", "");
+      String call = head + chunk(body.substring(0, 9)) + chunk(body.substring(9));
+      socket.setSoTimeout(5_000);
+      socket.getOutputStream().write(call.getBytes(StandardCharsets.US_ASCII));
+      BufferedReader reader =
+          new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+      assertThat(reader.lines().filter(line -> line.contains("created")).findFirst()).isPresent();
+    }
+  }
+
   private HttpResponse<String> put(String key, String value)
       throws IOException, InterruptedException {
     return calls.send("POST", "/v3/kv/put", keyed(key, ",\"value\":\"" + b64(value) + "\""));
   }
 
+  private static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
   private static String watch(String key, String more) {
     return "{\"create_request\":" + keyed(key, more) + "}";
   }
--- a/sequoiareach-standin/src/test/java/org/sequoiareach/standin/relay/RelayStandinTest.java
+++ b/sequoiareach-standin/src/test/java/org/sequoiareach/standin/relay/RelayStandinTest.java
@@ -20,7 +20,7 @@
 import org.sequoiareach.standin.service.ServiceSettings;
 import org.sequoiareach.standin.service.ServiceStandin;
 
-@Timeout(20)
+@Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class RelayStandinTest {
 
   private static final int TIMEOUT_MS = 5_000;
--- a/sequoiareach-standin/src/test/java/org/sequoiareach/standin/service/ServiceStandinTest.java
+++ b/sequoiareach-standin/src/test/java/org/sequoiareach/standin/service/ServiceStandinTest.java
@@ -15,7 +15,7 @@
 import org.sequoiareach.standin.server.Exchanges;
 import org.sequoiareach.standin.server.TestCalls;
 
-@Timeout(20)
+@Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class ServiceStandinTest {
 
   private final ServiceStandin service =
--- a/sequoiareach-standin/src/test/java/org/sequoiareach/standin/vms/VmListStandinTest.java
+++ b/sequoiareach-standin/src/test/java/org/sequoiareach/standin/vms/VmListStandinTest.java
@@ -14,7 +14,7 @@
 import org.sequoiareach.model.platform.VmKind;
 import org.sequoiareach.standin.server.TestCalls;
 
-@Timeout(20)
+@Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class VmListStandinTest {
 
   private static final VmEntry FIRST = entry("e1", false);
