End a stall when the switches are set anew

Cache events that nobody takes are bounded. A test of the exact stall was missing: computing only the prompt again went unseen in a trial, and now fails.

--- a/sequoiareach-standin/src/main/java/org/sequoiareach/standin/engine/EngineReports.java
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/engine/EngineReports.java
@@ -12,6 +12,7 @@
 
   // Old enough reports must be at hand when a fault switch makes the lag greater.
   private static final double LEAST_KEPT_MS = 10_000;
+  private static final int MAX_CACHE_EVENTS = 10_000;
 
   private final ReportSettings settings;
   private final SplittableRandom random;
@@ -58,6 +59,9 @@
       CacheEvent event = new CacheEvent(lastSeq, change.stored(), change.removed());
       cacheEvents.add(new Dated<>(nowMs, event));
     }
+    if (cacheEvents.size() > MAX_CACHE_EVENTS) {
+      cacheEvents.removeFirst();
+    }
   }
 
   /** Returns the cache events that have become old enough since the last call. */
--- a/sequoiareach-standin/src/test/java/org/sequoiareach/standin/engine/EngineModelTest.java
+++ b/sequoiareach-standin/src/test/java/org/sequoiareach/standin/engine/EngineModelTest.java
@@ -8,10 +8,12 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
+@Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class EngineModelTest {
 
   private static final double FAR_MS = 1e9;
@@ -73,6 +75,19 @@
     }
   }
 
+  @Test
+  void computesPreemptedContextAgain() {
+    StepSettings steps = new StepSettings(10, 0, 0, 1, 1_000, 8);
+    MemorySettings memory = new MemorySettings(4, 4);
+    EngineModel model = new EngineModel(SETTINGS.withSteps(steps).withMemory(memory), 0);
+    model.submit(request("a", 0, 3, 9), 0);
+    model.submit(request("b", 0, 3, 9), 0);
+    model.advance(FAR_MS);
+    // The first ends 40 ms after the preemption; then 3 prompt tokens and 4 others take 17 ms.
+    assertThat(recordOf(model, "b").preemptions()).isEqualTo(1);
+    assertThat(recordOf(model, "b").stallMs()).isEqualTo(57);
+  }
+
   @Test
   void findsSharedPromptsInTheCache() {
     StepSettings steps = new StepSettings(10, 0, 0, 1, 10_000, 8);
@@ -180,6 +195,18 @@
     assertThat(model.load(secondTokenMs).generatedTokens()).isEqualTo(2);
   }
 
+  @Test
+  void endsStallWhenSwitchesAreSetAnew() {
+    EngineModel model = new EngineModel(SETTINGS, 0);
+    model.submit(request("a", 0, 1, 1), 0);
+    model.setFaults(faults("stalledMs"), 4);
+    model.submit(request("b", 0, 1, 1), 50);
+    model.setFaults(EngineFaults.NONE, 100);
+    model.advance(FAR_MS);
+    assertThat(recordOf(model, "a").firstTokenMs()).isEqualTo(106);
+    assertThat(recordOf(model, "b").firstTokenMs()).isEqualTo(66);
+  }
+
   @ParameterizedTest
   @CsvSource({"100, 20, 20, length", "10, 20, 10, stop", "1000, 2000, 61, length"})
   void limitsTheLength(int wanted, int maxTokens, int tokens, String reason) {
