Serve only by a sheet that was confirmed to be in force

Cause: a daemon that thawed, or was cut from the key-value service and from the others, served by its old sheet as soon as one read had failed; a change reached a daemon only by its own reads. The group reducer takes the place of the reducer's own adoption: sheets spread between daemons, and readiness asks the guard. An attempt that still waits for a connection is no longer failed when the connection before it is lost, as it would run after its caller was told. Ruled out: feeding the guard its own ticks (the reducer sees pauses first and passes a tick on, so that no event slips between).

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/InboundAnswer.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/InboundAnswer.java
@@ -18,6 +18,7 @@
   private final String targetId;
   private final IntConsumer credit;
   private final Sinks.Many<AnswerPart> parts = Sinks.many().unicast().onBackpressureBuffer();
+  private volatile boolean sent;
 
   /**
    * Creates an answer of which nothing has come.
@@ -32,6 +33,15 @@
     this.credit = credit;
   }
 
+  void markSent() {
+    sent = true;
+  }
+
+  /** Tells whether the message that opens the attempt was written to a connection. */
+  boolean isSent() {
+    return sent;
+  }
+
   String daemonId() {
     return daemonId;
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/PeerBridge.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/PeerBridge.java
@@ -17,6 +17,7 @@
 import org.sequoiareach.decision.event.RequestEvent;
 import org.sequoiareach.decision.membership.MembershipEffect;
 import org.sequoiareach.decision.placement.LoadHint;
+import org.sequoiareach.decision.sheet.SheetEffect;
 import org.sequoiareach.model.platform.TargetHint;
 import org.sequoiareach.model.request.Outcome;
 import org.sequoiareach.model.request.Reason;
@@ -27,6 +28,7 @@
 import org.sequoiareach.peer.PeerListener;
 import org.sequoiareach.peer.PeerMessage;
 import org.sequoiareach.peer.PeerTransport;
+import org.sequoiareach.peer.SheetMessage;
 import org.sequoiareach.platform.time.MonotonicClock;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -44,6 +46,7 @@
   private final Map<String, TargetHint> hints = new ConcurrentHashMap<>();
   private final CompletableFuture<PeerTransport> transport = new CompletableFuture<>();
   private final MembershipBridge members;
+  private final SheetBridge sheets;
   private final CompletableFuture<AttemptRunner> attempts = new CompletableFuture<>();
 
   /**
@@ -56,6 +59,7 @@
     this.events = events;
     this.directory = directory;
     this.members = new MembershipBridge(events, transport);
+    this.sheets = new SheetBridge(events, directory, transport);
   }
 
   /**
@@ -94,7 +98,7 @@
     transport
         .join()
         .send(daemonId, address.get(), open(forward, content, leftMs))
-        .whenComplete((nothing, thrown) -> failUnsent(attemptId, thrown));
+        .whenComplete((nothing, thrown) -> sent(answer, thrown));
     return answer.parts().doFinally(signal -> inbound.remove(attemptId, answer));
   }
 
@@ -110,6 +114,8 @@
   public void handle(Effect effect) {
     if (effect instanceof MembershipEffect membership) {
       members.handle(membership);
+    } else if (effect instanceof SheetEffect sheet) {
+      sheets.handle(sheet);
     } else if (effect instanceof Effect.PublishHint publish) {
       hints.put(publish.hint().targetId(), toMessage(publish.hint()));
     } else if (effect instanceof Effect.RejectForwarded rejected) {
@@ -121,6 +127,8 @@
   public void onMessage(String fromDaemon, PeerMessage message) {
     if (message instanceof MembershipMessage membership) {
       members.onMessage(fromDaemon, membership);
+    } else if (message instanceof SheetMessage sheet) {
+      sheets.onMessage(fromDaemon, sheet);
     } else if (message instanceof AttemptMessage.OpenAttempt open) {
       opened(fromDaemon, open);
     } else if (message instanceof AttemptMessage.CancelAttempt cancel) {
@@ -145,7 +153,8 @@
     String message = "the connection with daemon " + daemonId + " was lost";
     Outcome lost = Outcome.failed(Verdict.MAY_HAVE_RUN, Reason.OWNER_FAILED, message);
     for (InboundAnswer answer : inbound.values()) {
-      if (answer.daemonId().equals(daemonId)) {
+      // One that still waits to be sent goes over the next connection.
+      if (answer.isSent() && answer.daemonId().equals(daemonId)) {
         answer.end(lost);
       }
     }
@@ -200,13 +209,14 @@
     attempts.join().closeForwarded(attemptId);
   }
 
-  private void failUnsent(String attemptId, Throwable thrown) {
+  private static void sent(InboundAnswer answer, Throwable thrown) {
     if (thrown == null) {
+      answer.markSent();
       return;
     }
     Throwable cause = thrown.getCause() == null ? thrown : thrown.getCause();
     Outcome outcome = Failures.outcome(Failures.classify(cause));
-    find(attemptId).ifPresent(answer -> answer.end(outcome));
+    answer.end(outcome);
   }
 
   private void take(Optional<TargetHint> hint) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/json/DecisionJson.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/json/DecisionJson.java
@@ -12,6 +12,8 @@
 import org.sequoiareach.decision.event.TimeEvent;
 import org.sequoiareach.decision.membership.MembershipEffect;
 import org.sequoiareach.decision.membership.MembershipEvent;
+import org.sequoiareach.decision.sheet.SheetEffect;
+import org.sequoiareach.decision.sheet.SheetEvent;
 import org.sequoiareach.model.json.Json;
 
 /**
@@ -27,8 +29,10 @@
           PeerEvent.class,
           TimeEvent.class,
           MembershipEvent.class,
+          SheetEvent.class,
           Effect.class,
-          MembershipEffect.class);
+          MembershipEffect.class,
+          SheetEffect.class);
 
   private static final ObjectMapper MAPPER = createMapper();
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/DecisionReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/DecisionReducer.java
@@ -11,9 +11,11 @@
 import org.sequoiareach.decision.event.PlatformEvent;
 import org.sequoiareach.decision.event.RequestEvent;
 import org.sequoiareach.decision.event.TimeEvent;
+import org.sequoiareach.decision.group.GroupReducer;
 import org.sequoiareach.decision.membership.MembershipEffect;
 import org.sequoiareach.decision.placement.AdmissionFactory;
 import org.sequoiareach.decision.routing.RoutingStrategy;
+import org.sequoiareach.decision.sheet.SheetEffect;
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.platform.MemberState;
 import org.sequoiareach.model.platform.MemberUpdate;
@@ -31,7 +33,8 @@
   private static final Sheet NO_SHEET = new Sheet(0, List.of(), List.of(), List.of());
 
   private final ReducerSettings settings;
-  private final Ownership ownership;
+  private final GroupReducer group;
+  private final Peers peers;
   private final EffectLog log = new EffectLog();
   private final TargetRegistry targets;
   private final OwnerRole owner;
@@ -46,24 +49,25 @@
    * Creates a reducer that knows nothing yet and is not ready.
    *
    * @param settings the constants of its decisions
-   * @param ownership tells the owner of each target
+   * @param group knows the other daemons and guards the sheet
    * @param generationRouting chooses the target of a generation
    * @param serviceRouting chooses the target of a plain call
    * @param admissions creates the accounts of owned targets
    */
   public DecisionReducer(
       ReducerSettings settings,
-      Ownership ownership,
+      GroupReducer group,
       RoutingStrategy generationRouting,
       RoutingStrategy serviceRouting,
       AdmissionFactory admissions) {
     this.settings = Check.notNull(settings, "settings");
-    this.ownership = Check.notNull(ownership, "ownership");
-    this.readiness = new Readiness(settings, log);
+    this.group = Check.notNull(group, "group");
+    this.peers = new Peers(settings.daemonId(), group);
+    this.readiness = new Readiness(settings, group.guard(), log);
     this.targets = new TargetRegistry(readiness::knowsTargets);
     this.owner = new OwnerRole(settings, targets, admissions, log);
     this.entry =
-        new EntryRole(settings, targets, ownership, generationRouting, serviceRouting, owner, log);
+        new EntryRole(settings, targets, peers, generationRouting, serviceRouting, owner, log);
     owner.setRejectionListener((nowMs, attemptId, out) -> entry.ended(nowMs, attemptId, out));
   }
 
@@ -72,9 +76,11 @@
     long nowMs = event.nowMs();
     if (lastEventMs > 0 && nowMs - lastEventMs > settings.pauseBoundMs()) {
       readiness.paused(nowMs);
+      // The guard of the sheet tells a pause by its ticks; none may have come since.
+      group.reduce(new TimeEvent.Ticked(nowMs)).forEach(this::followGroup);
     }
     lastEventMs = Math.max(lastEventMs, nowMs);
-    ownership.reduce(event).forEach(this::followMembers);
+    group.reduce(event).forEach(this::followGroup);
     if (event instanceof RequestEvent request) {
       applyRequest(request);
     } else if (event instanceof PlatformEvent platform) {
@@ -84,10 +90,10 @@
     } else if (event instanceof TimeEvent time) {
       applyTime(time);
     }
-    if (ownership.version() != polledVersion) {
+    if (peers.version() != polledVersion) {
       pollOwned();
     }
-    readiness.announce(sheet.version());
+    readiness.announce(nowMs, sheet.version());
     return log.take();
   }
 
@@ -159,11 +165,7 @@
   }
 
   private void applyPlatform(PlatformEvent event) {
-    if (event instanceof PlatformEvent.SheetRead read) {
-      adopt(read);
-    } else if (event instanceof PlatformEvent.SheetReadFailed failed) {
-      readiness.sheetReadFailed(failed.nowMs());
-    } else if (event instanceof PlatformEvent.VmsListed listed) {
+    if (event instanceof PlatformEvent.VmsListed listed) {
       listed(listed);
     } else if (event instanceof PlatformEvent.VmListFailed failed) {
       readiness.listFailed(failed.nowMs());
@@ -173,18 +175,10 @@
     }
   }
 
-  private void adopt(PlatformEvent.SheetRead read) {
-    if (read.sheet().version() < sheet.version()) {
-      String reason = "older sheet " + read.sheet().version() + " was read and ignored";
-      log.control("sheet-ignored", "", sheet.version(), reason);
-      return;
-    }
-    readiness.sheetConfirmed(read.askedMs());
-    if (read.sheet().version() > sheet.version()) {
-      sheet = read.sheet();
-      log.add(new Effect.UseSheet(sheet));
-      log.control("sheet-adopted", "", sheet.version(), "a newer sheet is in force");
-    }
+  private void adopt(SheetEffect.SheetAdopted adopted) {
+    sheet = adopted.sheet();
+    log.add(new Effect.UseSheet(sheet));
+    log.control("sheet-adopted", "", sheet.version(), adopted.source());
   }
 
   private void listed(PlatformEvent.VmsListed event) {
@@ -220,26 +214,31 @@
     }
   }
 
-  /** Passes on what the membership wants done, and acts on the daemons it believes dead. */
-  private void followMembers(Effect effect) {
-    log.add(effect);
-    if (!(effect instanceof MembershipEffect.MembersChanged changed)) {
+  /** Passes on what the group wants done, and acts on its news. */
+  private void followGroup(Effect effect) {
+    if (effect instanceof SheetEffect.SheetAdopted adopted) {
+      adopt(adopted);
       return;
     }
-    for (MemberUpdate update : changed.changes()) {
-      String state = update.state().name().toLowerCase(Locale.ROOT);
-      log.control("member-" + state, "", sheet.version(), "daemon " + update.daemonId());
-      if (update.state() == MemberState.DEAD) {
-        entry.daemonLost(lastEventMs, update.daemonId());
-      }
+    log.add(effect);
+    if (effect instanceof MembershipEffect.MembersChanged changed) {
+      changed.changes().forEach(this::followMember);
+    }
+  }
+
+  private void followMember(MemberUpdate update) {
+    String state = update.state().name().toLowerCase(Locale.ROOT);
+    log.control("member-" + state, "", sheet.version(), "daemon " + update.daemonId());
+    if (update.state() == MemberState.DEAD) {
+      entry.daemonLost(lastEventMs, update.daemonId());
     }
   }
 
   private void pollOwned() {
-    polledVersion = ownership.version();
+    polledVersion = peers.version();
     Map<String, String> owned = new LinkedHashMap<>();
     for (VmEntry engine : targets.engines()) {
-      if (ownership.ownerOf(engine.id(), engine.zone()).equals(settings.daemonId())) {
+      if (peers.ownerOf(engine.id(), engine.zone()).equals(settings.daemonId())) {
         owned.put(engine.id(), engine.address());
       }
     }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/EntryRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/EntryRole.java
@@ -34,7 +34,7 @@
 
   private final ReducerSettings settings;
   private final TargetRegistry targets;
-  private final Ownership ownership;
+  private final Peers peers;
   private final RoutingStrategy generationRouting;
   private final RoutingStrategy serviceRouting;
   private final OwnerRole owner;
@@ -51,14 +51,14 @@
   EntryRole(
       ReducerSettings settings,
       TargetRegistry targets,
-      Ownership ownership,
+      Peers peers,
       RoutingStrategy generationRouting,
       RoutingStrategy serviceRouting,
       OwnerRole owner,
       EffectLog log) {
     this.settings = settings;
     this.targets = targets;
-    this.ownership = ownership;
+    this.peers = peers;
     this.generationRouting = generationRouting;
     this.serviceRouting = serviceRouting;
     this.owner = owner;
@@ -82,10 +82,7 @@
     }
     String excess =
         limiter.admit(
-            event.nowMs(),
-            spec.organisation(),
-            organisation.get().limits(),
-            ownership.liveDaemons());
+            event.nowMs(), spec.organisation(), organisation.get().limits(), peers.liveDaemons());
     if (!excess.isEmpty()) {
       long retryAfterMs = settings.retryAfterMs();
       refuse(spec, sheet.version(), Reason.ORGANISATION_LIMIT, excess, retryAfterMs);
@@ -324,8 +321,8 @@
 
   private String ownerFor(ActiveRequest request, String targetId) {
     String zone = targets.find(targetId).map(VmEntry::zone).orElse("");
-    String ownerId = ownership.ownerOf(targetId, zone);
-    boolean usable = ownership.isReachable(ownerId) && !request.failedOwners.contains(ownerId);
+    String ownerId = peers.ownerOf(targetId, zone);
+    boolean usable = peers.isReachable(ownerId) && !request.failedOwners.contains(ownerId);
     return usable ? ownerId : settings.daemonId();
   }
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/Readiness.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/Readiness.java
@@ -1,6 +1,8 @@
 package org.sequoiareach.decision.reducer;
 
+import java.util.Optional;
 import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.sheet.SheetGuard;
 
 /**
  * Decides whether the daemon may take requests: it has a sheet, knows its targets, was not paused
@@ -11,10 +13,9 @@
   private static final long NEVER_MS = -1;
 
   private final ReducerSettings settings;
+  private final SheetGuard guard;
   private final EffectLog log;
-  private long sheetNeededSinceMs;
   private long listNeededSinceMs;
-  private long sheetConfirmedMs = NEVER_MS;
   private long listConfirmedMs = NEVER_MS;
   private boolean draining;
   private long noticeEndMs;
@@ -22,34 +23,24 @@
   private boolean stopped;
   private String announced = "not announced yet";
 
-  Readiness(ReducerSettings settings, EffectLog log) {
+  Readiness(ReducerSettings settings, SheetGuard guard, EffectLog log) {
     this.settings = settings;
+    this.guard = guard;
     this.log = log;
   }
 
   /** Distrusts all that was known before a pause of the process. */
   void paused(long nowMs) {
-    sheetNeededSinceMs = nowMs;
     listNeededSinceMs = nowMs;
     log.control("paused", "", 0, "the process was paused; sheet and targets are read again");
     log.add(new Effect.ReadPlatform("the process was paused"));
   }
 
-  void sheetConfirmed(long askedMs) {
-    sheetConfirmedMs = Math.max(sheetConfirmedMs, askedMs);
-  }
-
   void listConfirmed(long askedMs) {
     listConfirmedMs = Math.max(listConfirmedMs, askedMs);
   }
 
-  /** The service was asked and did not answer: what is known is the best there is. */
-  void sheetReadFailed(long nowMs) {
-    if (sheetConfirmedMs != NEVER_MS) {
-      sheetConfirmedMs = Math.max(sheetConfirmedMs, sheetNeededSinceMs);
-    }
-  }
-
+  /** The list was asked for and did not come: what is known is the best there is. */
   void listFailed(long nowMs) {
     if (listConfirmedMs != NEVER_MS) {
       listConfirmedMs = Math.max(listConfirmedMs, listNeededSinceMs);
@@ -60,10 +51,6 @@
     return listConfirmedMs != NEVER_MS && listConfirmedMs >= listNeededSinceMs;
   }
 
-  boolean knowsSheet() {
-    return sheetConfirmedMs != NEVER_MS && sheetConfirmedMs >= sheetNeededSinceMs;
-  }
-
   void drain(long nowMs, long deadlineMs) {
     if (draining) {
       drainDeadlineMs = Math.min(drainDeadlineMs, deadlineMs);
@@ -79,7 +66,7 @@
     if (draining && nowMs >= noticeEndMs) {
       return "the daemon is leaving";
     }
-    return uncertainty();
+    return uncertainty(nowMs);
   }
 
   boolean takesForwarded(long nowMs) {
@@ -96,8 +83,8 @@
   }
 
   /** Tells the balancer when the answer has changed. */
-  void announce(long sheetVersion) {
-    String obstacle = draining ? "the daemon is leaving" : uncertainty();
+  void announce(long nowMs, long sheetVersion) {
+    String obstacle = draining ? "the daemon is leaving" : uncertainty(nowMs);
     if (obstacle.equals(announced)) {
       return;
     }
@@ -106,9 +93,10 @@
     log.control(obstacle.isEmpty() ? "ready" : "not-ready", "", sheetVersion, obstacle);
   }
 
-  private String uncertainty() {
-    if (!knowsSheet()) {
-      return "the sheet in force is not known";
+  private String uncertainty(long nowMs) {
+    Optional<String> obstacle = guard.obstacle(nowMs);
+    if (obstacle.isPresent()) {
+      return obstacle.get();
     }
     return knowsTargets() ? "" : "the list of targets is not known";
   }
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/fuzz/Host.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/fuzz/Host.java
@@ -15,16 +15,18 @@
 import org.sequoiareach.decision.event.PlatformEvent;
 import org.sequoiareach.decision.event.RequestEvent;
 import org.sequoiareach.decision.event.TimeEvent;
+import org.sequoiareach.decision.group.GroupReducer;
+import org.sequoiareach.decision.group.GroupSettings;
 import org.sequoiareach.decision.membership.MembershipEffect;
 import org.sequoiareach.decision.membership.MembershipEvent;
-import org.sequoiareach.decision.membership.MembershipReducer;
 import org.sequoiareach.decision.membership.MembershipSettings;
-import org.sequoiareach.decision.membership.RendezvousOwnership;
 import org.sequoiareach.decision.placement.PassThroughAdmission;
 import org.sequoiareach.decision.reducer.DecisionReducer;
-import org.sequoiareach.decision.reducer.MembershipOwnership;
 import org.sequoiareach.decision.reducer.ReducerSettings;
 import org.sequoiareach.decision.routing.LeastOutstandingRouting;
+import org.sequoiareach.decision.sheet.SheetEffect;
+import org.sequoiareach.decision.sheet.SheetEvent;
+import org.sequoiareach.decision.sheet.SheetGuardSettings;
 import org.sequoiareach.model.platform.EngineLoad;
 import org.sequoiareach.model.platform.VmEntry;
 import org.sequoiareach.model.platform.VmKind;
@@ -34,7 +36,6 @@
 import org.sequoiareach.model.request.RequestSpec;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.sheet.Sheet;
-import org.sequoiareach.model.sheet.SheetStatus;
 
 /** Stands for one start of a daemon: its reducer and all that performs its effects. */
 final class Host {
@@ -61,13 +62,12 @@
     this.name = id + "#" + incarnation;
     MembershipSettings members =
         new MembershipSettings(id, id + ":1", "z", incarnation, settings.seed() + incarnation);
+    SheetGuardSettings guard =
+        new SheetGuardSettings(id, 15_000, settings.pauseBoundMs(), settings.seed());
     this.reducer =
         new DecisionReducer(
             settings,
-            new MembershipOwnership(
-                id,
-                new MembershipReducer(members, nowMs -> SheetStatus.UNKNOWN),
-                new RendezvousOwnership()),
+            new GroupReducer(new GroupSettings(members, guard)),
             new LeastOutstandingRouting(),
             new LeastOutstandingRouting(),
             PassThroughAdmission::new);
@@ -175,6 +175,8 @@
       fail(failure);
     } else if (effect instanceof MembershipEffect membership) {
       membership(membership);
+    } else if (effect instanceof SheetEffect sheet) {
+      sheet(sheet);
     } else {
       follow(effect);
     }
@@ -405,6 +407,28 @@
     }
   }
 
+  private void sheet(SheetEffect effect) {
+    if (effect instanceof SheetEffect.AskSheetStatus ask) {
+      send(ask.daemonId(), at -> new SheetEvent.SheetStatusAsked(at, id, ask.sequence()));
+    } else if (effect instanceof SheetEffect.AnswerSheetStatus answer) {
+      send(
+          answer.daemonId(),
+          at -> new SheetEvent.SheetStatusAnswered(at, id, answer.sequence(), answer.status()));
+    } else if (effect instanceof SheetEffect.AnnounceSheet announce) {
+      send(announce.daemonId(), at -> new SheetEvent.SheetStatusSeen(at, id, announce.status()));
+    } else if (effect instanceof SheetEffect.PullSheet pull) {
+      send(
+          pull.daemonId(),
+          at -> new SheetEvent.SheetPulled(at, id, pull.haveVersion(), pull.haveSections()));
+    } else if (effect instanceof SheetEffect.SendSheetSections sections) {
+      send(
+          sections.daemonId(),
+          at ->
+              new SheetEvent.SheetSectionsReceived(
+                  at, id, sections.manifest(), sections.catalogue(), sections.organisations()));
+    }
+  }
+
   private void send(String daemonId, LongFunction<Event> event) {
     Host receiver = world.hosts.get(daemonId);
     if (receiver == null || !receiver.alive) {
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/fuzz/Scenario.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/fuzz/Scenario.java
@@ -95,7 +95,7 @@
   private ReducerSettings settings(String id) {
     ReducerSettings usual = ReducerSettings.usual(id, "z", 7);
     long pauseBoundMs =
-        world.has(Mechanism.PAUSE_DETECTION) ? usual.pauseBoundMs() : Long.MAX_VALUE / 4;
+        world.has(Mechanism.PAUSE_DETECTION) ? usual.pauseBoundMs() : Integer.MAX_VALUE / 2;
     return new ReducerSettings(
         id,
         usual.zone(),
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/session/GoldenSessionTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/session/GoldenSessionTest.java
@@ -10,12 +10,15 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.group.GroupReducer;
+import org.sequoiareach.decision.group.GroupSettings;
 import org.sequoiareach.decision.json.DecisionJson;
+import org.sequoiareach.decision.membership.MembershipSettings;
 import org.sequoiareach.decision.placement.PassThroughAdmission;
 import org.sequoiareach.decision.reducer.DecisionReducer;
 import org.sequoiareach.decision.reducer.ReducerSettings;
-import org.sequoiareach.decision.reducer.SoleOwnership;
 import org.sequoiareach.decision.routing.LeastOutstandingRouting;
+import org.sequoiareach.decision.sheet.SheetGuardSettings;
 
 /**
  * Replays whole sessions: each line with an event is applied, and the lines with effects that
@@ -65,10 +68,17 @@
     return replayed;
   }
 
+  private static GroupReducer group() {
+    return new GroupReducer(
+        new GroupSettings(
+            new MembershipSettings("d1", "127.0.0.1:1", "zone-a", 1, 1),
+            new SheetGuardSettings("d1", SheetGuardSettings.DEFAULT_BOUND_MS, 2_000, 1)));
+  }
+
   private static DecisionReducer createReducer() {
     return new DecisionReducer(
         ReducerSettings.usual("d1", "zone-a", 1),
-        new SoleOwnership("d1"),
+        group(),
         new LeastOutstandingRouting(),
         new LeastOutstandingRouting(),
         PassThroughAdmission::new);
