--- a/sequoiareach-client/src/main/java/org/sequoiareach/client/ClientProgram.java
+++ b/sequoiareach-client/src/main/java/org/sequoiareach/client/ClientProgram.java
@@ -82,7 +82,8 @@
 
   private ExitCode run(AbstractCommand command, String name, List<String> words)
       throws CmdLineException {
-    ParserProperties properties = ParserProperties.defaults().withUsageWidth(USAGE_WIDTH);
+    ParserProperties properties =
+        ParserProperties.defaults().withUsageWidth(USAGE_WIDTH).withShowDefaults(false);
     CmdLineParser parser = new CmdLineParser(command, properties);
     parser.parseArgument(words);
     if (command.version()) {
@@ -108,18 +109,20 @@
   }
 
   private static String usage(CmdLineParser parser, String name) {
-    StringWriter options = new StringWriter();
-    parser.printUsage(options, null, OptionHandlerFilter.ALL);
-    String arguments = parser.printExample(OptionHandlerFilter.REQUIRED);
-    return NAME + " " + name + arguments + " [options]\n" + options.toString().stripTrailing();
+    StringWriter text = new StringWriter();
+    text.append(NAME).append(" ").append(name);
+    parser.printSingleLineUsage(text, null);
+    text.append("\n");
+    parser.printUsage(text, null, OptionHandlerFilter.ALL);
+    return text.toString().stripTrailing();
   }
 
   private static String overview() {
     StringBuilder text = new StringBuilder(NAME + " COMMAND [options]\n");
     for (CommandEntry entry : CommandEntry.ALL) {
-      text.append(String.format("  %-14s %s%n", entry.name(), entry.summary()));
+      text.append(String.format("  %-16s %s%n", entry.name(), entry.summary()));
     }
-    text.append(String.format("  %-14s %s%n", "--check-settings", "only check the settings"));
+    text.append(String.format("  %-16s %s%n", "--check-settings", "only check the settings"));
     text.append("Every command takes --help, --version, --json and --settings FILE.\nExit codes:");
     Arrays.stream(ExitCode.values()).forEach(code -> text.append(" ").append(describe(code)));
     return text.toString();
--- a/sequoiareach-client/src/main/java/org/sequoiareach/client/daemons/StatusCommand.java
+++ b/sequoiareach-client/src/main/java/org/sequoiareach/client/daemons/StatusCommand.java
@@ -33,7 +33,11 @@
             daemon.field("attemptsOwned"),
             daemon.field("version"));
       }
-      return table.toString();
+      StringBuilder text = new StringBuilder(table.toString());
+      daemons.stream()
+          .filter(daemon -> daemon.answer().isEmpty())
+          .forEach(daemon -> text.append("\n" + daemon.daemon() + ": " + daemon.problem()));
+      return text.toString();
     }
 
     @Override
@@ -47,7 +51,7 @@
 
     private static String state(DaemonAnswer daemon) {
       if (daemon.answer().isEmpty()) {
-        return "no answer: " + daemon.problem();
+        return "no answer";
       }
       boolean ready = daemon.answer().get().path("ready").asBoolean();
       return ready ? "ready" : "not ready: " + daemon.field("readyReason");
--- a/sequoiareach-client/src/test/java/org/sequoiareach/client/ClientProgramTest.java
+++ b/sequoiareach-client/src/test/java/org/sequoiareach/client/ClientProgramTest.java
@@ -76,6 +76,7 @@
     "--help,OK,sheet export",
     "--version,OK,sequoiareach 0.1.0",
     "sheet check --help,OK,--json",
+    "sheet export --help,OK,sequoiareach sheet export FILE",
     "sheet export --version,OK,sequoiareach 0.1.0",
     "status --help,OK,--settings"
   })
