Write costs into the reasons of a choice without a formatter

Cause: choosing a target took 5 us and 5 kB, almost all of it for formatting two costs for the log line.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/placement/ExpectedMemoryAdmission.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/placement/ExpectedMemoryAdmission.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import org.sequoiareach.decision.budget.FairShare;
 import org.sequoiareach.decision.length.LengthEstimator;
@@ -186,12 +185,8 @@
     int priority = EnginePriority.of(attempt.priority(), expected);
     forecast.start(nowMs, attempt, lengths);
     shares.served(nowMs, attempt.spec().organisation(), queued.needTokens());
-    String reason =
-        String.format(
-            Locale.ROOT,
-            "expected fill %.2f, batch %d",
-            forecast.expectedFill(nowMs),
-            forecast.running());
+    long percent = Math.round(100 * forecast.expectedFill(nowMs));
+    String reason = "expected fill " + percent + " %, batch " + forecast.running();
     return new Admission(attempt, Admission.Action.START, priority, reason, 0);
   }
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/routing/TwoChoicesRouting.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/routing/TwoChoicesRouting.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import org.sequoiareach.decision.placement.LoadHint;
@@ -166,7 +165,7 @@
     }
 
     private static String text(double cost) {
-      return String.format(Locale.ROOT, "%.2f", cost);
+      return String.valueOf(Math.round(cost * 100) / 100.0);
     }
   }
 
