Cut all followers though one asks for a round in between

Cutting walked the list that such a round changes: the new test ended in ConcurrentModificationException before and passes now. An engine whose timer fails says so in its log in place of standing still unseen.

--- a/sequoiareach-standin/src/main/java/org/sequoiareach/standin/engine/EngineFaults.java
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/engine/EngineFaults.java
@@ -7,8 +7,8 @@
  * Holds the fault switches of an engine stand-in.
  *
  * @param slowdownFactor the factor on the duration of steps; 0 for 1
- * @param stalledMs milliseconds without any progress, from the moment the switches are set or until
- *     they are set anew
+ * @param stalledMs milliseconds without any progress after the switches are set; setting them anew
+ *     ends the stall
  * @param dieBeforeFirstToken how many of the next generations die in place of their first token
  * @param dieAfterTokens the token after which every generation dies; 0 for none
  * @param refuse whether new generations are answered 503
--- a/sequoiareach-standin/src/main/java/org/sequoiareach/standin/engine/EngineRunner.java
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/engine/EngineRunner.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Drives an engine model by the clock and serves its followers. Thread-safe: one lock guards the
@@ -14,6 +16,7 @@
  */
 final class EngineRunner {
 
+  private static final Logger LOG = LogManager.getLogger(EngineRunner.class);
   private static final double NANOS_PER_MS = 1e6;
   private static final ScheduledExecutorService TIMER =
       Executors.newSingleThreadScheduledExecutor(
@@ -55,8 +58,9 @@
   }
 
   synchronized void cutFollowers() {
-    followers.forEach(Follower::cut);
+    List<Follower> all = List.copyOf(followers);
     followers.clear();
+    all.forEach(Follower::cut);
   }
 
   synchronized void stop() {
@@ -67,8 +71,13 @@
   }
 
   private synchronized void tick() {
-    model.advance(nowMs());
-    pump();
+    try {
+      model.advance(nowMs());
+      pump();
+    } catch (RuntimeException e) {
+      LOG.error("The engine stands still.", e);
+      throw e;
+    }
   }
 
   private void pump() {
--- a/sequoiareach-standin/src/test/java/org/sequoiareach/standin/engine/EngineRunnerTest.java
+++ b/sequoiareach-standin/src/test/java/org/sequoiareach/standin/engine/EngineRunnerTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.reactivestreams.Subscription;
@@ -39,6 +40,16 @@
     assertThat(second).hasSize(TOKENS + 1).doesNotHaveDuplicates();
   }
 
+  @Test
+  void cutsAllFollowersThoughOneAsksInBetween() {
+    EngineRunner runner = new EngineRunner(EngineSettings.of("e1", "m"));
+    List<AskingFollower> followers =
+        List.of(new AskingFollower(runner), new AskingFollower(runner), new AskingFollower(runner));
+    followers.forEach(runner::follow);
+    runner.cutFollowers();
+    assertThat(followers).extracting(follower -> follower.cuts).containsOnly(1);
+  }
+
   private static Flux<String> stream(EngineRunner runner, String id) {
     CompletionRequest request =
         new CompletionRequest(
@@ -80,4 +91,26 @@
       }
     };
   }
+
+  /** Ends when it is cut, and asks for a round then. */
+  private static final class AskingFollower implements Follower {
+
+    private final EngineRunner runner;
+    private int cuts;
+
+    private AskingFollower(EngineRunner runner) {
+      this.runner = runner;
+    }
+
+    @Override
+    public boolean pump() {
+      return cuts > 0;
+    }
+
+    @Override
+    public void cut() {
+      cuts++;
+      runner.pumpNow();
+    }
+  }
 }
