--- a/sequoiareach-standin/src/main/java/org/sequoiareach/standin/kv/KvFaults.java
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/kv/KvFaults.java
@@ -7,8 +7,8 @@
  *
  * @param down whether calls lose their connection without taking effect; open watches are cut
  * @param delayMs milliseconds between the arrival of a call and its effect
- * @param loseAnswerAfterWrite how many of the next puts, deletions and transactions take effect and
- *     then lose their connection
+ * @param loseAnswerAfterWrite how many of the next puts, deletions, transactions, grants and
+ *     revocations take effect and then lose their connection
  * @param ratePerSecond the rate of all calls beyond which calls are refused; 0 for no limit
  * @param watchCut whether open watches are closed and new ones lose their connection
  */
