Eject failing and slow targets and pay for retries from a budget

Cause: a request chose a dead engine as readily as a live one until the list told, and every daemon retried at will. Ruled out: ejection by the owner alone (plain services have no owner).

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/DecisionReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/DecisionReducer.java
@@ -38,6 +38,7 @@
   private final EffectLog log = new EffectLog();
   private final TargetRegistry targets;
   private final OwnerRole owner;
+  private final TargetSelector selector;
   private final EntryRole entry;
   private final Readiness readiness;
   private Sheet sheet = NO_SHEET;
@@ -66,8 +67,9 @@
     this.readiness = new Readiness(settings, group.guard(), log);
     this.targets = new TargetRegistry(readiness::knowsTargets);
     this.owner = new OwnerRole(settings, targets, admissions, log);
-    this.entry =
-        new EntryRole(settings, targets, peers, generationRouting, serviceRouting, owner, log);
+    this.selector =
+        new TargetSelector(settings, targets, generationRouting, serviceRouting, owner, log);
+    this.entry = new EntryRole(settings, targets, peers, selector, owner, log);
     owner.setRejectionListener((nowMs, attemptId, out) -> entry.ended(nowMs, attemptId, out));
   }
 
@@ -188,6 +190,7 @@
       owner.withdraw(event.nowMs(), targetId, "target " + targetId + " is leaving");
     }
     owner.forgetUnlisted();
+    selector.retain(targetId -> targets.find(targetId).isPresent());
     log.add(new Effect.UseVms(event.vms()));
     pollOwned();
     routeParked(event.nowMs());
@@ -250,7 +253,7 @@
 
   private void applyPeer(PeerEvent event) {
     if (event instanceof PeerEvent.HintReceived received) {
-      entry.hintReceived(received);
+      selector.hintReceived(received.nowMs(), received.hint());
     } else if (event instanceof PeerEvent.DaemonLost lost) {
       entry.daemonLost(lost.nowMs(), lost.daemonId());
     }
@@ -264,6 +267,7 @@
     }
     long nowMs = event.nowMs();
     entry.expire(nowMs);
+    selector.judgeGaps(nowMs);
     owner.reviewAll(nowMs);
     boolean idle = entry.requestsInProgress() == 0 && owner.attemptsInProgress() == 0;
     if (readiness.isDrained(nowMs, idle)) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/EntryRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/EntryRole.java
@@ -1,6 +1,5 @@
 package org.sequoiareach.decision.reducer;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -10,14 +9,10 @@
 import java.util.Set;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.event.ClaimResult;
-import org.sequoiareach.decision.event.PeerEvent;
 import org.sequoiareach.decision.event.RequestEvent;
 import org.sequoiareach.decision.placement.PendingAttempt;
 import org.sequoiareach.decision.routing.RouteChoice;
-import org.sequoiareach.decision.routing.RoutingStrategy;
-import org.sequoiareach.decision.routing.TargetView;
 import org.sequoiareach.model.platform.VmEntry;
-import org.sequoiareach.model.platform.VmKind;
 import org.sequoiareach.model.request.Outcome;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.RequestKind;
@@ -35,35 +30,28 @@
   private final ReducerSettings settings;
   private final TargetRegistry targets;
   private final Peers peers;
-  private final RoutingStrategy generationRouting;
-  private final RoutingStrategy serviceRouting;
+  private final TargetSelector selector;
   private final OwnerRole owner;
   private final EffectLog log;
-  private final DrawSequence draws;
   private final OrganisationLimiter limiter = new OrganisationLimiter();
-  private final HintTable hints = new HintTable();
   private final Map<String, ActiveRequest> requests = new LinkedHashMap<>();
   private final Map<String, ActiveRequest> byAttempt = new HashMap<>();
   private final Map<String, RequestSpec> unansweredClaims = new HashMap<>();
-  private final Map<String, Integer> outstanding = new HashMap<>();
   private final Set<ActiveRequest> parked = new LinkedHashSet<>();
 
   EntryRole(
       ReducerSettings settings,
       TargetRegistry targets,
       Peers peers,
-      RoutingStrategy generationRouting,
-      RoutingStrategy serviceRouting,
+      TargetSelector selector,
       OwnerRole owner,
       EffectLog log) {
     this.settings = settings;
     this.targets = targets;
     this.peers = peers;
-    this.generationRouting = generationRouting;
-    this.serviceRouting = serviceRouting;
+    this.selector = selector;
     this.owner = owner;
     this.log = log;
-    this.draws = new DrawSequence(settings.seed());
   }
 
   /** Admits a request or refuses it at once. */
@@ -170,6 +158,7 @@
     if (request == null) {
       return false;
     }
+    selector.judge(nowMs, request, outcome);
     if (outcome.succeeded()) {
       succeed(request);
       return false;
@@ -199,10 +188,6 @@
     }
   }
 
-  void hintReceived(PeerEvent.HintReceived event) {
-    hints.record(event.nowMs(), event.hint());
-  }
-
   /** Ends every attempt that went to a daemon that is gone. */
   void daemonLost(long nowMs, String daemonId) {
     for (ActiveRequest request : List.copyOf(requests.values())) {
@@ -262,12 +247,9 @@
       return;
     }
     RequestSpec spec = request.spec;
-    boolean generation = spec.kind() == RequestKind.GENERATION;
-    List<TargetView> candidates = candidates(nowMs, request);
-    RoutingStrategy strategy = generation ? generationRouting : serviceRouting;
-    Optional<RouteChoice> choice = strategy.choose(nowMs, spec, candidates, draws.next());
+    Optional<RouteChoice> choice = selector.choose(nowMs, request);
     if (choice.isEmpty()) {
-      Reason reason = request.triedTargets.isEmpty() ? Reason.NO_TARGET : Reason.NO_CAPACITY;
+      Reason reason = request.attempts == 0 ? Reason.NO_TARGET : Reason.NO_CAPACITY;
       String message = "no live target has room for " + spec.resource();
       finish(request, request.verdict, reason, message, retryAfter(request));
       return;
@@ -277,7 +259,8 @@
     request.targetId = targetId;
     request.triedTargets.add(targetId);
     byAttempt.put(request.attemptId, request);
-    outstanding.merge(targetId, 1, Integer::sum);
+    selector.attemptBegun(targetId);
+    boolean generation = spec.kind() == RequestKind.GENERATION;
     request.ownerId = generation ? ownerFor(request, targetId) : settings.daemonId();
     String reason = choice.get().reason() + " owner=" + request.ownerId;
     log.decision("route", spec, targetId, request.sheetVersion, reason, choice.get().losers());
@@ -326,24 +309,6 @@
     return usable ? ownerId : settings.daemonId();
   }
 
-  private List<TargetView> candidates(long nowMs, ActiveRequest request) {
-    boolean generation = request.spec.kind() == RequestKind.GENERATION;
-    VmKind kind = generation ? VmKind.ENGINE : VmKind.SERVICE;
-    List<TargetView> views = new ArrayList<>();
-    for (VmEntry vm : targets.placeable(kind, request.spec.resource())) {
-      if (!request.triedTargets.contains(vm.id())) {
-        views.add(view(nowMs, vm));
-      }
-    }
-    return views;
-  }
-
-  private TargetView view(long nowMs, VmEntry vm) {
-    owner.findHint(nowMs, vm.id()).ifPresent(hint -> hints.record(nowMs, hint));
-    boolean sameZone = vm.zone().equals(settings.zone());
-    return hints.view(nowMs, vm, sameZone, outstanding.getOrDefault(vm.id(), 0));
-  }
-
   private void retryOrFinish(long nowMs, ActiveRequest request, Outcome outcome) {
     boolean certain = outcome.verdict() == Verdict.NOT_RUN;
     boolean unseen = !request.started || !request.spec.streamed();
@@ -413,15 +378,10 @@
 
   private void endAttempt(ActiveRequest request) {
     if (byAttempt.remove(request.attemptId) != null) {
-      outstanding.merge(request.targetId, -1, EntryRole::sumOrNull);
+      selector.attemptOver(request.targetId);
     }
   }
 
-  private static Integer sumOrNull(Integer count, Integer change) {
-    int sum = count + change;
-    return sum == 0 ? null : sum;
-  }
-
   private void succeed(ActiveRequest request) {
     settle(request, Verdict.RAN);
     log.decision("finish", request.spec, request.targetId, request.sheetVersion, "ran");
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/HintTable.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/HintTable.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.sequoiareach.decision.placement.LoadHint;
 import org.sequoiareach.decision.routing.TargetView;
 import org.sequoiareach.model.platform.VmEntry;
@@ -23,7 +24,7 @@
     return new TargetView(vm.id(), vm.zone(), sameZone, outstanding, hint, ageMs);
   }
 
-  void retain(java.util.function.Predicate<String> known) {
+  void retain(Predicate<String> known) {
     hints.keySet().removeIf(known.negate());
   }
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/TargetRegistry.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/TargetRegistry.java
@@ -92,6 +92,14 @@
         .toList();
   }
 
+  /** Returns the engines that may get new work, a list for each model. */
+  List<List<VmEntry>> enginesByModel() {
+    return byResource.keySet().stream()
+        .map(model -> placeable(VmKind.ENGINE, model))
+        .filter(engines -> !engines.isEmpty())
+        .toList();
+  }
+
   private void add(VmEntry vm) {
     if (vm.kind() == VmKind.DAEMON) {
       daemons.add(vm);
