Spend each organisation's plan from portions written down first

Cause: the plan of the sheet was read by nobody; spending followed demand. A change whose answer was lost is recognised by its number. Without the service a daemon spends what it holds, then refuses as not run. Ruled out: counting afterwards (a crash would leave spending unseen); portions for all organisations at the start of each daemon (writes by daemons times organisations). Measured: session plan-spent; BudgetTest races 30 answers through two daemons. Left: one ledger key an organisation and a portion a daemon suit six daemons, not 1,500; there the owner of a budget must hand portions on (docs/CAPACITY.md). A daemon that stops leaves what it held unspent.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/Daemon.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/Daemon.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.net.InetSocketAddress;
+import java.time.Clock;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
@@ -20,7 +21,9 @@
 import org.sequoiareach.daemon.operator.ReadinessFlag;
 import org.sequoiareach.daemon.peer.PeerBridge;
 import org.sequoiareach.daemon.peer.PeerDirectory;
+import org.sequoiareach.daemon.platform.BudgetGateway;
 import org.sequoiareach.daemon.platform.ClaimGateway;
+import org.sequoiareach.daemon.platform.DayTimer;
 import org.sequoiareach.daemon.platform.LoadPoller;
 import org.sequoiareach.daemon.platform.PlatformPoller;
 import org.sequoiareach.daemon.settings.DaemonSettings;
@@ -111,8 +114,10 @@
             attempts,
             platform,
             loads,
+            new BudgetGateway(keyValues, loop),
             new ClaimGateway(new GroupCommitClaimRegistry(keyValues, claimScheduler), loop),
             this::stopWhenTold));
+    new DayTimer(Clock.systemUTC(), loop, timer).start();
     platform.start();
     loads.start();
     RequestIds ids = new RequestIds(settings.daemonId(), incarnation);
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/ReducerFactory.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/ReducerFactory.java
@@ -32,7 +32,8 @@
     long seed = settings.seed().orElse(incarnation) + daemonId.hashCode();
     Policy policy = Policy.fromLabel(settings.policy().name());
     StrategyFactory factory = new StrategyFactory(policy, AdmissionSettings.defaults());
-    ReducerSettings usual = ReducerSettings.usual(daemonId, settings.zone(), seed);
+    String runId = daemonId + "-" + Long.toString(incarnation, Character.MAX_RADIX);
+    ReducerSettings usual = ReducerSettings.usual(daemonId, runId, settings.zone(), seed);
     MembershipSettings members =
         new MembershipSettings(daemonId, peerAddress, settings.zone(), incarnation, seed);
     SheetGuardSettings guard =
--- /dev/null
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/platform/DayTimer.java
@@ -0,0 +1,44 @@
+package org.sequoiareach.daemon.platform;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.LocalDate;
+import java.time.ZoneOffset;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.sequoiareach.daemon.control.EventSink;
+import org.sequoiareach.decision.event.BudgetEvent;
+import org.sequoiareach.platform.time.MonotonicClock;
+
+/** Tells the reducer which day of plans it is, at the start and at each midnight UTC. */
+public final class DayTimer {
+
+  private final Clock clock;
+  private final EventSink events;
+  private final ScheduledExecutorService timer;
+
+  /**
+   * Creates a timer that is not started.
+   *
+   * @param clock the wall clock
+   * @param events the reducer's sink
+   * @param timer runs the period
+   */
+  public DayTimer(Clock clock, EventSink events, ScheduledExecutorService timer) {
+    this.clock = clock;
+    this.events = events;
+    this.timer = timer;
+  }
+
+  /** Tells the day now and from then on each day. */
+  public void start() {
+    Instant now = clock.instant();
+    LocalDate day = LocalDate.ofInstant(now, ZoneOffset.UTC);
+    Instant end = day.plusDays(1).atStartOfDay(ZoneOffset.UTC).toInstant();
+    long leftMs = Math.max(1, Duration.between(now, end).toMillis());
+    long nowMs = MonotonicClock.nowMs();
+    events.post(new BudgetEvent.DayBegan(nowMs, day.toString(), nowMs + leftMs));
+    timer.schedule(this::start, leftMs, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/BudgetTest.java
@@ -0,0 +1,85 @@
+package org.sequoiareach.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sequoiareach.standin.kv.KvFaults;
+
+/** Spending never passes the plan of the sheet, over all daemons, and refusals are honest. */
+class BudgetTest {
+
+  private static final int PLANNED_TOKENS = 9_000;
+  private static final int ANSWER_TOKENS = 400;
+
+  private Deployment deployment;
+  private List<Daemon> daemons;
+
+  @BeforeEach
+  void start() {
+    deployment = new Deployment(2);
+    deployment.export(Deployment.sheet(50, PLANNED_TOKENS));
+    daemons = List.of(deployment.startDaemon("d1"), deployment.startDaemon("d2"));
+  }
+
+  @AfterEach
+  void stop() {
+    deployment.close();
+  }
+
+  @Test
+  void staysWithinThePlanWhileDaemonsRace() {
+    List<CompletableFuture<HttpResponse<String>>> racing =
+        IntStream.range(0, 30)
+            .mapToObj(i -> deployment.complete(daemon(i), Deployment.KEY, ANSWER_TOKENS, true))
+            .toList();
+    List<HttpResponse<String>> answers = racing.stream().map(CompletableFuture::join).toList();
+    assertThat(generatedTokens()).isBetween((long) ANSWER_TOKENS, (long) PLANNED_TOKENS);
+    assertThat(answers).allSatisfy(answer -> assertThat(answer.statusCode()).isIn(200, 429, 503));
+    assertThat(answers)
+        .filteredOn(answer -> answer.statusCode() != 200)
+        .isNotEmpty()
+        .allSatisfy(BudgetTest::isRefusedAsNotRun);
+  }
+
+  @Test
+  void refusesAsNotRunWhenNoPortionCanBeHad() {
+    deployment.keyValues.setFaults(new KvFaults(true, 0, 0, 0, false));
+    HttpResponse<String> answer =
+        deployment.complete(daemon(0), Deployment.KEY, ANSWER_TOKENS, true).join();
+    assertThat(answer.statusCode()).isEqualTo(503);
+    assertThat(answer.body()).contains("budget-unavailable");
+    isRefusedAsNotRun(answer);
+    assertThat(generatedTokens()).isZero();
+  }
+
+  @Test
+  void takesEachPortionOnceThoughAnswersAreLost() {
+    deployment.keyValues.setFaults(new KvFaults(false, 0, 2, 0, false));
+    IntStream.range(0, 8)
+        .mapToObj(i -> deployment.complete(daemon(i), Deployment.KEY, ANSWER_TOKENS, true))
+        .toList()
+        .forEach(CompletableFuture::join);
+    assertThat(generatedTokens()).isLessThanOrEqualTo(PLANNED_TOKENS);
+  }
+
+  private static void isRefusedAsNotRun(HttpResponse<String> answer) {
+    assertThat(answer.headers().firstValue("Sequoiareach-Verdict")).contains("not-run");
+    assertThat(answer.headers().firstValue("Retry-After")).isPresent();
+  }
+
+  private Daemon daemon(int number) {
+    return daemons.get(number % daemons.size());
+  }
+
+  private long generatedTokens() {
+    return deployment.engines.values().stream()
+        .mapToLong(engine -> engine.record().generatedTokens())
+        .sum();
+  }
+}
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/Deployment.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/Deployment.java
@@ -70,6 +70,10 @@
   }
 
   static Sheet sheet(int concurrentRequests) {
+    return sheet(concurrentRequests, 1_000_000);
+  }
+
+  static Sheet sheet(int concurrentRequests, long tokensPerDay) {
     OperationEntry book = new OperationEntry("POST", "/bookings", false);
     OperationEntry look = new OperationEntry("GET", "/bookings/*", true);
     return new Sheet(
@@ -77,18 +81,19 @@
         List.of(new ModelEntry("contract-70b", "1", 32_768, 1, 2)),
         List.of(new ServiceEntry("dispatch", List.of(book, look))),
         List.of(
-            organisation("acme", KEY, concurrentRequests),
-            organisation("other", OTHER_KEY, concurrentRequests)));
+            organisation("acme", KEY, concurrentRequests, tokensPerDay),
+            organisation("other", OTHER_KEY, concurrentRequests, tokensPerDay)));
   }
 
-  private static OrganisationEntry organisation(String id, String key, int concurrentRequests) {
+  private static OrganisationEntry organisation(
+      String id, String key, int concurrentRequests, long tokensPerDay) {
     return new OrganisationEntry(
         id,
         List.of(org.sequoiareach.daemon.caller.TestKeys.digest(key)),
         5,
         List.of("contract-70b"),
         List.of("dispatch"),
-        new PlanEntry(1_000_000, 1_000_000),
+        new PlanEntry(1_000_000, tokensPerDay),
         new LimitsEntry(concurrentRequests, 1_000));
   }
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/budget/TokenAmount.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/budget/TokenAmount.java
@@ -1,5 +1,6 @@
 package org.sequoiareach.decision.budget;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import org.sequoiareach.model.Check;
 
 /**
@@ -95,6 +96,7 @@
    *
    * @return whether both parts are 0
    */
+  @JsonIgnore
   public boolean isNone() {
     return prompt == 0 && completion == 0;
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/effect/Effect.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/effect/Effect.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
 import java.util.Map;
+import org.sequoiareach.decision.budget.LedgerEntry;
+import org.sequoiareach.decision.budget.TokenAmount;
 import org.sequoiareach.decision.placement.LoadHint;
 import org.sequoiareach.model.platform.VmEntry;
 import org.sequoiareach.model.request.Reason;
@@ -25,6 +27,7 @@
   @JsonSubTypes.Type(Effect.PublishHint.class),
   @JsonSubTypes.Type(Effect.Claim.class),
   @JsonSubTypes.Type(Effect.SettleClaim.class),
+  @JsonSubTypes.Type(Effect.WriteLedger.class),
   @JsonSubTypes.Type(Effect.FailRequest.class),
   @JsonSubTypes.Type(Effect.PollLoads.class),
   @JsonSubTypes.Type(Effect.ReadPlatform.class),
@@ -172,6 +175,18 @@
       String requestId, String organisation, String service, String idempotencyKey, Verdict verdict)
       implements Effect {}
 
+  /**
+   * Writes a change of the ledger of an organisation's day to the key-value service, by
+   * compare-and-swap. A change that was applied before is recognised and not applied again.
+   *
+   * @param organisation the organisation
+   * @param day the day
+   * @param entry the change
+   * @param plan the plan in force
+   */
+  record WriteLedger(String organisation, String day, LedgerEntry entry, TokenAmount plan)
+      implements Effect {}
+
   /**
    * Gives a request its final answer at once: a failure. Where tokens were already delivered the
    * stream ends with an error.
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/json/DecisionJson.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/json/DecisionJson.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.List;
 import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.event.BudgetEvent;
 import org.sequoiareach.decision.event.Event;
 import org.sequoiareach.decision.event.PeerEvent;
 import org.sequoiareach.decision.event.PlatformEvent;
@@ -28,6 +29,7 @@
           PlatformEvent.class,
           PeerEvent.class,
           TimeEvent.class,
+          BudgetEvent.class,
           MembershipEvent.class,
           SheetEvent.class,
           Effect.class,
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/ActiveRequest.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/ActiveRequest.java
@@ -12,6 +12,8 @@
   enum Stage {
     /** Its idempotency key is being claimed. */
     CLAIMING,
+    /** It waits for a portion of its organisation's plan. */
+    FUNDING,
     /** An attempt is with the owner of its target, or on the target. */
     TRYING
   }
@@ -32,6 +34,9 @@
   int resumes;
   Verdict verdict = Verdict.NOT_RUN;
   long retryAfterMs;
+  long fundByMs;
+  int attemptTokens;
+  long usedTokens;
 
   ActiveRequest(RequestSpec spec, int priority, long sheetVersion, long deadlineMs) {
     this.spec = spec;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/DecisionReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/DecisionReducer.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.event.BudgetEvent;
 import org.sequoiareach.decision.event.Event;
 import org.sequoiareach.decision.event.PeerEvent;
 import org.sequoiareach.decision.event.PlatformEvent;
@@ -39,6 +40,7 @@
   private final TargetRegistry targets;
   private final OwnerRole owner;
   private final TargetSelector selector;
+  private final BudgetRole budgets;
   private final EntryRole entry;
   private final Readiness readiness;
   private Sheet sheet = NO_SHEET;
@@ -69,7 +71,8 @@
     this.owner = new OwnerRole(settings, targets, admissions, log);
     this.selector =
         new TargetSelector(settings, targets, generationRouting, serviceRouting, owner, log);
-    this.entry = new EntryRole(settings, targets, peers, selector, owner, log);
+    this.budgets = new BudgetRole(settings, log);
+    this.entry = new EntryRole(settings, targets, peers, selector, owner, budgets, log);
     owner.setRejectionListener((nowMs, attemptId, out) -> entry.ended(nowMs, attemptId, out));
   }
 
@@ -89,6 +92,8 @@
       applyPlatform(platform);
     } else if (event instanceof PeerEvent peer) {
       applyPeer(peer);
+    } else if (event instanceof BudgetEvent budget) {
+      applyBudget(budget);
     } else if (event instanceof TimeEvent time) {
       applyTime(time);
     }
@@ -179,6 +184,7 @@
 
   private void adopt(SheetEffect.SheetAdopted adopted) {
     sheet = adopted.sheet();
+    budgets.useSheet(sheet);
     log.add(new Effect.UseSheet(sheet));
     log.control("sheet-adopted", "", sheet.version(), adopted.source());
   }
@@ -259,6 +265,18 @@
     }
   }
 
+  private void applyBudget(BudgetEvent event) {
+    if (event instanceof BudgetEvent.DayBegan began) {
+      budgets.dayBegan(began);
+      entry.funded(began.nowMs(), organisation -> true);
+    } else if (event instanceof BudgetEvent.LedgerWritten written) {
+      budgets.written(written);
+      entry.funded(written.nowMs(), written.organisation()::equals);
+    } else if (event instanceof BudgetEvent.LedgerUnknown unknown) {
+      budgets.unknown(unknown);
+    }
+  }
+
   private void applyTime(TimeEvent event) {
     if (event instanceof TimeEvent.DrainRequested drain) {
       readiness.drain(drain.nowMs(), drain.deadlineMs());
@@ -267,6 +285,7 @@
     }
     long nowMs = event.nowMs();
     entry.expire(nowMs);
+    budgets.tick(nowMs);
     selector.judgeGaps(nowMs);
     owner.reviewAll(nowMs);
     boolean idle = entry.requestsInProgress() == 0 && owner.attemptsInProgress() == 0;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/EntryRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/EntryRole.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
+import org.sequoiareach.decision.budget.TokenAmount;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.event.ClaimResult;
 import org.sequoiareach.decision.event.RequestEvent;
@@ -32,6 +34,7 @@
   private final Peers peers;
   private final TargetSelector selector;
   private final OwnerRole owner;
+  private final BudgetRole budgets;
   private final EffectLog log;
   private final OrganisationLimiter limiter = new OrganisationLimiter();
   private final Map<String, ActiveRequest> requests = new LinkedHashMap<>();
@@ -45,12 +48,14 @@
       Peers peers,
       TargetSelector selector,
       OwnerRole owner,
+      BudgetRole budgets,
       EffectLog log) {
     this.settings = settings;
     this.targets = targets;
     this.peers = peers;
     this.selector = selector;
     this.owner = owner;
+    this.budgets = budgets;
     this.log = log;
   }
 
@@ -138,6 +143,9 @@
         "detach", request.spec, request.targetId, request.sheetVersion, "the caller is gone");
     owner.remove(nowMs, request.attemptId);
     log.add(new Effect.ReleaseAttempt(request.attemptId));
+    // The generation goes on unseen: it is taken to use all that was reserved for it.
+    RequestSpec spec = request.spec;
+    budgets.settle(spec, new TokenAmount(spec.promptTokens(), spec.maxTokens()));
     forget(request);
   }
 
@@ -160,6 +168,7 @@
     }
     selector.judge(nowMs, request, outcome);
     if (outcome.succeeded()) {
+      request.attemptTokens = outcome.tokens();
       succeed(request);
       return false;
     }
@@ -181,9 +190,20 @@
     waiting.forEach(request -> route(nowMs, request));
   }
 
+  /** Goes on with the requests that wait for a portion of the plans of some organisations. */
+  void funded(long nowMs, Predicate<String> organisations) {
+    for (ActiveRequest request : List.copyOf(requests.values())) {
+      boolean waits = request.stage == ActiveRequest.Stage.FUNDING;
+      if (waits && organisations.test(request.spec.organisation())) {
+        fund(nowMs, request);
+      }
+    }
+  }
+
   void progressed(RequestEvent.AttemptProgressed event) {
     ActiveRequest request = byAttempt.get(event.attemptId());
     if (request != null) {
+      request.attemptTokens = event.tokens();
       request.resumes = 0;
     }
   }
@@ -204,7 +224,12 @@
   /** Gives up every request whose deadline has passed. */
   void expire(long nowMs) {
     for (ActiveRequest request : List.copyOf(requests.values())) {
-      if (nowMs >= request.deadlineMs) {
+      boolean unfunded = request.stage == ActiveRequest.Stage.FUNDING && nowMs >= request.fundByMs;
+      if (unfunded) {
+        String message = "no portion of the plan could be had";
+        long retryAfterMs = settings.retryAfterMs();
+        finish(request, Verdict.NOT_RUN, Reason.BUDGET_UNAVAILABLE, message, retryAfterMs);
+      } else if (nowMs >= request.deadlineMs) {
         stopAttempt(nowMs, request);
         String message = "the request's deadline has passed";
         finish(request, request.verdict, Reason.DEADLINE, message, settings.retryAfterMs());
@@ -226,6 +251,11 @@
   }
 
   private void begin(long nowMs, ActiveRequest request) {
+    if (request.spec.kind() == RequestKind.GENERATION) {
+      request.fundByMs = nowMs + settings.fundWithinMs();
+      fund(nowMs, request);
+      return;
+    }
     if (request.spec.repeatable()) {
       route(nowMs, request);
       return;
@@ -241,6 +271,25 @@
             request.deadlineMs));
   }
 
+  /** Reserves a request's tokens in its organisation's plan, then routes it. */
+  private void fund(long nowMs, ActiveRequest request) {
+    request.stage = ActiveRequest.Stage.FUNDING;
+    switch (budgets.reserve(nowMs, request.spec)) {
+      case RESERVED -> {
+        request.stage = ActiveRequest.Stage.TRYING;
+        route(nowMs, request);
+      }
+      case SPENT -> {
+        String message = "the plan of the day has no room for this request";
+        long retryAfterMs = budgets.untilNextDayMs(nowMs);
+        finish(request, Verdict.NOT_RUN, Reason.BUDGET_SPENT, message, retryAfterMs);
+      }
+      default -> {
+        // It waits until a portion was written down.
+      }
+    }
+  }
+
   private void route(long nowMs, ActiveRequest request) {
     if (!targets.isKnown()) {
       parked.add(request);
@@ -376,7 +425,16 @@
     }
   }
 
+  private static TokenAmount used(ActiveRequest request) {
+    boolean ran = request.verdict != Verdict.NOT_RUN || request.usedTokens > 0;
+    return ran
+        ? new TokenAmount(request.spec.promptTokens(), request.usedTokens)
+        : TokenAmount.NONE;
+  }
+
   private void endAttempt(ActiveRequest request) {
+    request.usedTokens += request.attemptTokens;
+    request.attemptTokens = 0;
     if (byAttempt.remove(request.attemptId) != null) {
       selector.attemptOver(request.targetId);
     }
@@ -421,6 +479,7 @@
     requests.remove(request.spec.requestId());
     parked.remove(request);
     endAttempt(request);
+    budgets.settle(request.spec, used(request));
     if (request.stage == ActiveRequest.Stage.CLAIMING) {
       unansweredClaims.put(request.spec.requestId(), request.spec);
     }
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/fuzz/Scenario.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/fuzz/Scenario.java
@@ -93,11 +93,12 @@
   }
 
   private ReducerSettings settings(String id) {
-    ReducerSettings usual = ReducerSettings.usual(id, "z", 7);
+    ReducerSettings usual = ReducerSettings.usual(id, id + "#" + incarnations, "z", 7);
     long pauseBoundMs =
         world.has(Mechanism.PAUSE_DETECTION) ? usual.pauseBoundMs() : Integer.MAX_VALUE / 2;
     return new ReducerSettings(
         id,
+        usual.runId(),
         usual.zone(),
         usual.seed(),
         usual.maxAttempts(),
@@ -106,6 +107,7 @@
         pauseBoundMs,
         usual.sendWithinMs(),
         usual.drainNoticeMs(),
+        usual.fundWithinMs(),
         usual.retryAfterMs());
   }
 
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/session/GoldenSessionTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/session/GoldenSessionTest.java
@@ -41,6 +41,7 @@
         "sheet-changed-in-mid-stream",
         "target-leaves",
         "process-paused",
+        "plan-spent",
         "planned-stop",
       })
   void replays(String session) throws IOException {
@@ -77,7 +78,7 @@
 
   private static DecisionReducer createReducer() {
     return new DecisionReducer(
-        ReducerSettings.usual("d1", "zone-a", 1),
+        ReducerSettings.usual("d1", "d1-1", "zone-a", 1),
         group(),
         new LeastOutstandingRouting(),
         new LeastOutstandingRouting(),
--- a/sequoiareach-model/src/main/java/org/sequoiareach/model/request/Reason.java
+++ b/sequoiareach-model/src/main/java/org/sequoiareach/model/request/Reason.java
@@ -24,6 +24,8 @@
   ORGANISATION_LIMIT(429),
   /** The organisation has spent its plan. */
   BUDGET_SPENT(429),
+  /** No portion of the organisation's plan can be had, as the key-value service is away. */
+  BUDGET_UNAVAILABLE(503),
   /** No target has room within the time the request can wait. */
   NO_CAPACITY(503),
   /** No live target serves the model or service. */
