Ask again for a plan that was exhausted

Now it asks the ledger again after 30 s, where requests want tokens. Ruled out: asking with each refused request, as that would write to the key-value service at the rate of the refusals.

Measured: tests of the module only.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/budget/BudgetAccount.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/budget/BudgetAccount.java
@@ -22,6 +22,7 @@
 public final class BudgetAccount {
 
   private static final int MOST_PORTIONS = 3;
+  private static final long RECHECK_MS = 30_000;
 
   private final String holder;
   private final BudgetSettings settings;
@@ -34,6 +35,7 @@
   private Optional<LedgerEntry> open = Optional.empty();
   private boolean inFlight;
   private boolean planExhausted;
+  private long recheckFromMs;
   private boolean closed;
   private long sequence;
   private long askFromMs = Long.MIN_VALUE;
@@ -108,6 +110,7 @@
    */
   public void setPlan(TokenAmount changed) {
     planExhausted = planExhausted && plan.covers(changed);
+    recheckFromMs = 0;
     plan = Check.notNull(changed, "changed");
   }
 
@@ -123,7 +126,7 @@
       return Optional.empty();
     }
     if (open.isEmpty()) {
-      open = giveBack().or(this::take);
+      open = giveBack().or(() -> take(nowMs));
     }
     inFlight = open.isPresent();
     return open;
@@ -142,6 +145,7 @@
       return;
     }
     planExhausted = !granted.covers(entry.amount());
+    recheckFromMs = 0;
     free = free.plus(granted);
     payDebt();
     largestAsked = TokenAmount.NONE;
@@ -199,11 +203,19 @@
     return plan.dividedBy(settings.portionsPerPlan()).max(new TokenAmount(1, 1));
   }
 
-  private Optional<LedgerEntry> take() {
+  /** Tells whether the plan had no room of late; others may have given some back since. */
+  private boolean exhaustedAt(long nowMs) {
+    if (planExhausted && recheckFromMs == 0) {
+      recheckFromMs = nowMs + RECHECK_MS;
+    }
+    return planExhausted && nowMs < recheckFromMs;
+  }
+
+  private Optional<LedgerEntry> take(long nowMs) {
     TokenAmount portion = portion().max(largestAsked);
     boolean low = !free.covers(portion.dividedBy(2)) || !free.covers(largestAsked);
     boolean due = !debt.isNone();
-    if (planExhausted || (closed ? !due : !low && !due)) {
+    if (exhaustedAt(nowMs) || (closed ? !due : !low && !due)) {
       return Optional.empty();
     }
     sequence++;
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/budget/BudgetAccountTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/budget/BudgetAccountTest.java
@@ -74,6 +74,22 @@
     assertThat(account.reserve("r1", REQUEST)).isEqualTo(Answer.WAIT);
   }
 
+  @Test
+  void exhaustedPlanIsAskedAgainForWhatOthersGaveBack() {
+    BudgetAccount account = new BudgetAccount("d1/1", PLAN, SETTINGS);
+    account.reserve("r1", REQUEST);
+    account.nextEntry(0);
+    account.written(TokenAmount.NONE);
+    assertThat(account.reserve("r1", REQUEST)).isEqualTo(Answer.SPENT);
+    assertThat(account.nextEntry(1_000)).isEmpty();
+    assertThat(account.nextEntry(30_999)).isEmpty();
+
+    LedgerEntry entry = account.nextEntry(31_000).orElseThrow();
+    account.written(entry.amount());
+
+    assertThat(account.reserve("r1", REQUEST)).isEqualTo(Answer.RESERVED);
+  }
+
   @Test
   void useAboveTheReservationIsTakenFromTheLedgerAfterwards() {
     BudgetAccount account = new BudgetAccount("d1/1", PLAN, SETTINGS);
