Sample targets for a choice and skip lists that say nothing new

Cause: at full size the reducer alone took more than the 2.7 % of a core that control may take. Every request built a view of each of its 1,667 targets, and every read of the list, one a second, rebuilt the registry of 10,000 targets.

A choice now draws from 64 targets, spread over the list from a random start, and the one that a routing strategy prefers, which holds the prompt's prefix; below 65 targets nothing changes. The registry keeps the targets of each model, and a list equal to the last one is not taken in again, unless a target has said since that it leaves.

Left: a list is still read, parsed and given to the membership each second, and gaps between tokens are judged for all 10,000 targets each second.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/DecisionReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/DecisionReducer.java
@@ -191,15 +191,24 @@
 
   private void listed(PlatformEvent.VmsListed event) {
     readiness.listConfirmed(event.askedMs());
+    boolean news = targets.isNews(event.vms());
+    if (news) {
+      useList(event);
+    }
+    owner.forgetUnlisted();
+    log.add(new Effect.UseVms(event.vms()));
+    if (news) {
+      pollOwned();
+    }
+    routeParked(event.nowMs());
+  }
+
+  private void useList(PlatformEvent.VmsListed event) {
     for (String targetId : targets.replace(event.vms())) {
       log.control("target-leaving", targetId, sheet.version(), "the list shows it leaving or gone");
       owner.withdraw(event.nowMs(), targetId, "target " + targetId + " is leaving");
     }
-    owner.forgetUnlisted();
     selector.retain(targetId -> targets.find(targetId).isPresent());
-    log.add(new Effect.UseVms(event.vms()));
-    pollOwned();
-    routeParked(event.nowMs());
   }
 
   private void routeParked(long nowMs) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/TargetRegistry.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/TargetRegistry.java
@@ -1,6 +1,7 @@
 package org.sequoiareach.decision.reducer;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -26,6 +27,8 @@
   private final Set<String> leavingByReport = new HashSet<>();
   private final Map<String, List<VmEntry>> byResource = new LinkedHashMap<>();
   private final List<VmEntry> daemons = new ArrayList<>();
+  private final Map<Resource, List<VmEntry>> placeable = new HashMap<>();
+  private Optional<List<VmEntry>> latest = Optional.empty();
 
   /**
    * Creates an empty registry.
@@ -41,9 +44,16 @@
     return known.getAsBoolean();
   }
 
+  /** Tells whether a list says anything new, given all that was reported since the last one. */
+  boolean isNews(List<VmEntry> vms) {
+    return !latest.equals(Optional.of(vms));
+  }
+
   /** Replaces the list; returns the targets that are leaving or gone now but were not before. */
   List<String> replace(List<VmEntry> vms) {
     final Set<String> before = placeableIds();
+    latest = Optional.of(vms);
+    placeable.clear();
     listed.clear();
     byResource.clear();
     daemons.clear();
@@ -58,6 +68,8 @@
     if (!load.leaving() || !listed.containsKey(targetId)) {
       return false;
     }
+    placeable.clear();
+    latest = Optional.empty();
     return leavingByReport.add(targetId);
   }
 
@@ -67,13 +79,7 @@
 
   /** Returns the targets that serve a model or service and may get new work. */
   List<VmEntry> placeable(VmKind kind, String resource) {
-    List<VmEntry> found = new ArrayList<>();
-    for (VmEntry vm : byResource.getOrDefault(resource, List.of())) {
-      if (vm.kind() == kind && isPlaceable(vm.id())) {
-        found.add(vm);
-      }
-    }
-    return found;
+    return placeable.computeIfAbsent(new Resource(kind, resource), this::findPlaceable);
   }
 
   boolean isPlaceable(String targetId) {
@@ -100,6 +106,12 @@
         .toList();
   }
 
+  private List<VmEntry> findPlaceable(Resource resource) {
+    return byResource.getOrDefault(resource.name, List.of()).stream()
+        .filter(vm -> vm.kind() == resource.kind && isPlaceable(vm.id()))
+        .toList();
+  }
+
   private void add(VmEntry vm) {
     if (vm.kind() == VmKind.DAEMON) {
       daemons.add(vm);
@@ -120,4 +132,7 @@
     }
     return ids;
   }
+
+  /** Names a model or service. */
+  private record Resource(VmKind kind, String name) {}
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/TargetSelector.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/TargetSelector.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.sequoiareach.decision.placement.LoadHint;
 import org.sequoiareach.decision.routing.EjectionSettings;
@@ -25,6 +27,9 @@
  */
 final class TargetSelector {
 
+  /** More targets than this are sampled, so that a choice costs the same at every size. */
+  static final int MOST_CANDIDATES = 64;
+
   private static final long JUDGE_PERIOD_MS = 1_000;
 
   private final String zone;
@@ -59,12 +64,12 @@
   /** Chooses the target of a request's next attempt. */
   Optional<RouteChoice> choose(long nowMs, ActiveRequest request) {
     boolean retry = request.attempts > 0;
-    List<TargetView> sound = ejection.filter(nowMs, candidates(nowMs, request));
+    boolean generation = request.spec.kind() == RequestKind.GENERATION;
+    RoutingStrategy strategy = generation ? generationRouting : serviceRouting;
+    List<TargetView> sound = ejection.filter(nowMs, candidates(nowMs, request, strategy));
     if (retry) {
       sound = sound.stream().filter(view -> retries.allows(view.targetId())).toList();
     }
-    boolean generation = request.spec.kind() == RequestKind.GENERATION;
-    RoutingStrategy strategy = generation ? generationRouting : serviceRouting;
     Optional<RouteChoice> choice = strategy.choose(nowMs, request.spec, sound, draws.next());
     if (retry) {
       choice.ifPresent(chosen -> retries.trySpend(chosen.targetId()));
@@ -118,11 +123,11 @@
     hints.retain(listed);
   }
 
-  private List<TargetView> candidates(long nowMs, ActiveRequest request) {
+  private List<TargetView> candidates(long nowMs, ActiveRequest request, RoutingStrategy strategy) {
     boolean generation = request.spec.kind() == RequestKind.GENERATION;
     VmKind kind = generation ? VmKind.ENGINE : VmKind.SERVICE;
     List<TargetView> views = new ArrayList<>();
-    for (VmEntry vm : targets.placeable(kind, request.spec.resource())) {
+    for (VmEntry vm : sample(targets.placeable(kind, request.spec.resource()), request, strategy)) {
       if (!request.triedTargets.contains(vm.id())) {
         views.add(view(nowMs, vm));
       }
@@ -130,6 +135,28 @@
     return views;
   }
 
+  /** Takes targets spread evenly over the list from a random start, and the preferred one. */
+  private List<VmEntry> sample(
+      List<VmEntry> placeable, ActiveRequest request, RoutingStrategy strategy) {
+    int size = placeable.size();
+    if (size <= MOST_CANDIDATES) {
+      return placeable;
+    }
+    Set<VmEntry> sample = new LinkedHashSet<>();
+    strategy
+        .findPreferred(request.spec)
+        .filter(targets::isPlaceable)
+        .flatMap(targets::find)
+        .filter(vm -> vm.serves().contains(request.spec.resource()))
+        .ifPresent(sample::add);
+    int start = (int) Long.remainderUnsigned(draws.next(), size);
+    int step = size / MOST_CANDIDATES;
+    for (int i = 0; i < MOST_CANDIDATES; i++) {
+      sample.add(placeable.get((start + i * step) % size));
+    }
+    return List.copyOf(sample);
+  }
+
   private TargetView view(long nowMs, VmEntry vm) {
     owner.findHint(nowMs, vm.id()).ifPresent(hint -> hints.record(nowMs, hint));
     boolean sameZone = vm.zone().equals(zone);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/routing/RoutingStrategy.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/routing/RoutingStrategy.java
@@ -23,4 +23,14 @@
    */
   Optional<RouteChoice> choose(
       long nowMs, RequestSpec spec, List<TargetView> candidates, long draw);
+
+  /**
+   * Finds the target that should be among the candidates where they are only a sample.
+   *
+   * @param spec the request
+   * @return the target, or empty if any sample is as good
+   */
+  default Optional<String> findPreferred(RequestSpec spec) {
+    return Optional.empty();
+  }
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/routing/TwoChoicesRouting.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/routing/TwoChoicesRouting.java
@@ -79,6 +79,11 @@
     return Optional.of(last.toChoice(drawn));
   }
 
+  @Override
+  public Optional<String> findPreferred(RequestSpec spec) {
+    return prefixes.findHolder(spec);
+  }
+
   private Optional<TargetView> findHolder(RequestSpec spec, List<TargetView> candidates) {
     Optional<String> holder = prefixes.findHolder(spec);
     if (holder.isEmpty()) {
