--- a/sequoiareach-load/src/main/java/org/sequoiareach/load/report/RunReport.java
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/report/RunReport.java
@@ -21,16 +21,16 @@
  * @param seed the seed of the trace
  * @param loadFactor the factor on the rate of arrivals
  * @param stallThresholdMs the gap between tokens beyond which a stream counts as stalled
- * @param offered the requests of the trace
- * @param unended the requests that had not ended when the run did
+ * @param offered the requests of the trace after the warm-up
+ * @param unended those that had not ended when the run did
  * @param elapsedMs from the start of the run to the end of its last request
  * @param latestSendMs by how much the latest request left after its scheduled time
- * @param total all requests
+ * @param total all requests after the warm-up, which the other sections leave out as well
  * @param classes the requests by class
  * @param organisations the requests by organisation
  * @param recordsCompared whether targets' records were compared
  * @param missingRecords the targets whose record could not be had
- * @param violations the promises broken
+ * @param violations the promises broken, in the warm-up as well
  */
 public record RunReport(
     String name,
@@ -64,7 +64,7 @@
         outcome.settings().loadFactor(),
         outcome.settings().stallThresholdMs(),
         outcome.offered(),
-        outcome.offered() - outcome.results().size(),
+        outcome.offered() - outcome.measured().size(),
         outcome.elapsedNs() / NANOS_PER_MILLI,
         outcome.latestSendNs() / NANOS_PER_MILLI,
         total.getOrDefault("", new SectionBuilder(0).build(1)),
@@ -79,13 +79,15 @@
       RunOutcome outcome, Function<RequestResult, String> key) {
     long thresholdNs = TimeUnit.MILLISECONDS.toNanos(outcome.settings().stallThresholdMs());
     Map<String, SectionBuilder> builders = new HashMap<>();
-    for (RequestResult result : outcome.results()) {
+    for (RequestResult result : outcome.measured()) {
       builders
           .computeIfAbsent(key.apply(result), name -> new SectionBuilder(thresholdNs))
           .add(result, generationOf(result, outcome));
     }
+    long warmUpNs = TimeUnit.MILLISECONDS.toNanos(outcome.settings().warmUpMs());
+    long measuredNs = outcome.elapsedNs() - warmUpNs;
     Map<String, Section> sections = new TreeMap<>();
-    builders.forEach((name, builder) -> sections.put(name, builder.build(outcome.elapsedNs())));
+    builders.forEach((name, builder) -> sections.put(name, builder.build(measuredNs)));
     return sections;
   }
 
--- a/sequoiareach-load/src/main/java/org/sequoiareach/load/run/LoadRunner.java
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/run/LoadRunner.java
@@ -75,8 +75,10 @@
     long elapsedNs = System.nanoTime() - startNs;
     List<RequestResult> ordered = new ArrayList<>(results);
     ordered.sort(Comparator.comparingInt(result -> result.arrival().number()));
+    int offered =
+        (int) trace.stream().filter(item -> RunOutcome.isMeasured(item, settings)).count();
     return new RunOutcome(
-        settings, trace.size(), ordered, readTargets(settings), elapsedNs, latestSendNs);
+        settings, offered, ordered, readTargets(settings), elapsedNs, latestSendNs);
   }
 
   @Override
--- a/sequoiareach-load/src/main/java/org/sequoiareach/load/settings/RunSettings.java
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/settings/RunSettings.java
@@ -13,6 +13,7 @@
  * @param name the name shown in reports
  * @param seed the seed of the trace
  * @param loadFactor the factor on the rate of arrivals
+ * @param warmUpMs the time at the start whose requests are checked but not measured
  * @param durationMs the time in which requests arrive
  * @param maxRequests the most requests sent
  * @param drainMs the longest wait for answers after the last arrival
@@ -27,6 +28,7 @@
     String name,
     long seed,
     double loadFactor,
+    long warmUpMs,
     long durationMs,
     int maxRequests,
     long drainMs,
@@ -47,6 +49,7 @@
   public RunSettings {
     Check.hasText(name, "name");
     Check.inRange(durationMs, 1, Long.MAX_VALUE, "durationMs");
+    Check.inRange(warmUpMs, 0, durationMs, "warmUpMs");
     Check.inRange(maxRequests, 1, Integer.MAX_VALUE, "maxRequests");
     Check.notNull(arrivals, "arrivals");
     loadFactor = loadFactor == 0 ? 1 : loadFactor;
@@ -71,6 +74,7 @@
         name,
         newSeed.orElse(seed),
         newFactor.orElse(loadFactor),
+        warmUpMs,
         durationMs,
         maxRequests,
         drainMs,
@@ -94,6 +98,7 @@
         name,
         seed,
         loadFactor,
+        warmUpMs,
         durationMs,
         maxRequests,
         drainMs,
@@ -126,6 +131,7 @@
         name,
         seed,
         loadFactor,
+        warmUpMs,
         durationMs,
         maxRequests,
         drainMs,
--- a/sequoiareach-load/src/test/java/org/sequoiareach/load/TestSettings.java
+++ b/sequoiareach-load/src/test/java/org/sequoiareach/load/TestSettings.java
@@ -90,6 +90,7 @@
         "test",
         seed,
         factor,
+        0,
         1_000,
         40,
         10_000,
--- a/sequoiareach-load/src/test/java/org/sequoiareach/load/run/LoadRunnerTest.java
+++ b/sequoiareach-load/src/test/java/org/sequoiareach/load/run/LoadRunnerTest.java
@@ -72,6 +72,7 @@
               "silent",
               1,
               1,
+              0,
               200,
               10,
               400,
@@ -89,6 +90,35 @@
     }
   }
 
+  @Test
+  void checksTheWarmUpButDoesNotMeasureIt() throws InterruptedException {
+    try (FaultySystem system = new FaultySystem(Fault.CROSSED);
+        LoadRunner runner = new LoadRunner()) {
+      RunSettings base = settings(List.of(system.address()), Targets.NONE, QUOTE);
+      RunSettings settings =
+          new RunSettings(
+              base.name(),
+              base.seed(),
+              base.loadFactor(),
+              base.durationMs(),
+              base.durationMs(),
+              base.maxRequests(),
+              base.drainMs(),
+              base.stallThresholdMs(),
+              base.callers(),
+              base.targets(),
+              base.arrivals(),
+              base.organisations(),
+              base.classes());
+
+      RunReport report = RunReport.of(runner.run(settings));
+
+      assertThat(report.offered()).isZero();
+      assertThat(report.total().requests()).isZero();
+      assertThat(report.violations()).isNotEmpty();
+    }
+  }
+
   @Test
   void countsTargetsWithoutRecord() throws InterruptedException {
     try (FaultySystem system = new FaultySystem(Fault.NONE);
--- a/sequoiareach-load/src/test/java/org/sequoiareach/load/trace/TraceGeneratorTest.java
+++ b/sequoiareach-load/src/test/java/org/sequoiareach/load/trace/TraceGeneratorTest.java
@@ -64,6 +64,7 @@
             "rate",
             7,
             2,
+            0,
             100_000,
             1_000_000,
             1,
