Read the bytes of an engine's stream before their buffers are released

Cause: concatMapIterable queues its input while the caller's side asks for less, but Reactor Netty releases each buffer when its signal returns. A queued buffer was decoded after that: "refCnt: 0", or worse, bytes of another buffer, which the generation guard then met as "token N of … is missing" and the caller as target-failed.

Found by sequoiareach-load through three daemons, ten engines, 358 requests: 9 resumes with refCnt 0 and 4 failed answers; no token was delivered wrongly. Ruled out: the engine stand-in, which finished 3,253 of 3,253 generations called directly. The new EngineClientTest failed for a demand of one part before.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
 import java.io.IOException;
@@ -159,10 +158,12 @@
           .defaultIfEmpty("")
           .flatMapMany(text -> Flux.error(refused(targetId, status, text)));
     }
+    // The buffers go back to the pool after their signal, so they are read within it.
     SseDecoder decoder = new SseDecoder();
     GenerationReader reader = new GenerationReader(targetId, attemptId, afterSequence);
     return bytes
-        .concatMapIterable((ByteBuf buffer) -> decoder.decode(buffer))
+        .map(decoder::decode)
+        .concatMapIterable(events -> events)
         .concatMapIterable(event -> reader.read(event, DONE))
         .concatWith(Flux.defer(reader::requireEnd));
   }
