--- a/experiments/capacity.sh
+++ b/experiments/capacity.sh
@@ -3,8 +3,8 @@
 #   capacity.sh DEPLOYMENT [LOAD_FACTOR…]
 #
 # A load factor counts against the rate of run.json, which is that of the whole deployment. The
-# answer is the greatest factor at which the engine still finishes at least 99 in 100 of what it
-# is offered, times the number of engines.
+# answer is the greatest factor at which the engine still finishes all that it is offered, in every
+# seed, times the number of engines.
 set -euo pipefail
 source "$(dirname "$0")/fleet.sh"
 
