Hold the direction of modules and packages by tests

Cause: the arrows between modules stood in prose alone. ArchUnit holds that the decisions do no input or output, read no clock and start no thread, that modules depend one way, and that packages have no cycles.

--- /dev/null
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/DecisionArchitectureTest.java
@@ -0,0 +1,59 @@
+package org.sequoiareach.decision;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Holds the decisions free of input, output, threads, clocks and logs, and of cycles. */
+class DecisionArchitectureTest {
+
+  private static final JavaClasses CLASSES =
+      new ClassFileImporter()
+          .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+          .importPackages("org.sequoiareach.decision");
+
+  @Test
+  void doesNothingButDecide() {
+    noClasses()
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage(
+            "java.io..",
+            "java.net..",
+            "java.nio.file..",
+            "java.util.concurrent..",
+            "org.apache.logging..",
+            "org.slf4j..",
+            "reactor..",
+            "io.netty..",
+            "org.sequoiareach.peer..",
+            "org.sequoiareach.platform..",
+            "org.sequoiareach.daemon..")
+        .check(CLASSES);
+  }
+
+  @Test
+  void readsNoClockAndStartsNoThread() {
+    noClasses()
+        .should()
+        .callMethod(System.class, "nanoTime")
+        .orShould()
+        .callMethod(System.class, "currentTimeMillis")
+        .orShould()
+        .dependOnClassesThat()
+        .haveFullyQualifiedName("java.time.Clock")
+        .orShould()
+        .dependOnClassesThat()
+        .areAssignableTo(Thread.class)
+        .check(CLASSES);
+  }
+
+  @Test
+  void hasNoCyclesBetweenPackages() {
+    slices().matching("org.sequoiareach.decision.(*)..").should().beFreeOfCycles().check(CLASSES);
+  }
+}
