Blame the engine for a lost generation, and end a daemon that cannot start

Cause: found by running the program: a generation that its engine had lost was told to the caller as not-found, with the engine's raw answer; a daemon whose peer port was taken stayed alive without listening.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/DaemonMain.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/DaemonMain.java
@@ -83,7 +83,15 @@
   }
 
   private static int serve(DaemonSettings settings) {
-    Daemon daemon = Daemon.start(settings);
+    Daemon daemon;
+    try {
+      daemon = Daemon.start(settings);
+    } catch (RuntimeException e) {
+      System.err.println("The daemon cannot start: " + e.getMessage());
+      // Threads of the parts that did start would keep the process alive.
+      Runtime.getRuntime().halt(EXIT_FAILED);
+      return EXIT_FAILED;
+    }
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "stop"));
     try {
       daemon.awaitStop();
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/EntryRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/EntryRole.java
@@ -381,7 +381,13 @@
       return;
     }
     Reason reason = outcome.reason().orElse(Reason.INTERNAL);
-    finish(request, request.verdict, reason, outcome.message(), retryAfter(request));
+    String message = outcome.message();
+    if (reason == Reason.NOT_FOUND) {
+      // The engine lost the generation; the caller asked for nothing that does not exist.
+      reason = Reason.TARGET_FAILED;
+      message = "target " + request.targetId + " no longer has the generation";
+    }
+    finish(request, request.verdict, reason, message, retryAfter(request));
   }
 
   private boolean mayResume(long nowMs, ActiveRequest request, Outcome outcome) {
