Bound what waits in a daemon for a slow caller

Cause: 256 decoded buffers of a stream, the default, could wait for a caller that reads nothing. Now 1 buffer and 16 events do. What the default alone holds was not measured.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
@@ -34,6 +34,12 @@
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(10);
   private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(2);
   private static final int LOAD_BYTES = 1 << 16;
+
+  /** How many decoded buffers and events may wait for a slow caller. */
+  private static final int BUFFERS_AHEAD = 1;
+
+  private static final int EVENTS_AHEAD = 16;
+
   private static final String COMPLETIONS = "/v1/chat/completions";
   private static final String DONE = "[DONE]";
 
@@ -163,8 +169,8 @@
     GenerationReader reader = new GenerationReader(targetId, attemptId, afterSequence);
     return bytes
         .map(decoder::decode)
-        .concatMapIterable(events -> events)
-        .concatMapIterable(event -> reader.read(event, DONE))
+        .concatMapIterable(events -> events, BUFFERS_AHEAD)
+        .concatMapIterable(event -> reader.read(event, DONE), EVENTS_AHEAD)
         .concatWith(Flux.defer(reader::requireEnd));
   }
 
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/Deployment.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/Deployment.java
@@ -1,10 +1,15 @@
 package org.sequoiareach.daemon;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.BufferedReader;
+import java.io.InputStream;
+import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -27,8 +32,10 @@
 import org.sequoiareach.platform.kv.KeyValueCallListener;
 import org.sequoiareach.platform.sheet.KeyValueSheetStore;
 import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.standin.engine.EngineFaults;
 import org.sequoiareach.standin.engine.EngineSettings;
 import org.sequoiareach.standin.engine.EngineStandin;
+import org.sequoiareach.standin.engine.GenerationRecord;
 import org.sequoiareach.standin.engine.StepSettings;
 import org.sequoiareach.standin.kv.KvSettings;
 import org.sequoiareach.standin.kv.KvStandin;
@@ -51,6 +58,7 @@
       new ServiceStandin(new ServiceSettings("127.0.0.1:0", "dispatch", "dispatch-1", 0));
   final Map<String, EngineStandin> engines = new HashMap<>();
   final List<Daemon> daemons = new ArrayList<>();
+  private final Map<String, String> addresses = new HashMap<>();
   private final HttpClient http = HttpClient.newHttpClient();
   private final String keyValueAddress;
   private final String vmListAddress;
@@ -61,14 +69,23 @@
     vmListAddress = text(vms.start());
     put("dispatch-1", VmKind.SERVICE, text(service.start()), "dispatch", false);
     for (int i = 1; i <= engineCount; i++) {
-      EngineSettings settings = EngineSettings.of("e" + i, "contract-70b").withSteps(FAST_STEPS);
-      EngineStandin engine = new EngineStandin(settings);
-      engines.put("e" + i, engine);
-      put("e" + i, VmKind.ENGINE, text(engine.start()), "contract-70b", false);
+      addEngine(EngineSettings.of("e" + i, "contract-70b").withSteps(FAST_STEPS));
     }
     export(sheet(50));
   }
 
+  void addEngine(EngineSettings settings) {
+    EngineStandin engine = new EngineStandin(settings);
+    engines.put(settings.id(), engine);
+    String address = text(engine.start());
+    addresses.put(settings.id(), address);
+    put(settings.id(), VmKind.ENGINE, address, "contract-70b", false);
+  }
+
+  void putLeaving(String engineId) {
+    put(engineId, VmKind.ENGINE, addresses.get(engineId), "contract-70b", true);
+  }
+
   static Sheet sheet(int concurrentRequests) {
     return sheet(concurrentRequests, 1_000_000);
   }
@@ -134,23 +151,81 @@
   }
 
   int status(Daemon daemon, String path) {
+    return operator(daemon, path).statusCode();
+  }
+
+  JsonNode json(Daemon daemon, String path) {
+    return Streams.parse(operator(daemon, path).body());
+  }
+
+  private HttpResponse<String> operator(Daemon daemon, String path) {
     URI uri = URI.create("http://" + text(daemon.operatorAddress()) + path);
-    return send(HttpRequest.newBuilder(uri).build()).join().statusCode();
+    return send(HttpRequest.newBuilder(uri).build()).join();
   }
 
   /** Starts a request for an answer of so many tokens. */
   CompletableFuture<HttpResponse<String>> complete(
       Daemon daemon, String key, int tokens, boolean stream) {
-    String body =
-        "{\"model\":\"contract-70b\",\"stream\":"
-            + stream
-            + ",\"max_tokens\":2000,\"metadata\":{\"marker\":\"m\",\"answer_tokens\":\""
-            + tokens
-            + "\"},\"messages\":[{\"role\":\"user\",\"content\":\"Hello\"}]}";
-    return send(
-        request(daemon, key, "/v1/chat/completions")
-            .POST(HttpRequest.BodyPublishers.ofString(body))
-            .build());
+    return send(completion(daemon, key, "m", tokens, stream));
+  }
+
+  /** Starts a stream whose tokens carry a marker. */
+  CompletableFuture<HttpResponse<String>> stream(Daemon daemon, String marker, int tokens) {
+    return send(completion(daemon, KEY, marker, tokens, true));
+  }
+
+  /** Creates a request for an answer of so many tokens that carry a marker. */
+  HttpRequest completion(Daemon daemon, String key, String marker, int tokens, boolean stream) {
+    String body = completionBody(marker, tokens, stream);
+    return request(daemon, key, "/v1/chat/completions")
+        .POST(HttpRequest.BodyPublishers.ofString(body))
+        .build();
+  }
+
+  static String completionBody(String marker, int tokens, boolean stream) {
+    return String.format(
+        "{\"model\":\"contract-70b\",\"stream\":%s,\"max_tokens\":%d,\"metadata\":"
+            + "{\"marker\":\"%s\",\"answer_tokens\":\"%d\"},"
+            + "\"messages\":[{\"role\":\"user\",\"content\":\"Hello\"}]}",
+        stream, Math.max(2_000, tokens), marker, tokens);
+  }
+
+  /** Opens a stream that is read as its caller likes. */
+  BufferedReader open(Daemon daemon, String marker, int tokens) throws Exception {
+    HttpRequest request = completion(daemon, KEY, marker, tokens, true);
+    InputStream body =
+        HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofInputStream()).body();
+    return new BufferedReader(new InputStreamReader(body, StandardCharsets.UTF_8));
+  }
+
+  /** Returns the generations with a marker that engines created, whatever became of them. */
+  List<GenerationRecord> generations(String marker) {
+    return engines.values().stream()
+        .flatMap(engine -> engine.record().generations().values().stream())
+        .filter(generation -> generation.marker().equals(marker))
+        .toList();
+  }
+
+  /** Returns the identity of the engine that created a generation with a marker. */
+  Optional<String> findEngine(String marker) {
+    return engines.entrySet().stream()
+        .filter(
+            entry ->
+                entry.getValue().record().generations().values().stream()
+                    .anyMatch(generation -> generation.marker().equals(marker)))
+        .map(Map.Entry::getKey)
+        .findFirst();
+  }
+
+  /** Waits until the generations with a marker have made so many tokens. */
+  void awaitTokens(String marker, int tokens) {
+    await(
+        tokens + " tokens of " + marker,
+        () -> generations(marker).stream().anyMatch(one -> one.tokens() >= tokens));
+  }
+
+  void setEngineFaults(EngineFaults faults) {
+    engines.values().forEach(engine -> engine.setFaults(faults));
   }
 
   HttpRequest.Builder request(Daemon daemon, String key, String path) {
