Count an engine as idle only while its caller wants more

Cause: the read timeout of the connection ran on while a slow caller wanted nothing, failed the attempt after 10 s, and held it against the engine.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
 import java.io.IOException;
@@ -44,6 +45,7 @@
   private static final String DONE = "[DONE]";
 
   private final HttpClient client;
+  private final Duration idleTimeout;
 
   /**
    * Creates a client.
@@ -52,6 +54,11 @@
    * @param connections the pool of connections
    */
   public EngineClient(LoopResources traffic, ConnectionProvider connections) {
+    this(traffic, connections, IDLE_TIMEOUT);
+  }
+
+  EngineClient(LoopResources traffic, ConnectionProvider connections, Duration idleTimeout) {
+    this.idleTimeout = idleTimeout;
     this.client =
         HttpClient.create(connections)
             .runOn(traffic, false)
@@ -71,8 +78,8 @@
   public Flux<AnswerPart> generate(Effect.Dispatch dispatch, RequestContent content) {
     String attemptId = dispatch.attemptId();
     byte[] body = prepare(content.body(), dispatch.enginePriority());
+    IdleWatch watch = new IdleWatch(idleTimeout);
     return client
-        .responseTimeout(IDLE_TIMEOUT)
         .headers(
             headers -> {
               headers.set("Content-Type", "application/json");
@@ -82,7 +89,12 @@
         .post()
         .uri("http://" + dispatch.address() + COMPLETIONS)
         .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
-        .response((response, bytes) -> read(dispatch.targetId(), attemptId, 0, response, bytes))
+        .response(
+            (response, bytes) -> {
+              Flux<ByteBuf> watched = bytes.doOnNext(buffer -> watch.received());
+              return read(dispatch.targetId(), attemptId, 0, response, watched);
+            })
+        .transform(watch::watch)
         .onErrorMap(thrown -> TargetFailures.classify(dispatch.targetId(), thrown));
   }
 
@@ -97,12 +109,17 @@
    */
   public Flux<AnswerPart> resume(
       String targetId, String address, String attemptId, long afterSequence) {
+    IdleWatch watch = new IdleWatch(idleTimeout);
     return client
-        .responseTimeout(IDLE_TIMEOUT)
         .headers(headers -> headers.set("Last-Event-ID", Long.toString(afterSequence)))
         .get()
         .uri("http://" + address + COMPLETIONS + "/chatcmpl-" + attemptId)
-        .response((response, bytes) -> read(targetId, attemptId, afterSequence, response, bytes))
+        .response(
+            (response, bytes) -> {
+              Flux<ByteBuf> watched = bytes.doOnNext(buffer -> watch.received());
+              return read(targetId, attemptId, afterSequence, response, watched);
+            })
+        .transform(watch::watch)
         .onErrorMap(thrown -> mayHaveRun(targetId, thrown));
   }
 
@@ -155,10 +172,10 @@
       String attemptId,
       long afterSequence,
       HttpClientResponse response,
-      ByteBufFlux bytes) {
+      Flux<ByteBuf> bytes) {
     int status = response.status().code();
     if (status != 200) {
-      return bytes
+      return ByteBufFlux.fromInbound(bytes)
           .aggregate()
           .asString(StandardCharsets.UTF_8)
           .defaultIfEmpty("")
