Deliver every token that counts as delivered when an attempt is stopped

Cause: a token was admitted, and so counted as delivered, before the point at which a stopped attempt is cut off. A token under way at that moment was dropped, and the resumption read on after it: a silent gap in the answer. Before: AttemptRunnerTest stops an attempt during its first token: sequence 1 counted, nothing delivered (1 run of 1). After: it passed (1 run of 1).

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/AttemptRunner.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/AttemptRunner.java
@@ -193,12 +193,13 @@
     ProgressMeter meter = new ProgressMeter(attemptId, targetId, events);
     Flux<AnswerPart> watched =
         parts
+            // What is admitted counts as delivered, so nothing may be dropped after that.
+            .takeUntilOther(attempt.stopped.asMono())
             .filter(part -> !(part instanceof AnswerPart.Data data) || receiver.admits(data))
             .doOnNext(meter::received)
             .doOnNext(part -> endIfWhole(receiver, attemptId, part))
             .doOnError(thrown -> endInFailure(attemptId, thrown))
-            .doFinally(signal -> running.remove(attemptId, attempt))
-            .takeUntilOther(attempt.stopped.asMono());
+            .doFinally(signal -> running.remove(attemptId, attempt));
     receiver.add(watched);
   }
 
