Exit with 0 after a planned stop

Cause: after SIGTERM the daemon finished its work but reported the signal (143), so that a planned stop looked like a failure (found by the draft ProcessFaultTest). Left: the test of it with real processes is not landed yet.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/DaemonMain.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/DaemonMain.java
@@ -108,6 +108,8 @@
       daemon.awaitStop();
       daemon.close();
       LogManager.shutdown();
+      // Without this the process would report the signal although the stop was planned.
+      Runtime.getRuntime().halt(0);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
