--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/EntryRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/EntryRole.java
@@ -12,9 +12,7 @@
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.event.ClaimResult;
 import org.sequoiareach.decision.event.RequestEvent;
-import org.sequoiareach.decision.placement.PendingAttempt;
 import org.sequoiareach.decision.routing.RouteChoice;
-import org.sequoiareach.model.platform.VmEntry;
 import org.sequoiareach.model.request.Outcome;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.RequestKind;
@@ -34,6 +32,7 @@
   private final Peers peers;
   private final TargetSelector selector;
   private final OwnerRole owner;
+  private final AttemptSender sender;
   private final BudgetRole budgets;
   private final EffectLog log;
   private final OrganisationLimiter limiter = new OrganisationLimiter();
@@ -55,6 +54,7 @@
     this.peers = peers;
     this.selector = selector;
     this.owner = owner;
+    this.sender = new AttemptSender(settings, targets, peers, owner, log);
     this.budgets = budgets;
     this.log = log;
   }
@@ -175,7 +175,7 @@
     request.verdict = request.verdict.and(outcome.verdict());
     request.retryAfterMs = Math.max(request.retryAfterMs, outcome.retryAfterMs());
     if (mayResume(nowMs, request, outcome)) {
-      resume(nowMs, request, outcome);
+      sender.resume(nowMs, request, outcome);
       return true;
     }
     endAttempt(request);
@@ -310,52 +310,10 @@
     byAttempt.put(request.attemptId, request);
     selector.attemptBegun(targetId);
     boolean generation = spec.kind() == RequestKind.GENERATION;
-    request.ownerId = generation ? ownerFor(request, targetId) : settings.daemonId();
+    request.ownerId = generation ? sender.ownerFor(request, targetId) : settings.daemonId();
     String reason = choice.get().reason() + " owner=" + request.ownerId;
     log.decision("route", spec, targetId, request.sheetVersion, reason, choice.get().losers());
-    send(nowMs, request);
-  }
-
-  private void send(long nowMs, ActiveRequest request) {
-    if (!request.ownerId.equals(settings.daemonId())) {
-      log.add(
-          new Effect.Forward(
-              request.attemptId,
-              request.ownerId,
-              request.targetId,
-              request.spec,
-              request.priority,
-              request.sheetVersion,
-              request.deadlineMs));
-      return;
-    }
-    PendingAttempt attempt =
-        new PendingAttempt(request.attemptId, request.spec, request.priority, request.deadlineMs);
-    if (request.spec.kind() == RequestKind.GENERATION) {
-      owner.offerOwn(nowMs, attempt, request.targetId, request.sheetVersion);
-      return;
-    }
-    Optional<VmEntry> target = targets.find(request.targetId);
-    target.ifPresent(vm -> dispatchCall(nowMs, request, vm));
-  }
-
-  private void dispatchCall(long nowMs, ActiveRequest request, VmEntry target) {
-    log.add(
-        new Effect.Dispatch(
-            request.attemptId,
-            request.spec.requestId(),
-            target.id(),
-            target.address(),
-            0,
-            nowMs + settings.sendWithinMs(),
-            request.deadlineMs));
-  }
-
-  private String ownerFor(ActiveRequest request, String targetId) {
-    String zone = targets.find(targetId).map(VmEntry::zone).orElse("");
-    String ownerId = peers.ownerOf(targetId, zone);
-    boolean usable = peers.isReachable(ownerId) && !request.failedOwners.contains(ownerId);
-    return usable ? ownerId : settings.daemonId();
+    sender.send(nowMs, request);
   }
 
   private void retryOrFinish(long nowMs, ActiveRequest request, Outcome outcome) {
@@ -400,35 +358,11 @@
         && targets.find(request.targetId).isPresent();
   }
 
-  private void resume(long nowMs, ActiveRequest request, Outcome outcome) {
-    final long backoffMs = settings.resumeBackoffMs() << request.resumes;
-    request.resumes++;
-    request.ownerId = settings.daemonId();
-    log.decision("resume", request.spec, request.targetId, request.sheetVersion, outcome.message());
-    targets
-        .find(request.targetId)
-        .ifPresent(
-            vm ->
-                log.add(
-                    new Effect.Resume(
-                        request.attemptId,
-                        request.spec.requestId(),
-                        vm.id(),
-                        vm.address(),
-                        nowMs + backoffMs,
-                        request.deadlineMs)));
-  }
-
   private void stopAttempt(long nowMs, ActiveRequest request) {
     if (request.attemptId.isEmpty() || !byAttempt.containsKey(request.attemptId)) {
       return;
     }
-    boolean queued = owner.isQueued(request.attemptId);
-    owner.remove(nowMs, request.attemptId);
-    if (!queued) {
-      request.verdict = request.verdict.and(Verdict.MAY_HAVE_RUN);
-      log.add(new Effect.CancelAttempt(request.attemptId));
-    }
+    sender.cancel(nowMs, request);
   }
 
   private static TokenAmount used(ActiveRequest request) {
