--- a/sequoiareach-client/src/main/java/org/sequoiareach/client/daemons/DaemonInquiry.java
+++ b/sequoiareach-client/src/main/java/org/sequoiareach/client/daemons/DaemonInquiry.java
@@ -10,7 +10,7 @@
 import org.sequoiareach.client.command.ExitCode;
 import org.sequoiareach.client.settings.ClientSettings;
 import org.sequoiareach.model.json.Json;
-import org.sequoiareach.platform.http.HttpAnswer;
+import org.sequoiareach.store.http.HttpAnswer;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
--- a/sequoiareach-client/src/main/java/org/sequoiareach/client/forecast/ForecastCommand.java
+++ b/sequoiareach-client/src/main/java/org/sequoiareach/client/forecast/ForecastCommand.java
@@ -20,8 +20,8 @@
 import org.sequoiareach.model.sheet.ModelEntry;
 import org.sequoiareach.model.sheet.OrganisationEntry;
 import org.sequoiareach.model.sheet.Sheet;
-import org.sequoiareach.platform.sheet.PlannedCost;
-import org.sequoiareach.platform.sheet.SheetHistory;
+import org.sequoiareach.store.sheet.PlannedCost;
+import org.sequoiareach.store.sheet.SheetHistory;
 
 /** Predicts the cost of a month from the sheets exported so far. */
 public final class ForecastCommand extends AbstractCommand {
--- a/sequoiareach-client/src/main/java/org/sequoiareach/client/forecast/MonthForecast.java
+++ b/sequoiareach-client/src/main/java/org/sequoiareach/client/forecast/MonthForecast.java
@@ -3,8 +3,8 @@
 import java.time.LocalDate;
 import java.time.YearMonth;
 import java.util.Optional;
-import org.sequoiareach.platform.sheet.PlannedCost;
-import org.sequoiareach.platform.sheet.SheetHistory;
+import org.sequoiareach.store.sheet.PlannedCost;
+import org.sequoiareach.store.sheet.SheetHistory;
 
 /**
  * Holds the predicted cost of a month.
--- a/sequoiareach-client/src/test/java/org/sequoiareach/client/forecast/MonthForecastTest.java
+++ b/sequoiareach-client/src/test/java/org/sequoiareach/client/forecast/MonthForecastTest.java
@@ -6,9 +6,9 @@
 import java.time.YearMonth;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.sequoiareach.platform.sheet.PlannedCost;
-import org.sequoiareach.platform.sheet.SheetHistory;
-import org.sequoiareach.platform.sheet.SheetHistory.DayPlan;
+import org.sequoiareach.store.sheet.PlannedCost;
+import org.sequoiareach.store.sheet.SheetHistory;
+import org.sequoiareach.store.sheet.SheetHistory.DayPlan;
 
 class MonthForecastTest {
 
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/AttemptRunner.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/AttemptRunner.java
@@ -17,7 +17,7 @@
 import org.sequoiareach.model.request.RequestFailedException;
 import org.sequoiareach.model.request.RequestKind;
 import org.sequoiareach.model.request.Verdict;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.time.MonotonicClock;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/ProgressMeter.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/ProgressMeter.java
@@ -3,7 +3,7 @@
 import org.sequoiareach.daemon.answer.AnswerPart;
 import org.sequoiareach.daemon.control.EventSink;
 import org.sequoiareach.decision.event.RequestEvent;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.time.MonotonicClock;
 
 /**
  * Tells the reducer that an attempt has started and, now and then, how far it is. Used by one
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/CallContext.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/CallContext.java
@@ -5,7 +5,7 @@
 import org.sequoiareach.daemon.attempt.Exchange;
 import org.sequoiareach.daemon.control.EventSink;
 import org.sequoiareach.decision.event.RequestEvent;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.time.MonotonicClock;
 import reactor.core.publisher.Flux;
 
 /** Tells the reducer of requests and connects each with its answer. Thread-safe. */
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/DeadlineResolver.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/DeadlineResolver.java
@@ -1,7 +1,7 @@
 package org.sequoiareach.daemon.caller;
 
 import org.sequoiareach.model.request.Reason;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.time.MonotonicClock;
 import reactor.netty.http.server.HttpServerRequest;
 
 /** Resolves when a request's final answer is due, from its header and the daemon's limit. */
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/control/ControlLoop.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/control/ControlLoop.java
@@ -12,7 +12,7 @@
 import org.sequoiareach.decision.event.Event;
 import org.sequoiareach.decision.event.TimeEvent;
 import org.sequoiareach.decision.reducer.Reducer;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.time.MonotonicClock;
 
 /** Applies events to the reducer, one at a time, on the control thread. */
 public final class ControlLoop implements EventSink, AutoCloseable {
--- /dev/null
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreFeed.java
@@ -0,0 +1,127 @@
+package org.sequoiareach.daemon.feed;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
+import org.sequoiareach.daemon.control.EventSink;
+import org.sequoiareach.decision.dispatch.DispatchEvent;
+import org.sequoiareach.model.Check;
+import org.sequoiareach.model.route.RoutedTarget;
+import org.sequoiareach.store.prefix.PrefixEntry;
+import org.sequoiareach.store.prefix.PrefixFollower;
+import org.sequoiareach.store.prefix.PrefixListener;
+import org.sequoiareach.store.prefix.PrefixSnapshot;
+import org.sequoiareach.store.prefix.PrefixStore;
+import org.sequoiareach.store.time.MonotonicClock;
+
+/** Turns what the store holds into events. */
+public final class StoreFeed {
+
+  private static final Logger LOGGER = LogManager.getLogger(StoreFeed.class);
+
+  /** Sheets change seldom; a call that waits long costs little and probes notice a silent line. */
+  private static final long SHEET_WAIT_MS = 8_000;
+
+  private static final long TARGETS_WAIT_MS = 8_000;
+
+  private final StoreLayout layout;
+  private final EventSink events;
+  private final PrefixFollower sheets;
+  private final PrefixFollower targets;
+
+  /**
+   * Creates a feed that is not started.
+   *
+   * @param store the store
+   * @param layout says where it keeps what
+   * @param events takes the events
+   * @param timer runs the feed; one thread
+   */
+  public StoreFeed(
+      PrefixStore store, StoreLayout layout, EventSink events, ScheduledExecutorService timer) {
+    this.layout = Check.notNull(layout, "layout");
+    this.events = Check.notNull(events, "events");
+    this.sheets =
+        new PrefixFollower(store, layout.sheetPrefix(), SHEET_WAIT_MS, timer, new SheetListener());
+    this.targets =
+        new PrefixFollower(
+            store, layout.targetPrefix(), TARGETS_WAIT_MS, timer, new TargetListener());
+  }
+
+  /** Starts to read. */
+  public void start() {
+    sheets.start();
+    targets.start();
+  }
+
+  private final class SheetListener extends AbstractContactListener {
+
+    @Override
+    public void onSnapshot(PrefixSnapshot snapshot) {
+      onChanges(snapshot.entries());
+    }
+
+    @Override
+    public void onChanges(List<PrefixEntry> changes) {
+      for (PrefixEntry entry : changes) {
+        layout
+            .readSheet(entry)
+            .ifPresent(
+                sheet ->
+                    events.post(
+                        new DispatchEvent.SheetLearned(MonotonicClock.nowMs(), sheet, "store")));
+      }
+    }
+  }
+
+  private final class TargetListener extends AbstractContactListener {
+
+    @Override
+    public void onSnapshot(PrefixSnapshot snapshot) {
+      List<RoutedTarget> listed =
+          snapshot.entries().stream().map(layout::readTarget).flatMap(Optional::stream).toList();
+      events.post(
+          new DispatchEvent.TargetsListed(
+              MonotonicClock.nowMs(), snapshot.revision(), listed, "store"));
+    }
+
+    @Override
+    public void onChanges(List<PrefixEntry> changes) {
+      changes.forEach(this::onChange);
+    }
+
+    private void onChange(PrefixEntry entry) {
+      long nowMs = MonotonicClock.nowMs();
+      Optional<RoutedTarget> target =
+          entry.value().isEmpty() ? Optional.empty() : layout.readTarget(entry);
+      if (target.isPresent()) {
+        events.post(new DispatchEvent.TargetChanged(nowMs, entry.revision(), target.get()));
+        return;
+      }
+      String targetId = layout.targetIdOf(entry.key());
+      events.post(new DispatchEvent.TargetRemoved(nowMs, entry.revision(), targetId));
+    }
+  }
+
+  /** Tells when the store is lost and regained. */
+  private abstract class AbstractContactListener implements PrefixListener {
+
+    private boolean reachable = true;
+
+    @Override
+    public void onContact(boolean answered, String detail) {
+      if (answered == reachable) {
+        return;
+      }
+      reachable = answered;
+      LOGGER.info(
+          new StringMapMessage()
+              .with("decision", answered ? "store-regained" : "store-lost")
+              .with("reason", detail));
+      events.post(new DispatchEvent.StoreSeen(MonotonicClock.nowMs(), answered));
+    }
+  }
+}
--- /dev/null
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/StrictRequestDecoder.java
@@ -0,0 +1,44 @@
+package org.sequoiareach.daemon.front;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import java.util.List;
+
+/**
+ * Rejects requests whose length can be read in two ways: another reader could take a part of the
+ * body for a request of its own (RFC 9112, section 6.3).
+ */
+final class StrictRequestDecoder extends HttpRequestDecoder {
+
+  StrictRequestDecoder(HttpDecoderConfig config) {
+    super(config);
+  }
+
+  @Override
+  protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    requireOneLength(message.headers());
+    return super.isContentAlwaysEmpty(message);
+  }
+
+  private static void requireOneLength(HttpHeaders headers) {
+    List<String> codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    boolean plain =
+        codings.isEmpty()
+            || codings.size() == 1
+                && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0).trim());
+    if (!plain) {
+      throw new IllegalArgumentException("the transfer encoding " + codings + " is not supported");
+    }
+    List<String> lengths = headers.getAll(HttpHeaderNames.CONTENT_LENGTH);
+    if (!codings.isEmpty() && !lengths.isEmpty()) {
+      throw new IllegalArgumentException("both Content-Length and Transfer-Encoding are given");
+    }
+    if (lengths.size() > 1) {
+      throw new IllegalArgumentException("Content-Length is given more than once");
+    }
+  }
+}
--- /dev/null
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
@@ -0,0 +1,307 @@
+package org.sequoiareach.daemon.gateway;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
+import org.sequoiareach.daemon.control.ControlLoop;
+import org.sequoiareach.daemon.control.DecisionLog;
+import org.sequoiareach.daemon.exchange.ExchangeTable;
+import org.sequoiareach.daemon.feed.StoreFeed;
+import org.sequoiareach.daemon.front.FrontServer;
+import org.sequoiareach.daemon.operator.ReadinessFlag;
+import org.sequoiareach.daemon.peer.MembershipBridge;
+import org.sequoiareach.daemon.upstream.TargetConnections;
+import org.sequoiareach.decision.dispatch.DispatchEvent;
+import org.sequoiareach.decision.dispatch.DispatchReducer;
+import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.event.PlatformEvent;
+import org.sequoiareach.decision.event.TimeEvent;
+import org.sequoiareach.decision.membership.MembershipEffect;
+import org.sequoiareach.decision.membership.MembershipSettings;
+import org.sequoiareach.model.Check;
+import org.sequoiareach.model.platform.VmEntry;
+import org.sequoiareach.model.platform.VmKind;
+import org.sequoiareach.peer.MembershipMessage;
+import org.sequoiareach.peer.PeerLimits;
+import org.sequoiareach.peer.PeerListener;
+import org.sequoiareach.peer.PeerMessage;
+import org.sequoiareach.peer.PeerSettings;
+import org.sequoiareach.peer.PeerTransport;
+import org.sequoiareach.peer.StateMessage;
+import org.sequoiareach.peer.TcpPeerTransport;
+import org.sequoiareach.store.http.HttpCaller;
+import org.sequoiareach.store.http.KeepAliveProbes;
+import org.sequoiareach.store.time.MonotonicClock;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.resources.ConnectionProvider;
+import reactor.netty.resources.LoopResources;
+
+/** Runs a daemon that routes requests by a routing sheet, until it is told to stop. */
+public final class Gateway implements AutoCloseable {
+
+  private static final Logger LOGGER = LogManager.getLogger(Gateway.class);
+
+  /** A VM has one core; more threads would only wake each other. */
+  private static final int TRAFFIC_THREADS = 1;
+
+  /** The longest answer of the store: a megabyte in base64, and its frame. */
+  private static final int STORE_ANSWER_BYTES = 4 << 20;
+
+  private static final int PLATFORM_CONNECTIONS = 32;
+  private static final int CONNECT_TIMEOUT_MS = 600;
+
+  /** The store closes idle connections; half of the shortest time that is usual. */
+  private static final Duration PLATFORM_IDLE = Duration.ofMillis(900);
+
+  private static final int UNAVAILABLE = 503;
+
+  private volatile GatewaySettings settings;
+  private final long incarnation = System.currentTimeMillis();
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final LoopResources resources = LoopResources.create("traffic", TRAFFIC_THREADS, true);
+  private final ScheduledExecutorService timer =
+      Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "feed"));
+  private final ConnectionProvider platformPool =
+      ConnectionProvider.builder("platform")
+          .maxConnections(PLATFORM_CONNECTIONS)
+          .maxIdleTime(PLATFORM_IDLE)
+          .lifo()
+          .build();
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private final ReadinessFlag readiness = new ReadinessFlag();
+  private final ControlLoop control = new ControlLoop(metrics);
+  private final PeerTransport transport;
+  private final DispatchReducer reducer;
+  private final FrontServer front;
+  private final List<DisposableServer> servers = new ArrayList<>();
+  private final Channel callers;
+
+  private Gateway(GatewaySettings settings, GatewayBinding binding) {
+    this.settings = Check.notNull(settings, "settings");
+    Check.notNull(binding, "binding");
+    final EventLoop loop = resources.onServer(true).next();
+    this.reducer =
+        new DispatchReducer(
+            settings.dispatch(incarnation),
+            new MembershipSettings(
+                settings.peerAddress(),
+                settings.peerAddress(),
+                settings.zone(),
+                incarnation,
+                incarnation));
+    CompletableFuture<PeerTransport> started = new CompletableFuture<>();
+    MembershipBridge membership = new MembershipBridge(control, started);
+    CompletableFuture<SpreadBridge> spread = new CompletableFuture<>();
+    this.transport = TcpPeerTransport.start(peerSettings(), new Messages(membership, spread));
+    started.complete(transport);
+    spread.complete(new SpreadBridge(control, transport));
+    HttpCaller http = new HttpCaller(createClient(), STORE_ANSWER_BYTES);
+    TargetConnections connections = new TargetConnections(loop, resources);
+    ExchangeTable exchanges =
+        new ExchangeTable(
+            binding.dialect(),
+            connections,
+            binding.createEngineControl(http),
+            control,
+            metrics,
+            loop);
+    this.front = new FrontServer(binding.dialect(), exchanges, metrics, loop);
+    metrics.registerAll(Gauges.ofProcess());
+    metrics.register("sheet.revision", (Gauge<Long>) reducer::sheetRevision);
+    control.start(
+        reducer,
+        List.of(
+            new DecisionLog(metrics),
+            readiness,
+            front,
+            exchanges,
+            spread.join(),
+            effect -> handleOwn(effect, membership)));
+    learnSeeds();
+    this.callers = front.listen(resources, GatewaySettings.resolve(settings.callerAddress()));
+    servers.add(serveReadiness());
+    servers.add(serveMetrics());
+    new StoreFeed(
+            binding.createStore(http, settings.storeAddress()), binding.layout(), control, timer)
+        .start();
+  }
+
+  /**
+   * Starts a daemon. It takes callers at once, and says that it is ready when it knows a sheet and
+   * its targets.
+   *
+   * @param settings its settings
+   * @param binding the forms that its platform uses
+   * @return the running daemon
+   */
+  public static Gateway start(GatewaySettings settings, GatewayBinding binding) {
+    Gateway gateway = new Gateway(settings, binding);
+    LOGGER.info(
+        new StringMapMessage()
+            .with("decision", "start")
+            .with("daemon", settings.name())
+            .with("callers", settings.callerAddress())
+            .with("peers", settings.peerAddress())
+            .with("zone", settings.zone()));
+    return gateway;
+  }
+
+  /**
+   * Takes over changed settings, or logs what needs a restart.
+   *
+   * @param changed the settings
+   */
+  public void reload(GatewaySettings changed) {
+    if (changed.equals(settings)) {
+      return;
+    }
+    boolean taken = settings.canTakeOver(changed);
+    LOGGER.info(
+        new StringMapMessage()
+            .with("decision", "reload")
+            .with("daemon", settings.name())
+            .with("outcome", taken ? "taken over" : "addresses or zone differ; needs a restart"));
+    if (!taken) {
+      return;
+    }
+    settings = changed;
+    control.post(
+        new DispatchEvent.SettingsChanged(MonotonicClock.nowMs(), changed.dispatch(incarnation)));
+    learnSeeds();
+  }
+
+  /** Asks the daemon to finish what is in progress and stop. Returns at once. */
+  public void drain() {
+    long nowMs = MonotonicClock.nowMs();
+    front.drain();
+    control.post(new TimeEvent.DrainRequested(nowMs, nowMs + settings.drainMs()));
+  }
+
+  /**
+   * Waits until the daemon has stopped.
+   *
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public void awaitStop() throws InterruptedException {
+    stopped.await();
+  }
+
+  @Override
+  public void close() {
+    LOGGER.info(new StringMapMessage().with("decision", "stop").with("daemon", settings.name()));
+    callers.close();
+    front.closeIdle();
+    control.close();
+    timer.shutdownNow();
+    transport.close();
+    servers.forEach(DisposableServer::disposeNow);
+    platformPool.dispose();
+    resources.dispose();
+    stopped.countDown();
+  }
+
+  private void handleOwn(Effect effect, MembershipBridge membership) {
+    if (effect instanceof Effect.Stop) {
+      stopped.countDown();
+    } else if (effect instanceof MembershipEffect.MembersChanged changed) {
+      LOGGER.info(
+          new StringMapMessage()
+              .with("decision", "members")
+              .with("reason", changed.changes().toString()));
+    } else if (effect instanceof MembershipEffect sent) {
+      membership.handle(sent);
+    }
+  }
+
+  private void learnSeeds() {
+    long nowMs = MonotonicClock.nowMs();
+    List<VmEntry> seeds =
+        settings.seedAddresses().stream()
+            .filter(seed -> !seed.equals(settings.peerAddress()))
+            .map(seed -> new VmEntry(seed, VmKind.DAEMON, seed, settings.zone(), false, List.of()))
+            .toList();
+    control.post(new PlatformEvent.VmsListed(nowMs, nowMs, seeds));
+  }
+
+  private PeerSettings peerSettings() {
+    java.net.InetSocketAddress address = GatewaySettings.resolve(settings.peerAddress());
+    return new PeerSettings(
+        settings.peerAddress(),
+        incarnation,
+        settings.zone(),
+        address.getHostString(),
+        address.getPort(),
+        PeerLimits.DEFAULT);
+  }
+
+  private HttpClient createClient() {
+    HttpClient client =
+        HttpClient.create(platformPool)
+            .runOn(resources, true)
+            .option(io.netty.channel.ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
+    for (var option : KeepAliveProbes.options().entrySet()) {
+      client = withOption(client, option.getKey(), option.getValue());
+    }
+    return client;
+  }
+
+  @SuppressWarnings("unchecked")
+  private static <T> HttpClient withOption(
+      HttpClient client, io.netty.channel.ChannelOption<T> option, Object value) {
+    return client.option(option, (T) value);
+  }
+
+  private DisposableServer serveReadiness() {
+    return HttpServer.create()
+        .runOn(resources, true)
+        .bindAddress(() -> GatewaySettings.resolve(settings.readyAddress()))
+        .handle(
+            (request, response) ->
+                response
+                    .status(readiness.isReady() ? 200 : UNAVAILABLE)
+                    .sendString(Mono.just(readiness.reason() + "\n")))
+        .bindNow();
+  }
+
+  private DisposableServer serveMetrics() {
+    MetricsPage page = new MetricsPage(metrics);
+    return HttpServer.create()
+        .runOn(resources, true)
+        .bindAddress(() -> GatewaySettings.resolve(settings.metricsAddress()))
+        .handle((request, response) -> response.sendString(Mono.fromSupplier(page::render)))
+        .bindNow();
+  }
+
+  /** Hands messages of other daemons on. */
+  private record Messages(MembershipBridge membership, CompletableFuture<SpreadBridge> spread)
+      implements PeerListener {
+
+    @Override
+    public void onMessage(String fromDaemon, PeerMessage message) {
+      if (message instanceof MembershipMessage member) {
+        membership.onMessage(fromDaemon, member);
+      } else if (message instanceof StateMessage state) {
+        spread.thenAccept(bridge -> bridge.onMessage(fromDaemon, state));
+      }
+    }
+
+    @Override
+    public void onPeerLost(String daemonId) {
+      membership.onPeerLost(daemonId);
+    }
+  }
+}
--- /dev/null
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** Wires a daemon that routes requests by a routing sheet. */
+package org.sequoiareach.daemon.gateway;
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/MembershipBridge.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/MembershipBridge.java
@@ -7,20 +7,31 @@
 import org.sequoiareach.peer.MembershipMessage;
 import org.sequoiareach.peer.PeerMessage;
 import org.sequoiareach.peer.PeerTransport;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.time.MonotonicClock;
 
 /** Carries the messages of the membership between daemons. Thread-safe. */
-final class MembershipBridge {
+public final class MembershipBridge {
 
   private final EventSink events;
   private final CompletableFuture<PeerTransport> transport;
 
-  MembershipBridge(EventSink events, CompletableFuture<PeerTransport> transport) {
+  /**
+   * Creates a bridge.
+   *
+   * @param events takes what other daemons send
+   * @param transport sends to other daemons; messages wait until it is there
+   */
+  public MembershipBridge(EventSink events, CompletableFuture<PeerTransport> transport) {
     this.events = events;
     this.transport = transport;
   }
 
-  void handle(MembershipEffect effect) {
+  /**
+   * Sends a message of the membership.
+   *
+   * @param effect the message; anything else is ignored
+   */
+  public void handle(MembershipEffect effect) {
     if (effect instanceof MembershipEffect.SendProbe probe) {
       send(
           probe.daemonId(),
@@ -41,7 +52,13 @@
     }
   }
 
-  void onMessage(String fromDaemon, MembershipMessage message) {
+  /**
+   * Takes a message of another daemon.
+   *
+   * @param fromDaemon the daemon
+   * @param message the message
+   */
+  public void onMessage(String fromDaemon, MembershipMessage message) {
     long nowMs = MonotonicClock.nowMs();
     if (message instanceof MembershipMessage.Probe probe) {
       events.post(
@@ -63,7 +80,12 @@
     }
   }
 
-  void onPeerLost(String daemonId) {
+  /**
+   * Takes the loss of the connection with another daemon.
+   *
+   * @param daemonId the daemon
+   */
+  public void onPeerLost(String daemonId) {
     events.post(new MembershipEvent.PeerConnectionLost(MonotonicClock.nowMs(), daemonId));
   }
 
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/PeerBridge.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/PeerBridge.java
@@ -29,7 +29,7 @@
 import org.sequoiareach.peer.PeerMessage;
 import org.sequoiareach.peer.PeerTransport;
 import org.sequoiareach.peer.SheetMessage;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.time.MonotonicClock;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/SheetBridge.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/SheetBridge.java
@@ -7,7 +7,7 @@
 import org.sequoiareach.peer.PeerMessage;
 import org.sequoiareach.peer.PeerTransport;
 import org.sequoiareach.peer.SheetMessage;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.time.MonotonicClock;
 
 /** Carries sheets and what daemons hold of them between daemons. Thread-safe. */
 final class SheetBridge {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/platform/BudgetGateway.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/platform/BudgetGateway.java
@@ -13,10 +13,10 @@
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.event.BudgetEvent;
 import org.sequoiareach.model.json.Json;
-import org.sequoiareach.platform.kv.KeyValueEntry;
-import org.sequoiareach.platform.kv.KeyValueService;
-import org.sequoiareach.platform.kv.Transaction;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.kv.KeyValueEntry;
+import org.sequoiareach.store.kv.KeyValueService;
+import org.sequoiareach.store.kv.Transaction;
+import org.sequoiareach.store.time.MonotonicClock;
 
 /**
  * Keeps the ledgers of organisations' days in the key-value service, one key each, changed by
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/platform/ClaimGateway.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/platform/ClaimGateway.java
@@ -5,9 +5,9 @@
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.event.ClaimResult;
 import org.sequoiareach.decision.event.RequestEvent;
-import org.sequoiareach.platform.claim.ClaimKey;
-import org.sequoiareach.platform.claim.ClaimRegistry;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.claim.ClaimKey;
+import org.sequoiareach.store.claim.ClaimRegistry;
+import org.sequoiareach.store.time.MonotonicClock;
 
 /** Claims and settles idempotency keys as the reducer asks. */
 public final class ClaimGateway implements EffectHandler {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/platform/DayTimer.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/platform/DayTimer.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.sequoiareach.daemon.control.EventSink;
 import org.sequoiareach.decision.event.BudgetEvent;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.time.MonotonicClock;
 
 /** Tells the reducer which day of plans it is, at the start and at each midnight UTC. */
 public final class DayTimer {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/platform/LoadPoller.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/platform/LoadPoller.java
@@ -10,7 +10,7 @@
 import org.sequoiareach.daemon.target.EngineClient;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.event.PlatformEvent;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.time.MonotonicClock;
 
 /** Asks the engines that this daemon owns for their load, at a steady period. */
 public final class LoadPoller implements EffectHandler {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/platform/PlatformPoller.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/platform/PlatformPoller.java
@@ -11,9 +11,9 @@
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.event.PlatformEvent;
 import org.sequoiareach.model.sheet.Sheet;
-import org.sequoiareach.platform.sheet.SheetStore;
-import org.sequoiareach.platform.time.MonotonicClock;
-import org.sequoiareach.platform.vm.VmList;
+import org.sequoiareach.store.sheet.SheetStore;
+import org.sequoiareach.store.time.MonotonicClock;
+import org.sequoiareach.store.vm.VmList;
 
 /** Reads the sheet and the list of VMs, at a steady period and when the reducer asks. */
 public final class PlatformPoller implements EffectHandler {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/IdleWatch.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/IdleWatch.java
@@ -3,7 +3,7 @@
 import io.netty.handler.timeout.ReadTimeoutException;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicLong;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.time.MonotonicClock;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Operators;
 
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/ServiceClient.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/ServiceClient.java
@@ -15,7 +15,7 @@
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.peer.Header;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.time.MonotonicClock;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/DaemonArchitectureTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/DaemonArchitectureTest.java
@@ -18,7 +18,7 @@
               "org.sequoiareach.model",
               "org.sequoiareach.decision",
               "org.sequoiareach.peer",
-              "org.sequoiareach.platform",
+              "org.sequoiareach.store",
               "org.sequoiareach.daemon");
 
   @Test
@@ -31,8 +31,8 @@
         .definedBy("org.sequoiareach.decision..")
         .layer("peer")
         .definedBy("org.sequoiareach.peer..")
-        .layer("platform")
-        .definedBy("org.sequoiareach.platform..")
+        .layer("store")
+        .definedBy("org.sequoiareach.store..")
         .layer("daemon")
         .definedBy("org.sequoiareach.daemon..")
         .whereLayer("daemon")
@@ -41,7 +41,7 @@
         .mayOnlyBeAccessedByLayers("daemon")
         .whereLayer("peer")
         .mayOnlyBeAccessedByLayers("daemon")
-        .whereLayer("platform")
+        .whereLayer("store")
         .mayOnlyBeAccessedByLayers("daemon")
         .check(CLASSES);
   }
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/Deployment.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/Deployment.java
@@ -28,10 +28,6 @@
 import org.sequoiareach.model.sheet.PlanEntry;
 import org.sequoiareach.model.sheet.ServiceEntry;
 import org.sequoiareach.model.sheet.Sheet;
-import org.sequoiareach.platform.kv.EtcdKeyValueService;
-import org.sequoiareach.platform.kv.KeyValueCallListener;
-import org.sequoiareach.platform.sheet.KeyValueSheetStore;
-import org.sequoiareach.platform.time.MonotonicClock;
 import org.sequoiareach.standin.engine.EngineFaults;
 import org.sequoiareach.standin.engine.EngineSettings;
 import org.sequoiareach.standin.engine.EngineStandin;
@@ -43,6 +39,10 @@
 import org.sequoiareach.standin.service.ServiceStandin;
 import org.sequoiareach.standin.vms.VmListSettings;
 import org.sequoiareach.standin.vms.VmListStandin;
+import org.sequoiareach.store.kv.EtcdKeyValueService;
+import org.sequoiareach.store.kv.KeyValueCallListener;
+import org.sequoiareach.store.sheet.KeyValueSheetStore;
+import org.sequoiareach.store.time.MonotonicClock;
 
 /** Runs stand-ins and daemons in this process, on free loopback ports. */
 final class Deployment implements AutoCloseable {
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/FaultTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/FaultTest.java
@@ -20,10 +20,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.sequoiareach.platform.time.MonotonicClock;
 import org.sequoiareach.standin.engine.EngineFaults;
 import org.sequoiareach.standin.engine.GenerationRecord;
 import org.sequoiareach.standin.engine.GenerationState;
+import org.sequoiareach.store.time.MonotonicClock;
 
 /** Faults of engines and of callers never mix, repeat or lose tokens of an answer. */
 class FaultTest {
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/peer/SheetBridgeTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/peer/SheetBridgeTest.java
@@ -32,7 +32,7 @@
 import org.sequoiareach.peer.PeerTransport;
 import org.sequoiareach.peer.SheetMessage;
 import org.sequoiareach.peer.TcpPeerTransport;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.time.MonotonicClock;
 
 class SheetBridgeTest {
 
--- /dev/null
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LifeRole.java
@@ -0,0 +1,58 @@
+package org.sequoiareach.decision.dispatch;
+
+import java.util.Optional;
+import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.event.TimeEvent;
+
+/** Decides whether the daemon takes callers, and when it stops. Not thread-safe. */
+final class LifeRole {
+
+  private final DispatchContext context;
+  private final CallRole calls;
+  private Optional<Boolean> announced = Optional.empty();
+  private boolean draining;
+  private boolean stopped;
+  private long noticeEndMs;
+  private long drainDeadlineMs;
+
+  LifeRole(DispatchContext context, CallRole calls) {
+    this.context = context;
+    this.calls = calls;
+  }
+
+  void drain(TimeEvent.DrainRequested event) {
+    if (draining) {
+      return;
+    }
+    draining = true;
+    noticeEndMs = event.nowMs() + context.settings().drainNoticeMs();
+    drainDeadlineMs = event.deadlineMs();
+    context.note("drain", "", "", "", "calls=" + calls.count());
+    announce();
+  }
+
+  void tick(long nowMs) {
+    announce();
+    if (!draining || stopped) {
+      return;
+    }
+    if (nowMs >= drainDeadlineMs) {
+      calls.endAll("the daemon stops");
+    }
+    if (calls.count() == 0 && nowMs >= noticeEndMs) {
+      stopped = true;
+      context.log().add(new Effect.Stop());
+    }
+  }
+
+  private void announce() {
+    boolean ready = !draining && context.index().isPresent() && context.targets().isKnown();
+    if (announced.equals(Optional.of(ready))) {
+      return;
+    }
+    announced = Optional.of(ready);
+    String why = ready ? "" : draining ? "the daemon stops" : "no sheet or no targets yet";
+    context.note(ready ? "ready" : "not-ready", "", "", "", why);
+    context.log().add(new Effect.SetReady(ready, why));
+  }
+}
--- /dev/null
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMove.java
@@ -0,0 +1,126 @@
+package org.sequoiareach.decision.dispatch;
+
+import java.util.Optional;
+import org.sequoiareach.model.route.RoutedTarget;
+
+/** Follows the move of one run off an engine that leaves. Not thread-safe. */
+final class RunMove {
+
+  /** The steps of a move. */
+  enum Step {
+    /** Other runs of the engine are copied first, or a copy is tried again after a pause. */
+    WAITING,
+    /** The memory is copied while the run goes on. */
+    COPYING,
+    /** The run has stopped, and the rest is copied. */
+    STOPPING,
+    /** The request is sent to the engine that holds the copy. */
+    CONTINUING
+  }
+
+  private final ActiveCall call;
+  private final RoutedTarget source;
+  private final long noticedMs;
+  private Step step = Step.WAITING;
+  private Optional<RoutedTarget> destination = Optional.empty();
+  private String handle = "";
+  private int round;
+  private int failures;
+  private long stepStartedMs;
+  private long tryAgainMs;
+  private long expectedCopyMs;
+  private boolean backAtSource;
+
+  RunMove(ActiveCall call, RoutedTarget source, long noticedMs) {
+    this.call = call;
+    this.source = source;
+    this.noticedMs = noticedMs;
+  }
+
+  ActiveCall call() {
+    return call;
+  }
+
+  RoutedTarget source() {
+    return source;
+  }
+
+  long noticedMs() {
+    return noticedMs;
+  }
+
+  Step step() {
+    return step;
+  }
+
+  Optional<RoutedTarget> destination() {
+    return destination;
+  }
+
+  String handle() {
+    return handle;
+  }
+
+  int round() {
+    return round;
+  }
+
+  int failures() {
+    return failures;
+  }
+
+  long stepStartedMs() {
+    return stepStartedMs;
+  }
+
+  boolean isDue(long nowMs) {
+    return step == Step.WAITING && tryAgainMs <= nowMs;
+  }
+
+  /** Returns how long the first copy takes over free links. */
+  long expectedCopyMs() {
+    return expectedCopyMs;
+  }
+
+  void expectCopy(long durationMs) {
+    expectedCopyMs = durationMs;
+  }
+
+  void copying(long nowMs, RoutedTarget to, boolean stop) {
+    if (destination.filter(to::isSameIncarnation).isEmpty()) {
+      handle = "";
+    }
+    step = stop ? Step.STOPPING : Step.COPYING;
+    destination = Optional.of(to);
+    round++;
+    stepStartedMs = nowMs;
+  }
+
+  void copied(String copyHandle) {
+    handle = copyHandle;
+  }
+
+  void continuing(long nowMs) {
+    step = Step.CONTINUING;
+    stepStartedMs = nowMs;
+  }
+
+  /** Tells whether the run was sent back to its stopped source, as its destination had no room. */
+  boolean isBackAtSource() {
+    return backAtSource;
+  }
+
+  void backAtSource() {
+    backAtSource = true;
+  }
+
+  /** Waits before the next copy, after one that did not succeed. */
+  void tryAgainAt(long atMs, boolean failed) {
+    step = Step.WAITING;
+    tryAgainMs = atMs;
+    if (failed) {
+      failures++;
+      destination = Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMover.java
@@ -0,0 +1,233 @@
+package org.sequoiareach.decision.dispatch;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.sequoiareach.model.route.EngineTraits;
+import org.sequoiareach.model.route.RoutedTarget;
+
+/**
+ * Moves running generations off engines that leave.
+ *
+ * <p>Answers the load of engines that are reclaimed at short notice while they run generations that
+ * may not be started anew. A run is copied while it goes on, again until a copy is quick, then
+ * stopped, copied for the last time and continued at the destination; so its caller sees a pause of
+ * the last copy only. The daemon copies one run of an engine at a time, the one with the most still
+ * to come first, because copies queue on the engine's link. Not thread-safe.
+ */
+final class RunMover {
+
+  /** A copy that took no longer leaves a pause that callers do not notice. */
+  static final long QUICK_COPY_MS = 60;
+
+  /** The run is stopped at the latest so long after the notice; engines leave 1.5 s after it. */
+  static final long LATEST_STOP_MS = 1_200;
+
+  /** A copy that has not ended by then is given up. */
+  private static final long COPY_TIMEOUT_MS = 1_500;
+
+  /** The pause before a copy is asked for again. */
+  private static final long PAUSE_MS = 50;
+
+  /** A run that could not be copied so often is left to its engine. */
+  private static final int MOST_FAILURES = 4;
+
+  /** An engine that was to leave and still works after this time is not waited for any longer. */
+  private static final long GIVE_UP_MS = 6_000;
+
+  private static final double BITS_PER_BYTE = 8;
+  private static final double BITS_PER_MS_AND_MBPS = 1_000;
+
+  /** Copies between availability zones take twice as long, by the platform's word. */
+  private static final int ZONE_CROSSING_FACTOR = 2;
+
+  private final Map<String, RunMove> moves = new LinkedHashMap<>();
+  private final Map<String, Integer> copiesTo = new HashMap<>();
+
+  /** Returns the move of a call, if it is being moved. */
+  Optional<RunMove> find(String callId) {
+    return Optional.ofNullable(moves.get(callId));
+  }
+
+  /** Starts to move the calls of an engine that leaves. */
+  void begin(long nowMs, RoutedTarget source, List<ActiveCall> calls) {
+    calls.stream()
+        .filter(call -> !moves.containsKey(call.callId()))
+        .sorted(Comparator.comparingLong(RunMover::stillToCome).reversed())
+        .forEach(call -> moves.put(call.callId(), new RunMove(call, source, nowMs)));
+  }
+
+  /** Forgets a call that has ended; returns the copy to release, if there is one. */
+  Optional<DispatchEffect.ReleaseCopy> ended(String callId) {
+    RunMove move = moves.remove(callId);
+    if (move == null || move.handle().isEmpty() || move.step() == RunMove.Step.CONTINUING) {
+      return Optional.empty();
+    }
+    return Optional.of(new DispatchEffect.ReleaseCopy(move.source().address(), move.handle()));
+  }
+
+  /** Starts the copies that are due. */
+  List<DispatchEffect.CopyRun> advance(long nowMs, Function<ActiveCall, List<Candidate>> engines) {
+    List<DispatchEffect.CopyRun> copies = new ArrayList<>();
+    for (RunMove move : List.copyOf(moves.values())) {
+      boolean givenUp = nowMs - move.noticedMs() > GIVE_UP_MS;
+      if (givenUp && move.step() == RunMove.Step.WAITING) {
+        moves.remove(move.call().callId());
+      } else if (move.isDue(nowMs) && !isSourceBusy(move.source())) {
+        startCopy(nowMs, move, engines).ifPresent(copies::add);
+      }
+    }
+    return copies;
+  }
+
+  /** Takes the end of a copy; returns what is to be done next. */
+  List<DispatchEffect> copied(
+      DispatchEvent.RunCopied event, Function<RunMove, DispatchEffect> continueRun) {
+    RunMove move = moves.get(event.callId());
+    if (move == null || move.round() != event.round() || move.destination().isEmpty()) {
+      // A copy of a run that has ended is freed by the engines after a while.
+      return List.of();
+    }
+    if (!event.handle().isEmpty()) {
+      move.copied(event.handle());
+    }
+    if (move.step() == RunMove.Step.STOPPING) {
+      return stopped(event, move, continueRun);
+    }
+    return switch (event.outcome()) {
+      case COPIED -> List.of(nextCopy(event.nowMs(), move));
+      case BUSY, NO_RUN -> later(event.nowMs(), move, false);
+      case NO_ROOM, UNKNOWN -> later(event.nowMs(), move, true);
+    };
+  }
+
+  private List<DispatchEffect> stopped(
+      DispatchEvent.RunCopied event, RunMove move, Function<RunMove, DispatchEffect> continueRun) {
+    if (event.outcome() == CopyOutcome.BUSY) {
+      return later(event.nowMs(), move, false);
+    }
+    if (move.handle().isEmpty()) {
+      moves.remove(event.callId());
+      return List.of();
+    }
+    move.continuing(event.nowMs());
+    return List.of(continueRun.apply(move));
+  }
+
+  /** Takes the loss of the source's answer; returns whether the move can still save the run. */
+  boolean survivesLoss(ActiveCall call) {
+    RunMove move = moves.get(call.callId());
+    if (move == null) {
+      return false;
+    }
+    return move.step() == RunMove.Step.STOPPING || !move.handle().isEmpty();
+  }
+
+  private DispatchEffect nextCopy(long nowMs, RunMove move) {
+    long tookMs = nowMs - move.stepStartedMs();
+    boolean quick = tookMs <= QUICK_COPY_MS || tookMs <= QUICK_COPY_MS + expectedMs(move);
+    boolean late = nowMs - move.noticedMs() >= LATEST_STOP_MS;
+    return copy(nowMs, move, move.destination().orElseThrow(), quick || late);
+  }
+
+  /** A first copy that took as long as its bytes need found the links free. */
+  private static long expectedMs(RunMove move) {
+    return move.round() > 1 ? 0 : move.expectedCopyMs();
+  }
+
+  private List<DispatchEffect> later(long nowMs, RunMove move, boolean failed) {
+    move.tryAgainAt(nowMs + PAUSE_MS, failed);
+    if (move.failures() > MOST_FAILURES) {
+      moves.remove(move.call().callId());
+    }
+    return List.of();
+  }
+
+  private Optional<DispatchEffect.CopyRun> startCopy(
+      long nowMs, RunMove move, Function<ActiveCall, List<Candidate>> engines) {
+    Optional<Candidate> chosen = chooseDestination(move, engines);
+    if (chosen.isEmpty()) {
+      move.tryAgainAt(nowMs + PAUSE_MS, true);
+      if (move.failures() > MOST_FAILURES) {
+        moves.remove(move.call().callId());
+      }
+      return Optional.empty();
+    }
+    move.expectCopy(copyMs(move, chosen.get()));
+    return Optional.of(copy(nowMs, move, chosen.get().target(), false));
+  }
+
+  private DispatchEffect.CopyRun copy(
+      long nowMs, RunMove move, RoutedTarget destination, boolean stop) {
+    move.copying(nowMs, destination, stop);
+    return new DispatchEffect.CopyRun(
+        move.call().callId(),
+        move.round(),
+        move.source().address(),
+        destination.address(),
+        stop,
+        nowMs + COPY_TIMEOUT_MS);
+  }
+
+  /** Prefers the source's zone, then engines to which nothing is copied, then the emptiest. */
+  private Optional<Candidate> chooseDestination(
+      RunMove move, Function<ActiveCall, List<Candidate>> engines) {
+    copiesTo.clear();
+    moves.values().stream()
+        .filter(other -> other != move && !isSameSource(other, move))
+        .forEach(
+            other -> other.destination().ifPresent(to -> copiesTo.merge(to.id(), 1, Integer::sum)));
+    long needed =
+        move.call().profile().generation().map(GenerationDemand::expectedMemoryTokens).orElse(0L);
+    Comparator<Candidate> order =
+        Comparator.comparing(
+                (Candidate candidate) -> !candidate.target().zone().equals(move.source().zone()))
+            .thenComparing(candidate -> copiesTo.getOrDefault(candidate.target().id(), 0))
+            .thenComparing(candidate -> candidate.use().memoryTokens());
+    return engines.apply(move.call()).stream()
+        .filter(candidate -> !candidate.target().id().equals(move.source().id()))
+        .filter(candidate -> candidate.use().calls() < candidate.target().slots())
+        .filter(candidate -> fits(candidate, needed))
+        .min(order);
+  }
+
+  private static boolean fits(Candidate candidate, long needed) {
+    long memory = candidate.engine().map(EngineTraits::memoryTokens).orElse(Long.MAX_VALUE);
+    return candidate.use().memoryTokens() + needed <= memory;
+  }
+
+  private static long copyMs(RunMove move, Candidate to) {
+    if (to.engine().isEmpty() || to.engine().get().linkMbps() <= 0) {
+      return 0;
+    }
+    EngineTraits engine = to.engine().get();
+    long tokens = move.call().profile().generation().map(GenerationDemand::promptTokens).orElse(0L);
+    double ms =
+        tokens
+            * engine.bytesPerToken()
+            * BITS_PER_BYTE
+            / (engine.linkMbps() * BITS_PER_MS_AND_MBPS);
+    boolean crossing = !to.target().zone().equals(move.source().zone());
+    return Math.round(crossing ? ZONE_CROSSING_FACTOR * ms : ms);
+  }
+
+  private boolean isSourceBusy(RoutedTarget source) {
+    return moves.values().stream()
+        .filter(move -> move.source().id().equals(source.id()))
+        .anyMatch(
+            move -> move.step() == RunMove.Step.COPYING || move.step() == RunMove.Step.STOPPING);
+  }
+
+  private static boolean isSameSource(RunMove one, RunMove other) {
+    return one.source().id().equals(other.source().id());
+  }
+
+  private static long stillToCome(ActiveCall call) {
+    return call.profile().generation().map(GenerationDemand::maxOutputTokens).orElse(0L);
+  }
+}
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/json/DecisionJson.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/json/DecisionJson.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.List;
+import org.sequoiareach.decision.dispatch.DispatchEffect;
+import org.sequoiareach.decision.dispatch.DispatchEvent;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.event.BudgetEvent;
 import org.sequoiareach.decision.event.Event;
@@ -32,9 +34,11 @@
           BudgetEvent.class,
           MembershipEvent.class,
           SheetEvent.class,
+          DispatchEvent.class,
           Effect.class,
           MembershipEffect.class,
-          SheetEffect.class);
+          SheetEffect.class,
+          DispatchEffect.class);
 
   private static final ObjectMapper MAPPER = createMapper();
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipReducer.java
@@ -115,6 +115,16 @@
     return table.find(daemonId);
   }
 
+  /**
+   * Tells whether an identity is that of this daemon.
+   *
+   * @param daemonId the identity
+   * @return true if it is
+   */
+  public boolean isSelf(String daemonId) {
+    return settings.daemonId().equals(daemonId);
+  }
+
   /**
    * Finds when a probe was sent that is not answered yet.
    *
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/DecisionArchitectureTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/DecisionArchitectureTest.java
@@ -31,7 +31,7 @@
             "reactor..",
             "io.netty..",
             "org.sequoiareach.peer..",
-            "org.sequoiareach.platform..",
+            "org.sequoiareach.store..",
             "org.sequoiareach.daemon..")
         .check(CLASSES);
   }
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerCodec.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerCodec.java
@@ -15,6 +15,7 @@
 import org.sequoiareach.model.platform.TargetHint;
 import org.sequoiareach.model.request.Outcome;
 import org.sequoiareach.model.request.RequestSpec;
+import org.sequoiareach.model.route.TargetUse;
 import org.sequoiareach.model.sheet.SheetDigest;
 import org.sequoiareach.model.sheet.SheetManifest;
 import org.sequoiareach.model.sheet.SheetStatus;
@@ -30,7 +31,8 @@
           RequestSpec.class,
           SheetDigest.class,
           SheetStatus.class,
-          SheetManifest.class);
+          SheetManifest.class,
+          TargetUse.class);
 
   private static final ObjectMapper MAPPER = createMapper();
 
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerMessage.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerMessage.java
@@ -28,6 +28,9 @@
   @JsonSubTypes.Type(value = SheetMessage.SheetPull.class, name = "31"),
   @JsonSubTypes.Type(value = SheetMessage.SheetSections.class, name = "32"),
   @JsonSubTypes.Type(value = SheetMessage.SheetStatusAsked.class, name = "33"),
-  @JsonSubTypes.Type(value = SheetMessage.SheetStatusAnswered.class, name = "34")
+  @JsonSubTypes.Type(value = SheetMessage.SheetStatusAnswered.class, name = "34"),
+  @JsonSubTypes.Type(value = StateMessage.StateTold.class, name = "40"),
+  @JsonSubTypes.Type(value = StateMessage.StatePull.class, name = "41"),
+  @JsonSubTypes.Type(value = StateMessage.StateHeld.class, name = "42")
 })
 public interface PeerMessage {}
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/claim/ClaimAnswer.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/claim/ClaimAnswer.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.claim;
+package org.sequoiareach.store.claim;
 
 /** Names the answers to a claim. */
 public enum ClaimAnswer {
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/claim/ClaimCommitter.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/claim/ClaimCommitter.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.claim;
+package org.sequoiareach.store.claim;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -11,11 +11,11 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.sequoiareach.model.request.Verdict;
-import org.sequoiareach.platform.kv.KeyValueEntry;
-import org.sequoiareach.platform.kv.KeyValueException;
-import org.sequoiareach.platform.kv.KeyValueService;
-import org.sequoiareach.platform.kv.Transaction;
-import org.sequoiareach.platform.kv.TransactionResult;
+import org.sequoiareach.store.kv.KeyValueEntry;
+import org.sequoiareach.store.kv.KeyValueException;
+import org.sequoiareach.store.kv.KeyValueService;
+import org.sequoiareach.store.kv.Transaction;
+import org.sequoiareach.store.kv.TransactionResult;
 
 /**
  * Writes claims in groups: one transaction is in flight, and claims that arrive meanwhile go into
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/claim/ClaimKey.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/claim/ClaimKey.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.claim;
+package org.sequoiareach.store.claim;
 
 import org.sequoiareach.model.Check;
 
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/claim/ClaimSession.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/claim/ClaimSession.java
@@ -1,15 +1,15 @@
-package org.sequoiareach.platform.claim;
+package org.sequoiareach.store.claim;
 
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.sequoiareach.platform.kv.KeyValueEntry;
-import org.sequoiareach.platform.kv.KeyValueException;
-import org.sequoiareach.platform.kv.KeyValueService;
-import org.sequoiareach.platform.kv.Transaction;
-import org.sequoiareach.platform.kv.TransactionResult;
+import org.sequoiareach.store.kv.KeyValueEntry;
+import org.sequoiareach.store.kv.KeyValueException;
+import org.sequoiareach.store.kv.KeyValueService;
+import org.sequoiareach.store.kv.Transaction;
+import org.sequoiareach.store.kv.TransactionResult;
 
 /**
  * Holds the lease that claims are bound to and the fence that they are conditional on. Belongs to
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/claim/ClaimStatistics.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/claim/ClaimStatistics.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.claim;
+package org.sequoiareach.store.claim;
 
 /**
  * Counts the work of a claim registry, for metrics.
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/claim/ClaimValue.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/claim/ClaimValue.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.claim;
+package org.sequoiareach.store.claim;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.util.Optional;
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/claim/ControlLoop.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/claim/ControlLoop.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.claim;
+package org.sequoiareach.store.claim;
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -10,7 +10,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.sequoiareach.model.request.Verdict;
-import org.sequoiareach.platform.kv.KeyValueException;
+import org.sequoiareach.store.kv.KeyValueException;
 import reactor.core.scheduler.Scheduler;
 
 /** Runs all state changes of one registry one after the other. */
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/claim/GroupCommitClaimRegistry.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/claim/GroupCommitClaimRegistry.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.claim;
+package org.sequoiareach.store.claim;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -10,9 +10,9 @@
 import org.apache.logging.log4j.Logger;
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.request.Verdict;
-import org.sequoiareach.platform.kv.KeyValueEntry;
-import org.sequoiareach.platform.kv.KeyValueService;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.kv.KeyValueEntry;
+import org.sequoiareach.store.kv.KeyValueService;
+import org.sequoiareach.store.time.MonotonicClock;
 import reactor.core.scheduler.Scheduler;
 
 /**
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/claim/OwnClaim.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/claim/OwnClaim.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.claim;
+package org.sequoiareach.store.claim;
 
 /**
  * Describes a claim that stands in the key-value service under an author of this registry.
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/claim/SettlementCommitter.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/claim/SettlementCommitter.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.claim;
+package org.sequoiareach.store.claim;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -12,11 +12,11 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.sequoiareach.model.request.Verdict;
-import org.sequoiareach.platform.kv.KeyValueEntry;
-import org.sequoiareach.platform.kv.KeyValueException;
-import org.sequoiareach.platform.kv.KeyValueService;
-import org.sequoiareach.platform.kv.Transaction;
-import org.sequoiareach.platform.kv.TransactionResult;
+import org.sequoiareach.store.kv.KeyValueEntry;
+import org.sequoiareach.store.kv.KeyValueException;
+import org.sequoiareach.store.kv.KeyValueService;
+import org.sequoiareach.store.kv.Transaction;
+import org.sequoiareach.store.kv.TransactionResult;
 
 /**
  * Gives claims back or marks them finished, in groups. Belongs to the control loop.
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/http/HttpAnswer.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/http/HttpAnswer.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.http;
+package org.sequoiareach.store.http;
 
 import org.sequoiareach.model.Check;
 
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/http/HttpCallException.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/http/HttpCallException.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.http;
+package org.sequoiareach.store.http;
 
 /** Reports that an HTTP call had no usable answer. */
 public final class HttpCallException extends RuntimeException {
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/http/HttpCaller.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/http/HttpCaller.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.http;
+package org.sequoiareach.store.http;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
@@ -8,7 +8,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.reactivestreams.Publisher;
 import org.sequoiareach.model.Check;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.time.MonotonicClock;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
@@ -71,6 +71,18 @@
     return call(HttpMethod.POST, address, path, json, deadlineMs);
   }
 
+  /**
+   * Makes a DELETE call.
+   *
+   * @param address IP number and port
+   * @param path the path with its query
+   * @param deadlineMs when to give up
+   * @return the answer, whatever its status
+   */
+  public Mono<HttpAnswer> delete(String address, String path, long deadlineMs) {
+    return call(HttpMethod.DELETE, address, path, "", deadlineMs);
+  }
+
   /**
    * Makes a POST call whose answer is a stream of lines.
    *
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/http/package-info.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/http/package-info.java
@@ -1,2 +1,2 @@
 /** Makes single HTTP calls with a deadline, a bounded answer and no hidden retries. */
-package org.sequoiareach.platform.http;
+package org.sequoiareach.store.http;
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/kv/EtcdKeyValueService.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/kv/EtcdKeyValueService.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.kv;
+package org.sequoiareach.store.kv;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.util.LinkedHashSet;
@@ -14,10 +14,10 @@
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.json.Json;
 import org.sequoiareach.model.request.Verdict;
-import org.sequoiareach.platform.http.HttpAnswer;
-import org.sequoiareach.platform.http.HttpCallException;
-import org.sequoiareach.platform.http.HttpCaller;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.http.HttpAnswer;
+import org.sequoiareach.store.http.HttpCallException;
+import org.sequoiareach.store.http.HttpCaller;
+import org.sequoiareach.store.time.MonotonicClock;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/kv/KeyValueCall.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/kv/KeyValueCall.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.kv;
+package org.sequoiareach.store.kv;
 
 /** Names the calls that the key-value service counts against its rates. */
 public enum KeyValueCall {
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/kv/KeyValueCallListener.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/kv/KeyValueCallListener.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.kv;
+package org.sequoiareach.store.kv;
 
 /** Is told of every call that leaves for the key-value service, for metrics. */
 @FunctionalInterface
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/kv/Transaction.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/kv/Transaction.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.kv;
+package org.sequoiareach.store.kv;
 
 import java.util.List;
 import org.sequoiareach.model.Check;
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/kv/package-info.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/kv/package-info.java
@@ -5,4 +5,4 @@
  * after the write took effect. Whoever writes must be able to recognise its own write when it reads
  * it back.
  */
-package org.sequoiareach.platform.kv;
+package org.sequoiareach.store.kv;
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/package-info.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/package-info.java
@@ -1,2 +1,2 @@
 /** Talks to the platform: its key-value service and its list of VMs. */
-package org.sequoiareach.platform;
+package org.sequoiareach.store;
--- /dev/null
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixListener.java
@@ -0,0 +1,29 @@
+package org.sequoiareach.store.prefix;
+
+import java.util.List;
+
+/** Receives what a {@link PrefixFollower} learns. Called on one thread at a time. */
+public interface PrefixListener {
+
+  /**
+   * All keys were read.
+   *
+   * @param snapshot the keys
+   */
+  void onSnapshot(PrefixSnapshot snapshot);
+
+  /**
+   * Keys have changed since the last snapshot or change.
+   *
+   * @param changes the changes
+   */
+  void onChanges(List<PrefixEntry> changes);
+
+  /**
+   * A call to the store was answered or has failed.
+   *
+   * @param reachable whether it was answered
+   * @param detail what failed; empty where nothing did
+   */
+  void onContact(boolean reachable, String detail);
+}
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/KeyValueSheetStore.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/sheet/KeyValueSheetStore.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.sheet;
+package org.sequoiareach.store.sheet;
 
 import java.time.Clock;
 import java.util.Optional;
@@ -6,9 +6,9 @@
 import java.util.function.LongSupplier;
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.sheet.Sheet;
-import org.sequoiareach.platform.kv.KeyValueEntry;
-import org.sequoiareach.platform.kv.KeyValueService;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.kv.KeyValueEntry;
+import org.sequoiareach.store.kv.KeyValueService;
+import org.sequoiareach.store.time.MonotonicClock;
 
 /**
  * Keeps the sheet in the key-value service as a manifest and one section an organisation. Immutable
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/PlannedCost.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/sheet/PlannedCost.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.sheet;
+package org.sequoiareach.store.sheet;
 
 import java.util.Map;
 import java.util.function.Function;
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/SheetConflictException.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/sheet/SheetConflictException.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.sheet;
+package org.sequoiareach.store.sheet;
 
 /** Reports that a sheet was based on a version that is no longer in force. */
 public final class SheetConflictException extends RuntimeException {
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/SheetExport.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/sheet/SheetExport.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.sheet;
+package org.sequoiareach.store.sheet;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
@@ -17,11 +17,11 @@
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.sheet.Sheet;
-import org.sequoiareach.platform.kv.KeyValueEntry;
-import org.sequoiareach.platform.kv.KeyValueException;
-import org.sequoiareach.platform.kv.KeyValueService;
-import org.sequoiareach.platform.kv.Transaction;
-import org.sequoiareach.platform.kv.TransactionResult;
+import org.sequoiareach.store.kv.KeyValueEntry;
+import org.sequoiareach.store.kv.KeyValueException;
+import org.sequoiareach.store.kv.KeyValueService;
+import org.sequoiareach.store.kv.Transaction;
+import org.sequoiareach.store.kv.TransactionResult;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.util.retry.Retry;
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/SheetHistory.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/sheet/SheetHistory.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.sheet;
+package org.sequoiareach.store.sheet;
 
 import java.time.LocalDate;
 import java.util.Comparator;
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/SheetKeys.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/sheet/SheetKeys.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.sheet;
+package org.sequoiareach.store.sheet;
 
 /** Names the keys that hold the sheet. */
 final class SheetKeys {
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/SheetRead.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/sheet/SheetRead.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.sheet;
+package org.sequoiareach.store.sheet;
 
 import java.util.HashMap;
 import java.util.List;
@@ -6,9 +6,9 @@
 import java.util.Optional;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.sheet.Sheet;
-import org.sequoiareach.platform.kv.KeyValueEntry;
-import org.sequoiareach.platform.kv.KeyValueException;
-import org.sequoiareach.platform.kv.KeyValueService;
+import org.sequoiareach.store.kv.KeyValueEntry;
+import org.sequoiareach.store.kv.KeyValueException;
+import org.sequoiareach.store.kv.KeyValueService;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/SheetSections.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/sheet/SheetSections.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.sheet;
+package org.sequoiareach.store.sheet;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.nio.charset.StandardCharsets;
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/SheetStore.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/sheet/SheetStore.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.sheet;
+package org.sequoiareach.store.sheet;
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -13,7 +13,7 @@
    * @param known the newest sheet already held, whose unchanged sections are not read again
    * @param deadlineMs when to give up, in milliseconds of {@code System.nanoTime()}
    * @return the sheet, or empty if none was ever exported; fails with {@link
-   *     org.sequoiareach.platform.kv.KeyValueException}
+   *     org.sequoiareach.store.kv.KeyValueException}
    */
   CompletableFuture<Optional<Sheet>> findCurrent(Optional<Sheet> known, long deadlineMs);
 
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/sheet/package-info.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/sheet/package-info.java
@@ -1,2 +1,2 @@
 /** Stores the operators' sheet in the key-value service, by section, in one order of versions. */
-package org.sequoiareach.platform.sheet;
+package org.sequoiareach.store.sheet;
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/time/MonotonicClock.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/time/MonotonicClock.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.time;
+package org.sequoiareach.store.time;
 
 import java.time.Duration;
 
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/time/package-info.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/time/package-info.java
@@ -1,2 +1,2 @@
 /** Reads the monotonic clock on which every deadline is stored. */
-package org.sequoiareach.platform.time;
+package org.sequoiareach.store.time;
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/vm/HttpVmList.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/vm/HttpVmList.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.vm;
+package org.sequoiareach.store.vm;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.util.List;
@@ -7,8 +7,8 @@
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.json.Json;
 import org.sequoiareach.model.platform.VmEntry;
-import org.sequoiareach.platform.http.HttpAnswer;
-import org.sequoiareach.platform.http.HttpCaller;
+import org.sequoiareach.store.http.HttpAnswer;
+import org.sequoiareach.store.http.HttpCaller;
 import reactor.netty.http.client.HttpClient;
 
 /**
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/vm/VmList.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/vm/VmList.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.vm;
+package org.sequoiareach.store.vm;
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/vm/VmListException.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/vm/VmListException.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.vm;
+package org.sequoiareach.store.vm;
 
 /** Reports that the platform's list of VMs could not be read. */
 public final class VmListException extends RuntimeException {
--- a/sequoiareach-platform/src/main/java/org/sequoiareach/platform/vm/package-info.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/vm/package-info.java
@@ -1,2 +1,2 @@
 /** Reads the platform's lagging list of live and leaving VMs. */
-package org.sequoiareach.platform.vm;
+package org.sequoiareach.store.vm;
--- a/sequoiareach-platform/src/test/java/org/sequoiareach/platform/claim/ClaimWorld.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/claim/ClaimWorld.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.claim;
+package org.sequoiareach.store.claim;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -9,7 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.sequoiareach.model.request.Verdict;
-import org.sequoiareach.platform.kv.FakeKeyValueService;
+import org.sequoiareach.store.kv.FakeKeyValueService;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
 /**
--- a/sequoiareach-platform/src/test/java/org/sequoiareach/platform/claim/GatedKeyValueService.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/claim/GatedKeyValueService.java
@@ -1,14 +1,14 @@
-package org.sequoiareach.platform.claim;
+package org.sequoiareach.store.claim;
 
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
-import org.sequoiareach.platform.kv.KeyValueEntry;
-import org.sequoiareach.platform.kv.KeyValueException;
-import org.sequoiareach.platform.kv.KeyValueService;
-import org.sequoiareach.platform.kv.Transaction;
-import org.sequoiareach.platform.kv.TransactionResult;
+import org.sequoiareach.store.kv.KeyValueEntry;
+import org.sequoiareach.store.kv.KeyValueException;
+import org.sequoiareach.store.kv.KeyValueService;
+import org.sequoiareach.store.kv.Transaction;
+import org.sequoiareach.store.kv.TransactionResult;
 
 /** Cuts a crashed daemon off; what it has sent may still take effect. */
 final class GatedKeyValueService implements KeyValueService {
--- a/sequoiareach-platform/src/test/java/org/sequoiareach/platform/claim/GroupCommitClaimRegistryTest.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/claim/GroupCommitClaimRegistryTest.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.claim;
+package org.sequoiareach.store.claim;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -14,7 +14,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiareach.model.request.Verdict;
-import org.sequoiareach.platform.kv.FakeKeyValueService.Fate;
+import org.sequoiareach.store.kv.FakeKeyValueService.Fate;
 
 class GroupCommitClaimRegistryTest {
 
--- a/sequoiareach-platform/src/test/java/org/sequoiareach/platform/claim/SettlementCommitterTest.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/claim/SettlementCommitterTest.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.claim;
+package org.sequoiareach.store.claim;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
-import org.sequoiareach.platform.kv.FakeKeyValueService;
+import org.sequoiareach.store.kv.FakeKeyValueService;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
 class SettlementCommitterTest {
--- a/sequoiareach-platform/src/test/java/org/sequoiareach/platform/http/LineSplitterTest.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/http/LineSplitterTest.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.http;
+package org.sequoiareach.store.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
--- a/sequoiareach-platform/src/test/java/org/sequoiareach/platform/kv/EtcdBadAnswerTest.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/kv/EtcdBadAnswerTest.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.kv;
+package org.sequoiareach.store.kv;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -14,8 +14,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import net.jqwik.api.lifecycle.AfterContainer;
-import org.sequoiareach.platform.http.HttpFixture;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.http.HttpFixture;
+import org.sequoiareach.store.time.MonotonicClock;
 
 /** Damages answers of the key-value service on their way to the client. */
 class EtcdBadAnswerTest {
--- a/sequoiareach-platform/src/test/java/org/sequoiareach/platform/kv/EtcdKeyValueServiceTest.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/kv/EtcdKeyValueServiceTest.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.kv;
+package org.sequoiareach.store.kv;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
@@ -16,8 +16,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.sequoiareach.model.request.Verdict;
-import org.sequoiareach.platform.http.HttpFixture;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.http.HttpFixture;
+import org.sequoiareach.store.time.MonotonicClock;
 
 class EtcdKeyValueServiceTest {
 
--- a/sequoiareach-platform/src/test/java/org/sequoiareach/platform/sheet/KeyValueSheetStoreTest.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/sheet/KeyValueSheetStoreTest.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.sheet;
+package org.sequoiareach.store.sheet;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -17,10 +17,10 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiareach.model.sheet.Sheet;
-import org.sequoiareach.platform.kv.FakeKeyValueService;
-import org.sequoiareach.platform.kv.FakeKeyValueService.Fate;
-import org.sequoiareach.platform.kv.KeyValueException;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.kv.FakeKeyValueService;
+import org.sequoiareach.store.kv.FakeKeyValueService.Fate;
+import org.sequoiareach.store.kv.KeyValueException;
+import org.sequoiareach.store.time.MonotonicClock;
 
 class KeyValueSheetStoreTest {
 
--- a/sequoiareach-platform/src/test/java/org/sequoiareach/platform/sheet/SheetFuzzTest.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/sheet/SheetFuzzTest.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.sheet;
+package org.sequoiareach.store.sheet;
 
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
--- a/sequoiareach-platform/src/test/java/org/sequoiareach/platform/sheet/SheetSamples.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/sheet/SheetSamples.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.sheet;
+package org.sequoiareach.store.sheet;
 
 import java.util.List;
 import java.util.stream.IntStream;
--- a/sequoiareach-platform/src/test/java/org/sequoiareach/platform/sheet/SheetWorld.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/sheet/SheetWorld.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.sheet;
+package org.sequoiareach.store.sheet;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -15,7 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.sequoiareach.model.sheet.Sheet;
-import org.sequoiareach.platform.kv.FakeKeyValueService;
+import org.sequoiareach.store.kv.FakeKeyValueService;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
 /** Lets operators race and readers read in virtual time, and keeps an oracle of versions. */
--- a/sequoiareach-platform/src/test/java/org/sequoiareach/platform/vm/HttpVmListTest.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/vm/HttpVmListTest.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.platform.vm;
+package org.sequoiareach.store.vm;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -8,8 +8,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.sequoiareach.model.platform.VmKind;
-import org.sequoiareach.platform.http.HttpFixture;
-import org.sequoiareach.platform.time.MonotonicClock;
+import org.sequoiareach.store.http.HttpFixture;
+import org.sequoiareach.store.time.MonotonicClock;
 
 class HttpVmListTest {
 
