Notice targets that are seen draining

Cause: an entry marked as draining entered the set of leaving incarnations before it was asked whether the target could get work, so no run was moved.

Test: TargetTableTest.reportsTargetThatIsSeenDraining failed before.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetTable.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetTable.java
@@ -121,10 +121,10 @@
     revision = Math.max(revision, atRevision);
     RoutedTarget before = targets.get(target.id());
     final boolean restarted = before != null && !before.isSameIncarnation(target);
+    final boolean wasUsable = before != null && !isLeaving(before) && !isGone(before.id());
     if (target.leaving()) {
       leavingIncarnations.add(incarnationOf(target));
     }
-    final boolean wasUsable = before != null && !isLeaving(before) && !isGone(before.id());
     targets.put(target.id(), isLeaving(target) ? target.asLeaving() : target);
     goneAtMs.remove(target.id());
     goneReported.remove(target.id());
