Read a prefix anew after any failed watch

Cause: while the store forgot its history it cut the watches; the next watch after the same revision then waited until the next change, since the store had nothing newer to show and no history to miss. Ruled out: a slow store (its other answers came in 5 ms) and the peers (all six were behind alike).

Test: PrefixFollowerTest.readsAnewAfterAnInterruptedWatch failed before.

--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixFollower.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixFollower.java
@@ -12,8 +12,8 @@
 import org.sequoiareach.store.time.MonotonicClock;
 
 /**
- * Follows the keys under a prefix by one waiting call, and reads them anew when the history is gone
- * or was interrupted.
+ * Follows the keys under a prefix by one waiting call, and reads them anew when a call has failed
+ * or the history is gone.
  *
  * <p>One call is in flight at a time. After a failure the next call follows a pause that doubles up
  * to a bound. Thread-safe.
@@ -107,9 +107,10 @@
 
   private void failed(Throwable error) {
     Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+    // A store that has dropped its history may let a watch wait that it could not serve.
+    revision = Optional.empty();
     if (cause instanceof PrefixStoreException lost && lost.kind() == Kind.HISTORY_GONE) {
       LOGGER.info("The history of {} is gone; its keys are read anew.", prefix);
-      revision = Optional.empty();
       call();
       return;
     }
