--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
@@ -122,6 +122,7 @@
     this.front = new FrontServer(binding.dialect(), exchanges, metrics, loop);
     metrics.registerAll(Gauges.ofProcess());
     metrics.register("sheet.revision", (Gauge<Long>) reducer::sheetRevision);
+    metrics.register("targets", (Gauge<Integer>) reducer::targetCount);
     control.start(
         reducer,
         List.of(
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -17,7 +17,7 @@
  * Decides on routed requests of one daemon: resolves them by the sheet, places them on targets,
  * tries again, refuses, moves runs off engines that leave, and keeps in step with other daemons.
  *
- * <p>Not thread-safe: all events come from the control thread.
+ * <p>Not thread-safe: all events come from the control thread. The two counts may be read from any.
  */
 public final class DispatchReducer implements Reducer {
 
@@ -27,6 +27,8 @@
   private final TargetRole targets;
   private final SpreadRole spread;
   private final LifeRole life;
+  private volatile long sheetRevision;
+  private volatile int targetCount;
 
   /**
    * Creates the reducer of a daemon that has just started.
@@ -61,6 +63,8 @@
     } else if (event instanceof MembershipEvent || event instanceof PlatformEvent.VmsListed) {
       context.log().addAll(membership.reduce(event));
     }
+    sheetRevision = context.sheetRevision();
+    targetCount = context.targets().listedCount();
     return context.log().take();
   }
 
@@ -98,16 +102,16 @@
    * @return the revision; 0 before the first sheet
    */
   public long sheetRevision() {
-    return context.sheetRevision();
+    return sheetRevision;
   }
 
   /**
-   * Returns how many requests are in progress.
+   * Returns how many targets are listed.
    *
    * @return the count
    */
-  public int callsInProgress() {
-    return calls.count();
+  public int targetCount() {
+    return targetCount;
   }
 
   /** Collects the effects of one event. */
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetTable.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetTable.java
@@ -246,6 +246,15 @@
         .toList();
   }
 
+  /**
+   * Counts the targets whose entries are not removed.
+   *
+   * @return the count
+   */
+  public int listedCount() {
+    return targets.size() - removedAtMs.size();
+  }
+
   private boolean mayGetWork(RoutedTarget target, long nowMs) {
     boolean gone = goneAtMs.getOrDefault(target.id(), Long.MAX_VALUE) <= nowMs;
     return !gone && !isLeaving(target);
--- /dev/null
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
@@ -0,0 +1,255 @@
+package org.sequoiareach.decision.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.event.TimeEvent;
+import org.sequoiareach.model.request.Reason;
+import org.sequoiareach.model.request.Verdict;
+
+class DispatchReducerTest {
+
+  private DispatchFixture fixture = DispatchFixture.ready();
+
+  @Test
+  void refusesWithoutSheetAndTellsWhenToComeBack() {
+    fixture = new DispatchFixture();
+
+    DispatchEffect.RefuseCall refusal = refusal(fixture.call("status"));
+
+    assertThat(refusal.reason()).isEqualTo(Reason.NOT_READY);
+    assertThat(refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
+    assertThat(refusal.retryAfterMs()).isPositive();
+  }
+
+  @ParameterizedTest
+  @CsvSource({"nowhere, k1, NOT_FOUND", "status, k9, UNKNOWN_KEY"})
+  void refusesWhatTheSheetDoesNotHold(String route, String key, Reason reason) {
+    assertThat(refusal(fixture.call(route, key, Optional.empty())).reason()).isEqualTo(reason);
+  }
+
+  @Test
+  void neverReturnsToAnOlderSheet() {
+    fixture.apply(new DispatchEvent.SheetLearned(0, DispatchFixture.sheet(5, "k5"), "store"));
+    fixture.apply(new DispatchEvent.SheetLearned(0, DispatchFixture.sheet(4, "k4"), "peer"));
+
+    assertThat(fixture.refusal(fixture.call("status", "k5", Optional.empty()))).isEmpty();
+    assertThat(fixture.refusal(fixture.call("status", "k4", Optional.empty()))).isPresent();
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = AttemptFault.class,
+      names = {"LOST", "BROKEN_ANSWER", "SERVER_ERROR"})
+  void neverRepeatsBookingThatMayHaveRun(AttemptFault fault) {
+    String call = fixture.call("booking");
+    fixture.failed(call, fault, false);
+
+    assertThat(fixture.sends(call)).hasSize(1);
+    fixture
+        .refusal(call)
+        .ifPresent(refusal -> assertThat(refusal.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN));
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = AttemptFault.class,
+      names = {"NOT_SENT", "REJECTED", "WRONG_TARGET"})
+  void sendsBookingElsewhereThatHasNotRun(AttemptFault fault) {
+    String call = fixture.call("booking");
+    fixture.failed(call, fault, false);
+
+    assertThat(fixture.sends(call)).hasSize(2);
+    assertThat(targetsOf(call)).hasSize(2);
+  }
+
+  @Test
+  void promisesNotRunOnlyIfNoAttemptMayHaveRun() {
+    String call = fixture.call("status");
+    fixture.failed(call, AttemptFault.LOST, false);
+    fixture.failed(call, AttemptFault.REJECTED, false);
+    fixture.failed(call, AttemptFault.REJECTED, false);
+
+    assertThat(refusal(call).verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+  }
+
+  @Test
+  void runsRepeatableRequestOnNoMoreTargetsThanItsRouteAllows() {
+    String call = fixture.call("status");
+    fixture.failed(call, AttemptFault.SERVER_ERROR, false);
+    fixture.failed(call, AttemptFault.SERVER_ERROR, false);
+
+    assertThat(fixture.sends(call)).hasSize(2);
+    assertThat(fixture.all(DispatchEffect.DeliverHeldAnswer.class)).hasSize(1);
+  }
+
+  @Test
+  void keepsRepeatsWithinTheSharedBudget() {
+    int requests = 400;
+    for (int i = 0; i < requests; i++) {
+      fixture.failed(fixture.call("status"), AttemptFault.REJECTED, false);
+    }
+
+    int repeats = fixture.all(DispatchEffect.SendCall.class).size() - requests;
+    assertThat(repeats).isBetween(1, (int) (0.2 * requests + 52));
+  }
+
+  @Test
+  void refusesAtTheTimeLimitOfTheRoute() {
+    String call = fixture.call("booking");
+    fixture.tick(DispatchFixture.LIMIT_MS - 50);
+    assertThat(fixture.refusal(call)).isEmpty();
+    fixture.tick(100);
+
+    assertThat(refusal(call).reason()).isEqualTo(Reason.DEADLINE);
+    assertThat(refusal(call).verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+  }
+
+  @Test
+  void cutsStreamThatIsLostAfterItsStart() {
+    String call = fixture.generate(1_000, 500);
+    fixture.started(call);
+    fixture.failed(call, AttemptFault.BROKEN_ANSWER, true);
+
+    assertThat(fixture.wasCut(call)).isTrue();
+    assertThat(fixture.sends(call)).hasSize(1);
+  }
+
+  @Test
+  void sendsNothingToTargetThatLeaves() {
+    String first = fixture.lastSend(fixture.call("booking")).target().id();
+    fixture.apply(new DispatchEvent.TargetRemoved(fixture.nowMs(), 11, first));
+
+    for (int i = 0; i < 20; i++) {
+      assertThat(fixture.lastSend(fixture.call("booking")).target().id()).isNotEqualTo(first);
+    }
+  }
+
+  @Test
+  void spreadsPromptsThatArriveTogetherOverEngines() {
+    Set<String> engines = new HashSet<>();
+    for (int i = 0; i < 4; i++) {
+      engines.add(fixture.lastSend(fixture.generate(3_000, 500)).target().id());
+    }
+
+    assertThat(engines).hasSize(4);
+  }
+
+  @Test
+  void countsWhatOtherDaemonsHaveInHand() {
+    for (int i = 0; i < 3; i++) {
+      fixture.apply(
+          new DispatchEvent.PeerStateTold(
+              fixture.nowMs(),
+              "peer",
+              1,
+              10,
+              java.util.Map.of(
+                  "engines0", new org.sequoiareach.model.route.TargetUse(1, 3_000, 4_000),
+                  "engines1", new org.sequoiareach.model.route.TargetUse(1, 3_000, 4_000),
+                  "engines2", new org.sequoiareach.model.route.TargetUse(1, 3_000, 4_000))));
+    }
+
+    assertThat(fixture.lastSend(fixture.generate(3_000, 500)).target().id()).isEqualTo("engines3");
+  }
+
+  @Test
+  void refusesAtOnceWhenAllEnginesAreFull() {
+    Optional<DispatchEffect.RefuseCall> refusal = Optional.empty();
+    for (int i = 0; i < 400 && refusal.isEmpty(); i++) {
+      refusal = fixture.refusal(fixture.generate(100, 10));
+    }
+
+    assertThat(refusal)
+        .hasValueSatisfying(
+            full -> {
+              assertThat(full.verdict()).isEqualTo(Verdict.NOT_RUN);
+              assertThat(full.retryAfterMs()).isPositive();
+            });
+  }
+
+  @Test
+  void asksPeerForSheetThatTheStoreDoesNotBring() {
+    joinPeer();
+    fixture.apply(
+        new DispatchEvent.PeerStateTold(fixture.nowMs(), "10.0.0.2:1", 8, 10, java.util.Map.of()));
+    fixture.tick(100);
+    assertThat(fixture.all(DispatchEffect.PullState.class)).isEmpty();
+    fixture.tick(400);
+
+    assertThat(fixture.all(DispatchEffect.PullState.class))
+        .first()
+        .satisfies(pull -> assertThat(pull.sheet()).isTrue());
+  }
+
+  @Test
+  void tellsPeersOfNewSheetAtOnce() {
+    joinPeer();
+    List<Effect> effects =
+        fixture.apply(
+            new DispatchEvent.SheetLearned(
+                fixture.nowMs(), DispatchFixture.sheet(9, "k9"), "store"));
+
+    assertThat(effects)
+        .filteredOn(DispatchEffect.TellPeer.class::isInstance)
+        .singleElement()
+        .satisfies(
+            effect -> assertThat(((DispatchEffect.TellPeer) effect).sheetRevision()).isEqualTo(9));
+  }
+
+  @Test
+  void stopsWhenNothingIsLeftAndTheBalancerKnows() {
+    String call = fixture.call("booking");
+    fixture.apply(new TimeEvent.DrainRequested(fixture.nowMs(), fixture.nowMs() + 7_600));
+    fixture.delivered(call);
+    fixture.tick(3_400);
+    assertThat(fixture.all(Effect.Stop.class)).isEmpty();
+    fixture.tick(200);
+
+    assertThat(fixture.all(Effect.Stop.class)).hasSize(1);
+  }
+
+  @Test
+  void endsWhatIsLeftAtTheEndOfTheGracePeriod() {
+    String started = fixture.generate(1_000, 500);
+    fixture.started(started);
+    fixture.apply(new TimeEvent.DrainRequested(fixture.nowMs(), fixture.nowMs() + 7_600));
+    fixture.tick(7_700);
+
+    assertThat(fixture.wasCut(started)).isTrue();
+    assertThat(fixture.all(Effect.Stop.class)).hasSize(1);
+  }
+
+  private void joinPeer() {
+    fixture.apply(
+        new org.sequoiareach.decision.event.PlatformEvent.VmsListed(
+            fixture.nowMs(),
+            fixture.nowMs(),
+            List.of(
+                new org.sequoiareach.model.platform.VmEntry(
+                    "10.0.0.2:1",
+                    org.sequoiareach.model.platform.VmKind.DAEMON,
+                    "10.0.0.2:1",
+                    "z1",
+                    false,
+                    List.of()))));
+  }
+
+  private Set<String> targetsOf(String call) {
+    Set<String> targets = new HashSet<>();
+    fixture.sends(call).forEach(send -> targets.add(send.target().id()));
+    return targets;
+  }
+
+  private DispatchEffect.RefuseCall refusal(String call) {
+    return fixture.refusal(call).orElseThrow();
+  }
+}
--- /dev/null
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMoverTest.java
@@ -0,0 +1,181 @@
+package org.sequoiareach.decision.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.sequoiareach.model.route.RoutedTarget;
+
+/** Plays notices of engines that leave while they run generations. */
+class RunMoverTest {
+
+  private final DispatchFixture fixture = DispatchFixture.ready();
+
+  @Test
+  void copiesThenStopsThenContinues() {
+    String call = running();
+    RoutedTarget source = leave(call);
+    copied(call, 180, CopyOutcome.COPIED, "h1");
+    copied(call, 9, CopyOutcome.COPIED, "h1");
+
+    assertThat(fixture.copies(call))
+        .extracting(DispatchEffect.CopyRun::stop)
+        .containsExactly(false, true);
+    DispatchEffect.SendCall continued = fixture.lastSend(call);
+    assertThat(continued.continuation()).contains(new Continuation(source.address(), "h1"));
+    assertThat(continued.target().id()).isNotEqualTo(source.id());
+  }
+
+  @Test
+  void copiesAgainWhileTheLinksAreBusy() {
+    String call = running();
+    leave(call);
+    copied(call, 700, CopyOutcome.COPIED, "h1");
+    copied(call, 300, CopyOutcome.COPIED, "h1");
+    copied(call, 20, CopyOutcome.COPIED, "h1");
+
+    assertThat(fixture.copies(call))
+        .extracting(DispatchEffect.CopyRun::stop)
+        .containsExactly(false, false, false, true);
+  }
+
+  @Test
+  void stopsRunInTimeEvenIfTheLinksStayBusy() {
+    String call = running();
+    leave(call);
+    copied(call, 700, CopyOutcome.COPIED, "h1");
+    copied(call, 600, CopyOutcome.COPIED, "h1");
+
+    assertThat(fixture.copies(call)).last().satisfies(copy -> assertThat(copy.stop()).isTrue());
+  }
+
+  @Test
+  void ignoresTheEndOfTheStoppedSource() {
+    String call = running();
+    leave(call);
+    copied(call, 180, CopyOutcome.COPIED, "h1");
+    fixture.failed(call, AttemptFault.BROKEN_ANSWER, true);
+    copied(call, 9, CopyOutcome.COPIED, "h1");
+
+    assertThat(fixture.wasCut(call)).isFalse();
+    assertThat(fixture.sends(call)).hasSize(2);
+  }
+
+  @Test
+  void continuesFromTheCopyWhenTheSourceIsLost() {
+    String call = running();
+    leave(call);
+    copied(call, 700, CopyOutcome.COPIED, "h1");
+    fixture.failed(call, AttemptFault.BROKEN_ANSWER, true);
+
+    assertThat(fixture.wasCut(call)).isFalse();
+    assertThat(fixture.lastSend(call).continuation()).isPresent();
+  }
+
+  @Test
+  void cutsRunThatIsLostBeforeItsFirstCopy() {
+    String call = running();
+    leave(call);
+    fixture.failed(call, AttemptFault.BROKEN_ANSWER, true);
+
+    assertThat(fixture.wasCut(call)).isTrue();
+  }
+
+  @Test
+  void returnsToTheStoppedSourceWhenTheDestinationRejects() {
+    String call = running();
+    RoutedTarget source = leave(call);
+    copied(call, 180, CopyOutcome.COPIED, "h1");
+    copied(call, 9, CopyOutcome.COPIED, "h1");
+    fixture.failed(call, AttemptFault.REJECTED, true);
+
+    assertThat(fixture.lastSend(call).target().id()).isEqualTo(source.id());
+    assertThat(fixture.lastSend(call).continuation()).isPresent();
+    fixture.failed(call, AttemptFault.REJECTED, true);
+    assertThat(fixture.wasCut(call)).isTrue();
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = CopyOutcome.class,
+      names = {"NO_RUN", "BUSY", "NO_ROOM", "UNKNOWN"})
+  void triesAgainAfterCopyThatFailed(CopyOutcome outcome) {
+    String call = running();
+    leave(call);
+    copied(call, 5, outcome, "");
+    fixture.tick(100);
+
+    assertThat(fixture.copies(call)).hasSize(2);
+  }
+
+  @Test
+  void copiesOneRunOfAnEngineAtATime() {
+    String first = running();
+    String engine = fixture.lastSend(first).target().id();
+    String second = running();
+    while (!fixture.lastSend(second).target().id().equals(engine)) {
+      second = running();
+    }
+    leave(first);
+
+    assertThat(fixture.copies(first).size() + fixture.copies(second).size()).isEqualTo(1);
+  }
+
+  @Test
+  void movesOnWhenTheDestinationLeavesToo() {
+    String call = running();
+    leave(call);
+    copied(call, 180, CopyOutcome.COPIED, "h1");
+    copied(call, 9, CopyOutcome.COPIED, "h1");
+    fixture.advance(15);
+    fixture.started(call);
+    RoutedTarget second = leave(call);
+
+    assertThat(fixture.copies(call))
+        .last()
+        .satisfies(copy -> assertThat(copy.sourceAddress()).isEqualTo(second.address()));
+  }
+
+  @Test
+  void releasesCopyOfRunThatEndsMeanwhile() {
+    String call = running();
+    leave(call);
+    copied(call, 700, CopyOutcome.COPIED, "h1");
+    fixture.delivered(call);
+
+    assertThat(fixture.all(DispatchEffect.ReleaseCopy.class))
+        .extracting(DispatchEffect.ReleaseCopy::handle)
+        .containsExactly("h1");
+  }
+
+  @Test
+  void leavesPlainCallsWhereTheyAre() {
+    String call = fixture.call("booking");
+    leave(call);
+
+    assertThat(fixture.copies(call)).isEmpty();
+  }
+
+  private String running() {
+    String call = fixture.generate(3_000, 2_000);
+    fixture.started(call);
+    return call;
+  }
+
+  /** Lets the engine of a call leave. */
+  private RoutedTarget leave(String call) {
+    RoutedTarget target = fixture.lastSend(call).target();
+    fixture.apply(new DispatchEvent.TargetChanged(fixture.nowMs(), 11, target.asLeaving()));
+    return target;
+  }
+
+  private void copied(String call, long tookMs, CopyOutcome outcome, String handle) {
+    fixture.advance(tookMs);
+    List<DispatchEffect.CopyRun> copies = fixture.copies(call);
+    fixture.apply(
+        new DispatchEvent.RunCopied(
+            fixture.nowMs(), call, copies.get(copies.size() - 1).round(), outcome, handle));
+  }
+}
