--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMoverTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMoverTest.java
@@ -16,7 +16,7 @@
   @Test
   void copiesThenStopsThenContinues() {
     String call = running();
-    RoutedTarget source = leave(call);
+    final RoutedTarget source = leave(call);
     copied(call, 180, CopyOutcome.COPIED, "h1");
     copied(call, 9, CopyOutcome.COPIED, "h1");
 
@@ -86,7 +86,7 @@
   @Test
   void returnsToTheStoppedSourceWhenTheDestinationRejects() {
     String call = running();
-    RoutedTarget source = leave(call);
+    final RoutedTarget source = leave(call);
     copied(call, 180, CopyOutcome.COPIED, "h1");
     copied(call, 9, CopyOutcome.COPIED, "h1");
     fixture.failed(call, AttemptFault.REJECTED, true);
@@ -111,9 +111,9 @@
   }
 
   @Test
-  void copiesOneRunOfAnEngineAtATime() {
+  void copiesRunsOfOneEngineInTurn() {
     String first = running();
-    String engine = fixture.lastSend(first).target().id();
+    final String engine = fixture.lastSend(first).target().id();
     String second = running();
     while (!fixture.lastSend(second).target().id().equals(engine)) {
       second = running();
