Move runs again, ask engines for reports, and tell other daemons who leaves

(2) While the store was away (18 to 26 s) no notice of a leaving engine came; seven drafts were cut. (3) A failed destination was chosen again.

Change: each attempt tells that it has begun; the owner of an engine asks it for its report each 250 ms, and daemons tell each other which targets leave; a move remembers destinations that failed.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/EngineControl.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/EngineControl.java
@@ -31,6 +31,15 @@
       boolean stop,
       long deadlineMs);
 
+  /**
+   * Asks an engine whether it is leaving.
+   *
+   * @param address the engine
+   * @param deadlineMs when to give up
+   * @return whether it is; false where it does not answer
+   */
+  CompletableFuture<Boolean> isLeaving(String address, long deadlineMs);
+
   /**
    * Frees a copy at both engines.
    *
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptReader.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptReader.java
@@ -48,6 +48,7 @@
   private AttemptFault rejection = AttemptFault.REJECTED;
   private long retryAfterMs;
   private boolean done;
+  private boolean announced;
   private Runnable onEnded = () -> {};
 
   AttemptReader(Exchange exchange, DispatchEffect.SendCall order, long resumedAfter) {
@@ -80,6 +81,14 @@
     return done;
   }
 
+  /** Tells once that the first part of the answer has come. */
+  void announceStart() {
+    if (!announced) {
+      announced = true;
+      exchange.started(this);
+    }
+  }
+
   void sentOn(TargetConnection used) {
     connection = Optional.of(used);
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/Exchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/Exchange.java
@@ -180,6 +180,7 @@
       return false;
     }
     startAnswer(attempt, OptionalLong.empty());
+    attempt.announceStart();
     id.ifPresent(number -> lastEventId = number);
     measureGap();
     caller.sendPart(bytes);
@@ -189,6 +190,7 @@
   /** Passes a whole plain answer on. */
   void passWhole(AttemptReader attempt, ByteBuf content) {
     startAnswer(attempt, OptionalLong.of(content.readableBytes()));
+    attempt.announceStart();
     caller.sendPart(content);
   }
 
@@ -199,6 +201,10 @@
     }
     headSent = true;
     caller.sendHead(attempt.status(), attempt.headers(), length);
+  }
+
+  /** Tells that an attempt has given the first part of its answer. */
+  void started(AttemptReader attempt) {
     post(new DispatchEvent.AnswerStarted(MonotonicClock.nowMs(), callId, attempt.number()));
   }
 
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ExchangeTable.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ExchangeTable.java
@@ -19,11 +19,15 @@
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.decision.dispatch.DispatchEvent;
 import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.store.time.MonotonicClock;
 
 /** Holds the requests in progress and performs what is decided on them. Thread-safe. */
 public final class ExchangeTable implements CallReceiver, EffectHandler {
 
+  /** A report that takes longer says nothing any more. */
+  private static final long REPORT_TIMEOUT_MS = 600;
+
   private final ExchangeContext context;
   private final EngineControl engines;
   private final Map<String, Exchange> exchanges = new HashMap<>();
@@ -84,6 +88,8 @@
       context.loop().execute(() -> context.connections().drop(drop.target()));
     } else if (effect instanceof DispatchEffect.CopyRun copy) {
       on(copy.callId(), exchange -> copy(exchange, copy));
+    } else if (effect instanceof DispatchEffect.AskReport ask) {
+      askReport(ask.target());
     } else if (effect instanceof DispatchEffect.ReleaseCopy release) {
       engines.releaseCopy(release.sourceAddress(), release.handle());
     }
@@ -110,6 +116,19 @@
                             result.handle())));
   }
 
+  private void askReport(RoutedTarget target) {
+    engines
+        .isLeaving(target.address(), MonotonicClock.nowMs() + REPORT_TIMEOUT_MS)
+        .thenAccept(
+            leaving -> {
+              if (leaving) {
+                context
+                    .events()
+                    .post(new DispatchEvent.TargetLeaves(MonotonicClock.nowMs(), target.id()));
+              }
+            });
+  }
+
   private void on(String callId, Consumer<Exchange> action) {
     context.loop().execute(() -> Optional.ofNullable(exchanges.get(callId)).ifPresent(action));
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/SpreadBridge.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/SpreadBridge.java
@@ -32,7 +32,8 @@
       send(
           tell.daemonId(),
           tell.address(),
-          new StateMessage.StateTold(tell.sheetRevision(), tell.targetsRevision(), tell.uses()));
+          new StateMessage.StateTold(
+              tell.sheetRevision(), tell.targetsRevision(), tell.uses(), tell.leaving()));
     } else if (effect instanceof DispatchEffect.PullState pull) {
       send(
           pull.daemonId(),
@@ -55,7 +56,12 @@
     if (message instanceof StateMessage.StateTold told) {
       events.post(
           new DispatchEvent.PeerStateTold(
-              nowMs, fromDaemon, told.sheetRevision(), told.targetsRevision(), told.uses()));
+              nowMs,
+              fromDaemon,
+              told.sheetRevision(),
+              told.targetsRevision(),
+              told.uses(),
+              told.leaving()));
     } else if (message instanceof StateMessage.StatePull pull) {
       events.post(new DispatchEvent.PeerPulled(nowMs, fromDaemon, pull.sheet(), pull.targets()));
     } else if (message instanceof StateMessage.StateHeld held) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,6 +29,9 @@
   private static final EjectionSettings EJECTION =
       new EjectionSettings(3, 1_000, 60_000, 1_500, 6_000, 0.34);
 
+  /** Longer than any notice; whoever learns of it later finds the target gone. */
+  private static final long LEAVING_TOLD_MS = 3_000;
+
   private final MembershipReducer membership;
   private final SplittableRandom random;
   private final DispatchReducer.EffectList effects = new DispatchReducer.EffectList();
@@ -37,6 +41,7 @@
   private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
   private DispatchSettings settings;
   private Optional<RouteIndex> index = Optional.empty();
+  private final Map<String, Long> leavingSinceMs = new LinkedHashMap<>();
   private int mostDaemons = 1;
 
   DispatchContext(DispatchSettings settings, MembershipReducer membership) {
@@ -105,6 +110,17 @@
     return mostDaemons;
   }
 
+  /** Notes that a target was seen to leave, so that other daemons are told. */
+  void noteLeaving(long nowMs, String targetId) {
+    leavingSinceMs.put(targetId, nowMs);
+  }
+
+  /** Returns the targets that were seen to leave within {@value #LEAVING_TOLD_MS} ms. */
+  List<String> leavingLately(long nowMs) {
+    leavingSinceMs.values().removeIf(sinceMs -> nowMs - sinceMs > LEAVING_TOLD_MS);
+    return List.copyOf(leavingSinceMs.keySet());
+  }
+
   SharedRetryBudget budgetOf(String service) {
     return budgets.computeIfAbsent(service, name -> new SharedRetryBudget());
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
@@ -22,6 +22,7 @@
   @JsonSubTypes.Type(DispatchEffect.CutCall.class),
   @JsonSubTypes.Type(DispatchEffect.CopyRun.class),
   @JsonSubTypes.Type(DispatchEffect.ReleaseCopy.class),
+  @JsonSubTypes.Type(DispatchEffect.AskReport.class),
   @JsonSubTypes.Type(DispatchEffect.TellPeer.class),
   @JsonSubTypes.Type(DispatchEffect.PullState.class),
   @JsonSubTypes.Type(DispatchEffect.AnswerPull.class)
@@ -125,6 +126,13 @@
    */
   record ReleaseCopy(String sourceAddress, String handle) implements DispatchEffect {}
 
+  /**
+   * Asks an engine whether it is leaving.
+   *
+   * @param target the engine
+   */
+  record AskReport(RoutedTarget target) implements DispatchEffect {}
+
   /**
    * Tells another daemon what this one holds and has in hand.
    *
@@ -133,13 +141,15 @@
    * @param sheetRevision the revision of the sheet held; 0 for none
    * @param targetsRevision the revision of the list of targets held; 0 for none
    * @param uses the use of targets
+   * @param leaving the targets that were lately seen to leave
    */
   record TellPeer(
       String daemonId,
       String address,
       long sheetRevision,
       long targetsRevision,
-      Map<String, TargetUse> uses)
+      Map<String, TargetUse> uses,
+      List<String> leaving)
       implements DispatchEffect {}
 
   /**
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -169,13 +169,15 @@
    * @param sheetRevision the revision of its sheet; 0 for none
    * @param targetsRevision the revision of its list of targets; 0 for none
    * @param uses its use of targets
+   * @param leaving the targets that it lately saw leave
    */
   record PeerStateTold(
       long nowMs,
       String daemonId,
       long sheetRevision,
       long targetsRevision,
-      Map<String, TargetUse> uses)
+      Map<String, TargetUse> uses,
+      List<String> leaving)
       implements DispatchEvent {}
 
   /**
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -86,6 +86,7 @@
       life.tick(learned.nowMs());
     } else if (event instanceof DispatchEvent.PeerStateTold told) {
       spread.peerTold(told);
+      targets.peerTold(told);
     } else if (event instanceof DispatchEvent.PeerPulled pulled) {
       spread.pulled(pulled);
     } else if (event instanceof DispatchEvent.SettingsChanged changed) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMove.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMove.java
@@ -1,6 +1,8 @@
 package org.sequoiareach.decision.dispatch;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.sequoiareach.model.route.RoutedTarget;
 
 /** Follows the move of one run off an engine that leaves. Not thread-safe. */
@@ -22,6 +24,7 @@
   private final RoutedTarget source;
   private final long noticedMs;
   private Step step = Step.WAITING;
+  private final Set<String> failedDestinations = new HashSet<>();
   private Optional<RoutedTarget> destination = Optional.empty();
   private String handle = "";
   private int round;
@@ -57,6 +60,11 @@
     return destination;
   }
 
+  /** Tells whether a copy to an engine has failed. */
+  boolean hasFailedAt(String targetId) {
+    return failedDestinations.contains(targetId);
+  }
+
   String handle() {
     return handle;
   }
@@ -120,6 +128,7 @@
     tryAgainMs = atMs;
     if (failed) {
       failures++;
+      destination.ifPresent(to -> failedDestinations.add(to.id()));
       destination = Optional.empty();
     }
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMover.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMover.java
@@ -191,6 +191,7 @@
             .thenComparing(candidate -> candidate.use().memoryTokens());
     return engines.apply(move.call()).stream()
         .filter(candidate -> !candidate.target().id().equals(move.source().id()))
+        .filter(candidate -> !move.hasFailedAt(candidate.target().id()))
         .filter(candidate -> candidate.use().calls() < candidate.target().slots())
         .filter(candidate -> fits(candidate, needed))
         .min(order);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/SpreadRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/SpreadRole.java
@@ -31,6 +31,7 @@
   private final DispatchContext context;
   private final Map<String, PeerState> peers = new HashMap<>();
   private Map<String, TargetUse> lastUses = Map.of();
+  private List<String> lastLeaving = List.of();
   private long lastRevision;
   private long nextTellMs;
   private long repeatMs;
@@ -83,7 +84,10 @@
     if (nowMs >= nextTellMs) {
       nextTellMs = nowMs + TELL_MS;
       Map<String, TargetUse> uses = context.ledger().ownUses();
-      boolean changed = !uses.equals(lastUses) || lastRevision != context.sheetRevision();
+      boolean changed =
+          !uses.equals(lastUses)
+              || lastRevision != context.sheetRevision()
+              || !lastLeaving.equals(context.leavingLately(nowMs));
       if (changed || nowMs >= repeatMs) {
         tell(nowMs);
       }
@@ -93,6 +97,7 @@
 
   private void tell(long nowMs) {
     lastUses = context.ledger().ownUses();
+    lastLeaving = context.leavingLately(nowMs);
     lastRevision = context.sheetRevision();
     repeatMs = nowMs + REPEAT_MS;
     List<Member> others = others();
@@ -107,7 +112,8 @@
                   member.address(),
                   lastRevision,
                   context.targets().revision(),
-                  lastUses));
+                  lastUses,
+                  lastLeaving));
     }
     nextPeer = others.isEmpty() ? 0 : (nextPeer + told) % others.size();
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetRole.java
@@ -1,13 +1,24 @@
 package org.sequoiareach.decision.dispatch;
 
 import org.sequoiareach.decision.fleet.TargetTable;
+import org.sequoiareach.decision.membership.OwnershipStrategy;
+import org.sequoiareach.decision.membership.RendezvousOwnership;
+import org.sequoiareach.model.route.EngineTraits;
 import org.sequoiareach.model.route.RoutedTarget;
 
 /** Follows the targets and what their leaving means for requests. Not thread-safe. */
 final class TargetRole {
 
+  /**
+   * An engine's report shows a reclaim half a second after the notice, and two of them fit before
+   * the engine is gone.
+   */
+  private static final long REPORT_MS = 250;
+
   private final DispatchContext context;
   private final CallRole calls;
+  private final OwnershipStrategy ownership = new RendezvousOwnership();
+  private long nextReportMs;
 
   TargetRole(DispatchContext context, CallRole calls) {
     this.context = context;
@@ -46,6 +57,39 @@
   void tick(long nowMs) {
     context.ledger().expire(nowMs);
     context.targets().tick(nowMs, calls::uses).forEach(target -> leave(nowMs, target));
+    if (nowMs >= nextReportMs) {
+      nextReportMs = nowMs + REPORT_MS;
+      askReports(nowMs);
+    }
+  }
+
+  /** Takes over which targets another daemon has seen leave. */
+  void peerTold(DispatchEvent.PeerStateTold event) {
+    for (String targetId : event.leaving()) {
+      context.targets().leaves(targetId).ifPresent(target -> leave(event.nowMs(), target));
+    }
+  }
+
+  /**
+   * Asks the engines that this daemon owns, so that each is asked by one daemon. The store tells of
+   * leaving engines sooner, but not while it is away.
+   */
+  private void askReports(long nowMs) {
+    if (context.index().isEmpty()) {
+      return;
+    }
+    context.index().get().sheet().services().stream()
+        .filter(service -> service.engine().filter(EngineTraits::canMoveRuns).isPresent())
+        .flatMap(service -> context.targets().placeable(service.name(), nowMs).stream())
+        .filter(this::isOwned)
+        .forEach(target -> context.log().add(new DispatchEffect.AskReport(target)));
+  }
+
+  private boolean isOwned(RoutedTarget target) {
+    return ownership
+        .findOwner(target.id(), target.zone(), context.membership().view())
+        .filter(owner -> context.membership().isSelf(owner.daemonId()))
+        .isPresent();
   }
 
   private void follow(long nowMs, TargetTable.Change change) {
@@ -55,6 +99,7 @@
 
   private void leave(long nowMs, RoutedTarget target) {
     noteTarget("target-leaves", target, context.targets().revision());
+    context.noteLeaving(nowMs, target.id());
     context.log().add(new DispatchEffect.DropTarget(target));
     calls.engineLeaves(nowMs, target);
   }
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
@@ -155,7 +155,8 @@
               java.util.Map.of(
                   "engines0", new org.sequoiareach.model.route.TargetUse(1, 3_000, 4_000),
                   "engines1", new org.sequoiareach.model.route.TargetUse(1, 3_000, 4_000),
-                  "engines2", new org.sequoiareach.model.route.TargetUse(1, 3_000, 4_000))));
+                  "engines2", new org.sequoiareach.model.route.TargetUse(1, 3_000, 4_000)),
+              List.of()));
     }
 
     assertThat(fixture.lastSend(fixture.generate(3_000, 500)).target().id()).isEqualTo("engines3");
@@ -180,7 +181,8 @@
   void asksPeerForSheetThatTheStoreDoesNotBring() {
     joinPeer();
     fixture.apply(
-        new DispatchEvent.PeerStateTold(fixture.nowMs(), "10.0.0.2:1", 8, 10, java.util.Map.of()));
+        new DispatchEvent.PeerStateTold(
+            fixture.nowMs(), "10.0.0.2:1", 8, 10, java.util.Map.of(), List.of()));
     fixture.tick(100);
     assertThat(fixture.all(DispatchEffect.PullState.class)).isEmpty();
     fixture.tick(400);
@@ -205,6 +207,29 @@
             effect -> assertThat(((DispatchEffect.TellPeer) effect).sheetRevision()).isEqualTo(9));
   }
 
+  @Test
+  void takesOverWhichTargetsAnotherDaemonSawLeave() {
+    String call = fixture.generate(1_000, 500);
+    fixture.started(call);
+    String engine = fixture.lastSend(call).target().id();
+    fixture.apply(
+        new DispatchEvent.PeerStateTold(
+            fixture.nowMs(), "10.0.0.2:1", 1, 10, java.util.Map.of(), List.of(engine)));
+
+    assertThat(fixture.copies(call)).hasSize(1);
+  }
+
+  @Test
+  void asksEnginesThatItOwnsForReports() {
+    fixture.tick(500);
+
+    assertThat(fixture.all(DispatchEffect.AskReport.class))
+        .extracting(ask -> ask.target().service())
+        .contains(DispatchFixture.ENGINES)
+        .doesNotContain(DispatchFixture.DESK)
+        .hasSize(8);
+  }
+
   @Test
   void stopsWhenNothingIsLeftAndTheBalancerKnows() {
     String call = fixture.call("booking");
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/StateMessage.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/StateMessage.java
@@ -17,8 +17,10 @@
    * @param sheetRevision the revision of its sheet; 0 for none
    * @param targetsRevision the revision of its list of targets; 0 for none
    * @param uses its use by target
+   * @param leaving the targets that it lately saw leave
    */
-  record StateTold(long sheetRevision, long targetsRevision, Map<String, TargetUse> uses)
+  record StateTold(
+      long sheetRevision, long targetsRevision, Map<String, TargetUse> uses, List<String> leaving)
       implements StateMessage {
 
     /** Checks and copies the parts. */
@@ -26,6 +28,7 @@
       Check.inRange(sheetRevision, 0, Long.MAX_VALUE, "sheetRevision");
       Check.inRange(targetsRevision, 0, Long.MAX_VALUE, "targetsRevision");
       uses = uses == null ? Map.of() : Map.copyOf(uses);
+      leaving = leaving == null ? List.of() : List.copyOf(leaving);
     }
   }
 
