--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallRole.java
@@ -27,11 +27,16 @@
 
   private static final long MOST_RETRY_AFTER_MS = 900;
 
+  /** Another daemon can take the request at once. */
+  private static final long SOON_MS = 20;
+
   private final DispatchContext context;
   private final Map<String, ActiveCall> calls = new LinkedHashMap<>();
   private final PlacementStrategy engines = new PrefillPlacement();
   private final PlacementStrategy plain = new LeastOutstandingPlacement();
   private final RunMover mover = new RunMover();
+  private final RunDurations durations = new RunDurations();
+  private long endOfLifeMs = Long.MAX_VALUE;
 
   CallRole(DispatchContext context) {
     this.context = context;
@@ -67,9 +72,26 @@
       refuse(call, Reason.DEADLINE, "the deadline has passed", 0);
       return;
     }
+    if (outlivesDaemon(event.nowMs(), call)) {
+      // Its caller's next attempt reaches a daemon that can see it to its end.
+      refuse(call, Reason.NOT_READY, "the daemon stops before the stream would end", SOON_MS);
+      return;
+    }
     place(event.nowMs(), call, "arrived");
   }
 
+  /** Sets when the requests that are still in progress are cut, because the daemon stops. */
+  void endsAt(long atMs) {
+    endOfLifeMs = atMs;
+  }
+
+  private boolean outlivesDaemon(long nowMs, ActiveCall call) {
+    return demandOf(call)
+        .filter(demand -> call.route().kind() == RouteKind.STREAMING)
+        .filter(demand -> durations.estimateMs(demand) > endOfLifeMs - nowMs)
+        .isPresent();
+  }
+
   void answerStarted(DispatchEvent.AnswerStarted event) {
     find(event.callId(), event.attempt())
         .ifPresent(
@@ -103,6 +125,10 @@
               String targetId = call.target().map(RoutedTarget::id).orElse("");
               context.ejection().succeeded(targetId);
               note("deliver", call, targetId, "status=" + event.status());
+              demandOf(call)
+                  .ifPresent(
+                      demand ->
+                          durations.ended(demand, event.nowMs() - call.profile().arrivedMs()));
               end(call);
             });
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LifeRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LifeRole.java
@@ -27,6 +27,7 @@
     draining = true;
     noticeEndMs = event.nowMs() + context.settings().drainNoticeMs();
     drainDeadlineMs = event.deadlineMs();
+    calls.endsAt(drainDeadlineMs);
     context.note("drain", "", "", "", "calls=" + calls.count());
     announce();
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetTable.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetTable.java
@@ -150,10 +150,8 @@
     }
     removedAtMs.put(targetId, nowMs);
     if (isLapse(nowMs, target)) {
-      long backByMs = Math.max(nowMs, storeReturnedMs) + RETURN_MS;
-      siblings(target)
-          .filter(sibling -> removedAtMs.containsKey(sibling.id()))
-          .forEach(sibling -> goneAtMs.put(sibling.id(), backByMs));
+      goneAtMs.put(targetId, Math.max(nowMs, storeReturnedMs) + RETURN_MS);
+      removedTogether(nowMs, target).forEach(this::awaitReturn);
       return Change.NONE;
     }
     goneAtMs.put(targetId, nowMs);
@@ -265,14 +263,23 @@
       return true;
     }
     long all = siblings(target).filter(sibling -> !isLeaving(sibling)).count();
-    long together =
-        siblings(target)
-            .filter(sibling -> !isLeaving(sibling) && removedAtMs.containsKey(sibling.id()))
-            .filter(sibling -> nowMs - removedAtMs.get(sibling.id()) <= TOGETHER_MS)
-            .count();
+    long together = removedTogether(nowMs, target).count();
     return together > 1 && 2 * together >= all;
   }
 
+  /** Returns the targets of a service whose entries were removed just now. */
+  private Stream<RoutedTarget> removedTogether(long nowMs, RoutedTarget target) {
+    return siblings(target)
+        .filter(sibling -> !isLeaving(sibling) && removedAtMs.containsKey(sibling.id()))
+        .filter(sibling -> nowMs - removedAtMs.get(sibling.id()) <= TOGETHER_MS);
+  }
+
+  /** Gives a target that was taken for gone at its removal the time to return. */
+  private void awaitReturn(RoutedTarget target) {
+    long backByMs = removedAtMs.get(target.id()) + RETURN_MS;
+    goneAtMs.merge(target.id(), backByMs, Math::max);
+  }
+
   private void forget(RoutedTarget target) {
     targets.remove(target.id());
     goneAtMs.remove(target.id());
--- /dev/null
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFuzzTest.java
@@ -0,0 +1,263 @@
+package org.sequoiareach.decision.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.model.request.Verdict;
+import org.sequoiareach.model.route.RouteKind;
+import org.sequoiareach.model.route.RoutedTarget;
+
+/** Plays random histories to the reducer against an oracle that knows only what targets saw. */
+class DispatchFuzzTest {
+
+  private static final int STEPS = 400;
+
+  /** What a target may take to give an answer, and a lapsed entry to return. */
+  private static final long LAPSE_MS = TargetLapse.MS;
+
+  private static final AttemptFault[] FAULTS = AttemptFault.values();
+
+  @Property(tries = 300)
+  void keepsItsPromises(@ForAll long seed) {
+    new History(seed).play();
+  }
+
+  /** Names the bound that the oracle holds leaving targets to. */
+  private static final class TargetLapse {
+    private static final long MS = 2_000;
+  }
+
+  private static final class History {
+
+    private final SplittableRandom random;
+    private final DispatchFixture fixture = DispatchFixture.ready();
+    private final Oracle oracle = new Oracle();
+    private final List<String> open = new ArrayList<>();
+    private final Set<String> started = new HashSet<>();
+    private long revision = 100;
+
+    private History(long seed) {
+      this.random = new SplittableRandom(seed);
+    }
+
+    private void play() {
+      for (int i = 0; i < STEPS; i++) {
+        int seen = fixture.all(Effect.class).size();
+        step();
+        List<Effect> effects = fixture.all(Effect.class);
+        oracle.check(fixture.nowMs(), effects.subList(seen, effects.size()));
+        open.removeIf(oracle::isEnded);
+      }
+      int seen = fixture.all(Effect.class).size();
+      fixture.tick(45_000);
+      List<Effect> effects = fixture.all(Effect.class);
+      oracle.check(fixture.nowMs(), effects.subList(seen, effects.size()));
+      assertThat(open.stream().filter(call -> !oracle.isEnded(call)))
+          .as("calls that never end")
+          .isEmpty();
+    }
+
+    private void step() {
+      fixture.advance(random.nextInt(40));
+      switch (random.nextInt(10)) {
+        case 0, 1 -> open.add(arrive("booking"));
+        case 2 -> open.add(arrive("status"));
+        case 3, 4 -> open.add(generate());
+        case 5 -> succeed();
+        case 6 -> fail();
+        case 7 -> change();
+        case 8 -> copied();
+        default -> fixture.tick(50);
+      }
+    }
+
+    private String arrive(String route) {
+      String call = fixture.call(route);
+      oracle.arrived(call, route.equals("status"));
+      return call;
+    }
+
+    private String generate() {
+      String call = fixture.generate(random.nextInt(5_000), random.nextInt(2_000));
+      oracle.arrived(call, false);
+      return call;
+    }
+
+    private void succeed() {
+      pick()
+          .ifPresent(
+              call -> {
+                fixture.started(call);
+                if (started.add(call) && random.nextBoolean()) {
+                  return;
+                }
+                fixture.delivered(call);
+                oracle.delivered(call);
+              });
+    }
+
+    private void fail() {
+      pick()
+          .ifPresent(
+              call -> {
+                AttemptFault fault = FAULTS[random.nextInt(FAULTS.length)];
+                oracle.failed(call, fault);
+                fixture.failed(call, fault, started.contains(call));
+              });
+    }
+
+    private void copied() {
+      List<DispatchEffect.CopyRun> copies = fixture.all(DispatchEffect.CopyRun.class);
+      if (copies.isEmpty()) {
+        return;
+      }
+      DispatchEffect.CopyRun copy = copies.get(copies.size() - 1);
+      CopyOutcome outcome = CopyOutcome.values()[random.nextInt(CopyOutcome.values().length)];
+      String handle = outcome == CopyOutcome.COPIED || random.nextBoolean() ? "h" : "";
+      fixture.apply(
+          new DispatchEvent.RunCopied(
+              fixture.nowMs(), copy.callId(), copy.round(), outcome, handle));
+    }
+
+    private void change() {
+      revision++;
+      List<RoutedTarget> targets = DispatchFixture.targets();
+      RoutedTarget target = targets.get(random.nextInt(targets.size()));
+      switch (random.nextInt(4)) {
+        case 0 -> {
+          oracle.leaves(fixture.nowMs(), target);
+          fixture.apply(
+              new DispatchEvent.TargetChanged(fixture.nowMs(), revision, target.asLeaving()));
+        }
+        case 1 -> {
+          oracle.leaves(fixture.nowMs(), target);
+          fixture.apply(new DispatchEvent.TargetRemoved(fixture.nowMs(), revision, target.id()));
+        }
+        case 2 -> {
+          RoutedTarget next =
+              new RoutedTarget(
+                  target.id(),
+                  revision,
+                  target.service(),
+                  target.address(),
+                  target.zone(),
+                  target.slots(),
+                  false);
+          oracle.returns(target);
+          fixture.apply(new DispatchEvent.TargetChanged(fixture.nowMs(), revision, next));
+        }
+        default ->
+            fixture.apply(new DispatchEvent.StoreSeen(fixture.nowMs(), random.nextBoolean()));
+      }
+    }
+
+    private java.util.Optional<String> pick() {
+      List<String> atTarget = open.stream().filter(oracle::isAtTarget).toList();
+      return atTarget.isEmpty()
+          ? java.util.Optional.empty()
+          : java.util.Optional.of(atTarget.get(random.nextInt(atTarget.size())));
+    }
+  }
+
+  /** Knows what callers and targets have seen. */
+  private static final class Oracle {
+
+    private final Map<String, Seen> calls = new HashMap<>();
+    private final Map<String, Long> leftMs = new HashMap<>();
+
+    private static final class Seen {
+      private boolean repeatable;
+      private boolean mayHaveRun;
+      private boolean atTarget;
+      private boolean ended;
+      private int runs;
+    }
+
+    private void arrived(String call, boolean repeatable) {
+      calls.computeIfAbsent(call, id -> new Seen()).repeatable = repeatable;
+    }
+
+    private void failed(String call, AttemptFault fault) {
+      Seen seen = calls.get(call);
+      seen.atTarget = false;
+      if (fault.mayHaveRun()) {
+        seen.mayHaveRun = true;
+        seen.runs++;
+      }
+    }
+
+    private void delivered(String call) {
+      end(call);
+    }
+
+    private void leaves(long nowMs, RoutedTarget target) {
+      leftMs.putIfAbsent(target.id(), nowMs);
+    }
+
+    private void returns(RoutedTarget target) {
+      leftMs.remove(target.id());
+    }
+
+    private boolean isEnded(String call) {
+      return calls.get(call).ended;
+    }
+
+    private boolean isAtTarget(String call) {
+      return calls.get(call).atTarget;
+    }
+
+    private void check(long nowMs, List<Effect> effects) {
+      for (Effect effect : effects) {
+        if (effect instanceof DispatchEffect.SendCall send) {
+          sent(nowMs, send);
+        } else if (effect instanceof DispatchEffect.RefuseCall refusal) {
+          refused(refusal);
+        } else if (effect instanceof DispatchEffect.CutCall cut) {
+          end(cut.callId());
+        } else if (effect instanceof DispatchEffect.DeliverHeldAnswer answer) {
+          end(answer.callId());
+        }
+      }
+    }
+
+    private void sent(long nowMs, DispatchEffect.SendCall send) {
+      Seen seen = calls.computeIfAbsent(send.callId(), id -> new Seen());
+      assertThat(seen.ended).as("%s is sent after its end", send.callId()).isFalse();
+      if (send.continuation().isEmpty()) {
+        Long left = leftMs.get(send.target().id());
+        assertThat(left == null || nowMs - left <= LAPSE_MS)
+            .as("%s is sent to %s that has left", send.callId(), send.target().id())
+            .isTrue();
+        if (send.kind() != RouteKind.IDEMPOTENT) {
+          assertThat(seen.mayHaveRun).as("%s is run again", send.callId()).isFalse();
+        }
+        assertThat(seen.runs).as("runs of %s", send.callId()).isLessThan(2);
+      }
+      seen.atTarget = true;
+    }
+
+    private void refused(DispatchEffect.RefuseCall refusal) {
+      Seen seen = calls.computeIfAbsent(refusal.callId(), id -> new Seen());
+      if (seen.mayHaveRun || seen.atTarget) {
+        assertThat(refusal.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+      }
+      end(refusal.callId());
+    }
+
+    private void end(String call) {
+      Seen seen = calls.computeIfAbsent(call, id -> new Seen());
+      assertThat(seen.ended).as("%s ends twice", call).isFalse();
+      seen.ended = true;
+      seen.atTarget = false;
+    }
+  }
+}
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
@@ -242,6 +242,17 @@
     assertThat(fixture.all(Effect.Stop.class)).hasSize(1);
   }
 
+  @ParameterizedTest
+  @CsvSource({"2000, true", "100, false"})
+  void sendsStreamsElsewhereThatWouldOutliveTheDaemon(long maxOutput, boolean refused) {
+    fixture.apply(new TimeEvent.DrainRequested(fixture.nowMs(), fixture.nowMs() + 5_000));
+    String call = fixture.generate(3_000, maxOutput);
+
+    assertThat(fixture.refusal(call).isPresent()).isEqualTo(refused);
+    assertThat(fixture.sends(call).isEmpty()).isEqualTo(refused);
+    assertThat(fixture.refusal(fixture.call("booking"))).isEmpty();
+  }
+
   @Test
   void endsWhatIsLeftAtTheEndOfTheGracePeriod() {
     String started = fixture.generate(1_000, 500);
