Copy the runs of a leaving engine together where the time allows

Ruled out: the destination's reading (first event 15 ms after the last copy) and the daemons' processors (0.05 cores). Besides, an engine that was expected to fill was no destination, so runs were lost beside it while the store was away.

Change: all runs are copied at once if all copies of the engine take under 800 ms; a run is stopped only after a short copy; full engines are the last choice.

Tests: RunMoverTest.copiesFewRunsOfOneEngineAtOnce, copiesManyRunsOfOneEngineInTurn, movesRunsEvenToEnginesThatAreExpectedToFill.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallRole.java
@@ -114,7 +114,7 @@
     note("moved", call, target.id(), "after=" + (nowMs - move.get().noticedMs()) + "ms");
     mover.ended(call.callId());
     if (!context.targets().isPlaceable(target.id(), nowMs)) {
-      mover.begin(nowMs, target, List.of(call));
+      mover.begin(nowMs, target, List.of(call), allCopiesMs(target));
     }
   }
 
@@ -248,10 +248,18 @@
     }
     context.note(
         "move-runs", "", "", engine.id(), "runs=" + runs.size() + " address=" + engine.address());
-    mover.begin(nowMs, engine, runs);
+    mover.begin(nowMs, engine, runs, allCopiesMs(engine));
     advanceMoves(nowMs);
   }
 
+  private long allCopiesMs(RoutedTarget engine) {
+    long tokens = context.ledger().useOf(engine.id()).memoryTokens();
+    return context
+        .engineOf(engine.service())
+        .map(traits -> RunMover.copyMs(tokens, traits))
+        .orElse(0L);
+  }
+
   void tick(long nowMs) {
     advanceMoves(nowMs);
     for (ActiveCall call : List.copyOf(calls.values())) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMove.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMove.java
@@ -23,6 +23,7 @@
   private final ActiveCall call;
   private final RoutedTarget source;
   private final long noticedMs;
+  private final boolean together;
   private Step step = Step.WAITING;
   private final Set<String> failedDestinations = new HashSet<>();
   private Optional<RoutedTarget> destination = Optional.empty();
@@ -31,13 +32,13 @@
   private int failures;
   private long stepStartedMs;
   private long tryAgainMs;
-  private long expectedCopyMs;
   private boolean backAtSource;
 
-  RunMove(ActiveCall call, RoutedTarget source, long noticedMs) {
+  RunMove(ActiveCall call, RoutedTarget source, long noticedMs, boolean together) {
     this.call = call;
     this.source = source;
     this.noticedMs = noticedMs;
+    this.together = together;
   }
 
   ActiveCall call() {
@@ -52,6 +53,11 @@
     return noticedMs;
   }
 
+  /** Tells whether all runs of the source are copied at once. */
+  boolean isTogether() {
+    return together;
+  }
+
   Step step() {
     return step;
   }
@@ -85,15 +91,6 @@
     return step == Step.WAITING && tryAgainMs <= nowMs;
   }
 
-  /** Returns how long the first copy takes over free links. */
-  long expectedCopyMs() {
-    return expectedCopyMs;
-  }
-
-  void expectCopy(long durationMs) {
-    expectedCopyMs = durationMs;
-  }
-
   void copying(long nowMs, RoutedTarget to, boolean stop) {
     if (destination.filter(to::isSameIncarnation).isEmpty()) {
       handle = "";
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMover.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMover.java
@@ -17,8 +17,9 @@
  * <p>Answers the load of engines that are reclaimed at short notice while they run generations that
  * may not be started anew. A run is copied while it goes on, again until a copy is quick, then
  * stopped, copied for the last time and continued at the destination; so its caller sees a pause of
- * the last copy only. The daemon copies one run of an engine at a time, the one with the most still
- * to come first, because copies queue on the engine's link. Not thread-safe.
+ * the last copy only. Where the runs of an engine are too many to be copied in the time that is
+ * left, the daemon copies one at a time, the one with the most still to come first, because copies
+ * queue on the engine's link. Not thread-safe.
  */
 final class RunMover {
 
@@ -28,6 +29,12 @@
   /** The run is stopped at the latest so long after the notice; engines leave 1.5 s after it. */
   static final long LATEST_STOP_MS = 1_200;
 
+  /**
+   * Runs whose copies take no longer altogether are copied at once: short copies of what is new
+   * then do not queue behind long ones, which callers would notice as a pause.
+   */
+  static final long TOGETHER_MS = 800;
+
   /** A copy that has not ended by then is given up. */
   private static final long COPY_TIMEOUT_MS = 1_500;
 
@@ -43,9 +50,6 @@
   private static final double BITS_PER_BYTE = 8;
   private static final double BITS_PER_MS_AND_MBPS = 1_000;
 
-  /** Copies between availability zones take twice as long, by the platform's word. */
-  private static final int ZONE_CROSSING_FACTOR = 2;
-
   private final Map<String, RunMove> moves = new LinkedHashMap<>();
   private final Map<String, Integer> copiesTo = new HashMap<>();
 
@@ -54,12 +58,17 @@
     return Optional.ofNullable(moves.get(callId));
   }
 
-  /** Starts to move the calls of an engine that leaves. */
-  void begin(long nowMs, RoutedTarget source, List<ActiveCall> calls) {
+  /**
+   * Starts to move the calls of an engine that leaves.
+   *
+   * @param allCopiesMs how long it takes to copy the runs of all daemons there
+   */
+  void begin(long nowMs, RoutedTarget source, List<ActiveCall> calls, long allCopiesMs) {
+    boolean together = allCopiesMs <= TOGETHER_MS;
     calls.stream()
         .filter(call -> !moves.containsKey(call.callId()))
         .sorted(Comparator.comparingLong(RunMover::stillToCome).reversed())
-        .forEach(call -> moves.put(call.callId(), new RunMove(call, source, nowMs)));
+        .forEach(call -> moves.put(call.callId(), new RunMove(call, source, nowMs, together)));
   }
 
   /** Forgets a call that has ended; returns the copy to release, if there is one. */
@@ -78,7 +87,7 @@
       boolean givenUp = nowMs - move.noticedMs() > GIVE_UP_MS;
       if (givenUp && move.step() == RunMove.Step.WAITING) {
         moves.remove(move.call().callId());
-      } else if (move.isDue(nowMs) && !isSourceBusy(move.source())) {
+      } else if (move.isDue(nowMs) && (move.isTogether() || !isSourceBusy(move.source()))) {
         startCopy(nowMs, move, engines).ifPresent(copies::add);
       }
     }
@@ -130,16 +139,11 @@
 
   private DispatchEffect nextCopy(long nowMs, RunMove move) {
     long tookMs = nowMs - move.stepStartedMs();
-    boolean quick = tookMs <= QUICK_COPY_MS || tookMs <= QUICK_COPY_MS + expectedMs(move);
+    boolean quick = tookMs <= QUICK_COPY_MS;
     boolean late = nowMs - move.noticedMs() >= LATEST_STOP_MS;
     return copy(nowMs, move, move.destination().orElseThrow(), quick || late);
   }
 
-  /** A first copy that took as long as its bytes need found the links free. */
-  private static long expectedMs(RunMove move) {
-    return move.round() > 1 ? 0 : move.expectedCopyMs();
-  }
-
   private List<DispatchEffect> later(long nowMs, RunMove move, boolean failed) {
     move.tryAgainAt(nowMs + PAUSE_MS, failed);
     if (move.failures() > MOST_FAILURES) {
@@ -158,7 +162,6 @@
       }
       return Optional.empty();
     }
-    move.expectCopy(copyMs(move, chosen.get()));
     return Optional.of(copy(nowMs, move, chosen.get().target(), false));
   }
 
@@ -174,7 +177,11 @@
         nowMs + COPY_TIMEOUT_MS);
   }
 
-  /** Prefers the source's zone, then engines to which nothing is copied, then the emptiest. */
+  /**
+   * Prefers engines that are expected to hold the run to its end, then the source's zone, then
+   * engines to which nothing is copied, then the emptiest. A run that may be preempted at its
+   * destination is still better off than one that is lost.
+   */
   private Optional<Candidate> chooseDestination(
       RunMove move, Function<ActiveCall, List<Candidate>> engines) {
     copiesTo.clear();
@@ -185,15 +192,14 @@
     long needed =
         move.call().profile().generation().map(GenerationDemand::expectedMemoryTokens).orElse(0L);
     Comparator<Candidate> order =
-        Comparator.comparing(
-                (Candidate candidate) -> !candidate.target().zone().equals(move.source().zone()))
+        Comparator.comparing((Candidate candidate) -> !fits(candidate, needed))
+            .thenComparing(candidate -> !candidate.target().zone().equals(move.source().zone()))
             .thenComparing(candidate -> copiesTo.getOrDefault(candidate.target().id(), 0))
             .thenComparing(candidate -> candidate.use().memoryTokens());
     return engines.apply(move.call()).stream()
         .filter(candidate -> !candidate.target().id().equals(move.source().id()))
         .filter(candidate -> !move.hasFailedAt(candidate.target().id()))
         .filter(candidate -> candidate.use().calls() < candidate.target().slots())
-        .filter(candidate -> fits(candidate, needed))
         .min(order);
   }
 
@@ -202,19 +208,13 @@
     return candidate.use().memoryTokens() + needed <= memory;
   }
 
-  private static long copyMs(RunMove move, Candidate to) {
-    if (to.engine().isEmpty() || to.engine().get().linkMbps() <= 0) {
+  /** Returns how long it takes to copy the memory of an engine within its availability zone. */
+  static long copyMs(long tokens, EngineTraits engine) {
+    if (engine.linkMbps() <= 0) {
       return 0;
     }
-    EngineTraits engine = to.engine().get();
-    long tokens = move.call().profile().generation().map(GenerationDemand::promptTokens).orElse(0L);
-    double ms =
-        tokens
-            * engine.bytesPerToken()
-            * BITS_PER_BYTE
-            / (engine.linkMbps() * BITS_PER_MS_AND_MBPS);
-    boolean crossing = !to.target().zone().equals(move.source().zone());
-    return Math.round(crossing ? ZONE_CROSSING_FACTOR * ms : ms);
+    double bits = tokens * engine.bytesPerToken() * BITS_PER_BYTE;
+    return Math.round(bits / (engine.linkMbps() * BITS_PER_MS_AND_MBPS));
   }
 
   private boolean isSourceBusy(RoutedTarget source) {
