Ask used engines for reports in an outage, and tell leaving daemons too

Change: while the store is away each daemon asks the engines it uses; owners ask each 500 ms; state is told to all daemons that are not dead.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/SpreadRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/SpreadRole.java
@@ -100,7 +100,7 @@
     lastLeaving = context.leavingLately(nowMs);
     lastRevision = context.sheetRevision();
     repeatMs = nowMs + REPEAT_MS;
-    List<Member> others = others();
+    List<Member> others = context.membership().others();
     int told = Math.min(MOST_TOLD, others.size());
     for (int i = 0; i < told; i++) {
       Member member = others.get((nextPeer + i) % others.size());
@@ -132,7 +132,7 @@
     }
     nextPullMs = nowMs + PULL_AGAIN_MS;
     List<Member> holders =
-        others().stream()
+        context.membership().others().stream()
             .filter(member -> peers.containsKey(member.daemonId()))
             .filter(
                 member ->
@@ -154,12 +154,6 @@
         .add(new DispatchEffect.PullState(holder.daemonId(), holder.address(), sheet, targets));
   }
 
-  private List<Member> others() {
-    return context.membership().view().owners().stream()
-        .filter(member -> !context.membership().isSelf(member.daemonId()))
-        .toList();
-  }
-
   private record PeerState(long sheetRevision, long targetsRevision) {
 
     private boolean hasNewerSheet(DispatchContext context) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetRole.java
@@ -15,10 +15,14 @@
    */
   private static final long REPORT_MS = 250;
 
+  /** Reports are priced, and the store tells of leaving engines sooner while it is there. */
+  private static final long OWNED_REPORT_MS = 500;
+
   private final DispatchContext context;
   private final CallRole calls;
   private final OwnershipStrategy ownership = new RendezvousOwnership();
   private long nextReportMs;
+  private long nextOwnedMs;
 
   TargetRole(DispatchContext context, CallRole calls) {
     this.context = context;
@@ -71,17 +75,22 @@
   }
 
   /**
-   * Asks the engines that this daemon owns, so that each is asked by one daemon. The store tells of
-   * leaving engines sooner, but not while it is away.
+   * Asks the engines that this daemon owns, so that each is asked by one daemon. While the store is
+   * away it is the reports that tell of leaving engines, and the daemon asks those it uses as well.
    */
   private void askReports(long nowMs) {
     if (context.index().isEmpty()) {
       return;
     }
+    boolean ownedAreDue = nowMs >= nextOwnedMs;
+    if (ownedAreDue) {
+      nextOwnedMs = nowMs + OWNED_REPORT_MS;
+    }
+    boolean usedAreDue = context.targets().isStoreAway();
     context.index().get().sheet().services().stream()
         .filter(service -> service.engine().filter(EngineTraits::canMoveRuns).isPresent())
         .flatMap(service -> context.targets().placeable(service.name(), nowMs).stream())
-        .filter(this::isOwned)
+        .filter(target -> ownedAreDue && isOwned(target) || usedAreDue && calls.uses(target.id()))
         .forEach(target -> context.log().add(new DispatchEffect.AskReport(target)));
   }
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetTable.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetTable.java
@@ -79,6 +79,15 @@
     storeAway = !reachable;
   }
 
+  /**
+   * Tells whether the store was away when it was last asked.
+   *
+   * @return true if it was
+   */
+  public boolean isStoreAway() {
+    return storeAway;
+  }
+
   /**
    * Replaces the list.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipReducer.java
@@ -115,6 +115,18 @@
     return table.find(daemonId);
   }
 
+  /**
+   * Returns the other daemons that are not taken for dead, leaving ones included.
+   *
+   * @return the daemons, ordered by identity
+   */
+  public List<Member> others() {
+    return table.all().stream()
+        .filter(member -> member.state() != MemberState.DEAD)
+        .sorted(Comparator.comparing(Member::daemonId))
+        .toList();
+  }
+
   /**
    * Tells whether an identity is that of this daemon.
    *
