Take engines for gone where nothing listens while the store is away

Change: a refused connection is told apart from other failures; while the store is away it takes the target out.

Test: DispatchReducerTest.takesTargetForGoneWhereNothingListensIfTheStoreCannotTell.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/EngineControl.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/EngineControl.java
@@ -14,6 +14,18 @@
    */
   record CopyResult(CopyOutcome outcome, String handle) {}
 
+  /** Says what asking an engine has shown. */
+  enum EngineState {
+    /** It takes requests. */
+    AVAILABLE,
+    /** It says that it is leaving. */
+    LEAVING,
+    /** Nothing listens at its address. */
+    NOBODY_THERE,
+    /** It gave no answer, or one that cannot be read. */
+    UNKNOWN
+  }
+
   /**
    * Copies the memory of a run to another engine.
    *
@@ -36,9 +48,9 @@
    *
    * @param address the engine
    * @param deadlineMs when to give up
-   * @return whether it is; false where it does not answer
+   * @return its state; it does not fail
    */
-  CompletableFuture<Boolean> isLeaving(String address, long deadlineMs);
+  CompletableFuture<EngineState> ask(String address, long deadlineMs);
 
   /**
    * Frees a copy at both engines.
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/Exchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/Exchange.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -10,6 +11,8 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Optional;
@@ -133,9 +136,9 @@
       DispatchEffect.SendCall order,
       AttemptReader attempt,
       TargetConnection connection,
-      String problem) {
+      IOException problem) {
     if (connection == null) {
-      attempt.fail(AttemptFault.NOT_SENT, 0, problem);
+      attempt.fail(faultOf(problem), 0, problem.getMessage());
       return;
     }
     long leftMs = order.deadlineMs() - MonotonicClock.nowMs();
@@ -169,6 +172,13 @@
     connection.send(head, body.retainedDuplicate(), attempt);
   }
 
+  /** Tells a port where nothing listens from other failures to connect. */
+  private static AttemptFault faultOf(IOException problem) {
+    boolean refused =
+        problem instanceof ConnectException && !(problem instanceof ConnectTimeoutException);
+    return refused ? AttemptFault.NOBODY_THERE : AttemptFault.NOT_SENT;
+  }
+
   /** Passes an event on, unless its number was passed on before; returns false at a gap. */
   boolean passEvent(AttemptReader attempt, OptionalLong id, ByteBuf bytes) {
     if (over || id.isPresent() && id.getAsLong() <= lastEventId) {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ExchangeTable.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ExchangeTable.java
@@ -118,13 +118,16 @@
 
   private void askReport(RoutedTarget target) {
     engines
-        .isLeaving(target.address(), MonotonicClock.nowMs() + REPORT_TIMEOUT_MS)
+        .ask(target.address(), MonotonicClock.nowMs() + REPORT_TIMEOUT_MS)
         .thenAccept(
-            leaving -> {
-              if (leaving) {
-                context
-                    .events()
-                    .post(new DispatchEvent.TargetLeaves(MonotonicClock.nowMs(), target.id()));
+            state -> {
+              long nowMs = MonotonicClock.nowMs();
+              switch (state) {
+                case LEAVING ->
+                    context.events().post(new DispatchEvent.TargetLeaves(nowMs, target.id()));
+                case NOBODY_THERE ->
+                    context.events().post(new DispatchEvent.NobodyThere(nowMs, target.id()));
+                default -> {}
               }
             });
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnections.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnections.java
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
@@ -59,11 +60,11 @@
    * @param most the most connections to have to it
    * @param done receives the connection, or null and why there is none
    */
-  public void take(RoutedTarget target, int most, BiConsumer<TargetConnection, String> done) {
+  public void take(RoutedTarget target, int most, BiConsumer<TargetConnection, IOException> done) {
     TargetPool pool = pools.computeIfAbsent(keyOf(target), key -> new TargetPool());
     pool.takeIdle()
         .ifPresentOrElse(
-            connection -> done.accept(connection, ""), () -> open(pool, target, most, done));
+            connection -> done.accept(connection, null), () -> open(pool, target, most, done));
   }
 
   /**
@@ -88,16 +89,19 @@
   }
 
   private void open(
-      TargetPool pool, RoutedTarget target, int most, BiConsumer<TargetConnection, String> done) {
+      TargetPool pool,
+      RoutedTarget target,
+      int most,
+      BiConsumer<TargetConnection, IOException> done) {
     if (pool.size() >= most) {
-      done.accept(null, "all " + most + " connections to the target are in use");
+      done.accept(null, new IOException("all " + most + " connections are in use"));
       return;
     }
     InetSocketAddress address;
     try {
       address = parse(target.address());
     } catch (IllegalArgumentException e) {
-      done.accept(null, e.getMessage());
+      done.accept(null, new IOException(e.getMessage(), e));
       return;
     }
     TargetConnection connection = new TargetConnection(pool);
@@ -117,10 +121,10 @@
         ignored -> {
           if (opened.isSuccess()) {
             pool.opened(connection);
-            done.accept(connection, "");
+            done.accept(connection, null);
           } else {
             pool.openFailed();
-            done.accept(null, String.valueOf(opened.cause().getMessage()));
+            done.accept(null, problemOf(opened.cause()));
           }
         });
   }
@@ -135,6 +139,10 @@
         new HttpDecoderConfig().setMaxHeaderSize(HEADER_BYTES), false, false);
   }
 
+  private static IOException problemOf(Throwable cause) {
+    return cause instanceof IOException problem ? problem : new IOException(cause);
+  }
+
   private void sweep() {
     long nowMs = MonotonicClock.nowMs();
     pools.values().forEach(pool -> pool.closeExpired(nowMs));
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/AttemptFault.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/AttemptFault.java
@@ -4,6 +4,8 @@
 public enum AttemptFault {
   /** No byte of the request reached the target. */
   NOT_SENT(false, true),
+  /** Nothing listens at the target's address any more. */
+  NOBODY_THERE(false, true),
   /** The target said that it did not run the request, as it is full. */
   REJECTED(false, false),
   /** Another target has the address; it did not run the request. */
@@ -49,6 +51,6 @@
    * @return true if it did or may have
    */
   public boolean arrived() {
-    return this != NOT_SENT && this != OUTDATED;
+    return this != NOT_SENT && this != NOBODY_THERE && this != OUTDATED;
   }
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallRole.java
@@ -155,7 +155,8 @@
     note("attempt-failed", call, target.id(), event.fault() + " " + event.detail());
     context.ledger().leave(call.callId(), target.id());
     call.failed(event.fault());
-    if (event.fault() == AttemptFault.WRONG_TARGET) {
+    boolean gone = event.fault() == AttemptFault.NOBODY_THERE && context.targets().isStoreAway();
+    if (gone || event.fault() == AttemptFault.WRONG_TARGET) {
       context.targets().leaves(target.id());
     }
     if (mover.find(call.callId()).isPresent() && saveRun(event, call)) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -15,6 +15,7 @@
   @JsonSubTypes.Type(DispatchEvent.TargetChanged.class),
   @JsonSubTypes.Type(DispatchEvent.TargetRemoved.class),
   @JsonSubTypes.Type(DispatchEvent.TargetLeaves.class),
+  @JsonSubTypes.Type(DispatchEvent.NobodyThere.class),
   @JsonSubTypes.Type(DispatchEvent.StoreSeen.class),
   @JsonSubTypes.Type(DispatchEvent.SettingsChanged.class),
   @JsonSubTypes.Type(DispatchEvent.CallArrived.class),
@@ -74,6 +75,14 @@
    */
   record TargetLeaves(long nowMs, String targetId) implements DispatchEvent {}
 
+  /**
+   * Nothing listens at a target's address.
+   *
+   * @param nowMs when it was observed
+   * @param targetId the target
+   */
+  record NobodyThere(long nowMs, String targetId) implements DispatchEvent {}
+
   /**
    * A call to the store was answered or not.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetRole.java
@@ -53,6 +53,8 @@
       follow(nowMs, targets.remove(nowMs, removed.revision(), removed.targetId()));
     } else if (event instanceof DispatchEvent.TargetLeaves leaves) {
       targets.leaves(leaves.targetId()).ifPresent(target -> leave(nowMs, target));
+    } else if (event instanceof DispatchEvent.NobodyThere nobody) {
+      nobodyThere(nowMs, nobody.targetId());
     } else if (event instanceof DispatchEvent.StoreSeen seen) {
       targets.storeSeen(nowMs, seen.reachable());
     }
@@ -67,6 +69,13 @@
     }
   }
 
+  /** Takes a target for gone that the store cannot remove from its list, as it is away. */
+  private void nobodyThere(long nowMs, String targetId) {
+    if (context.targets().isStoreAway()) {
+      context.targets().leaves(targetId).ifPresent(target -> leave(nowMs, target));
+    }
+  }
+
   /** Takes over which targets another daemon has seen leave. */
   void peerTold(DispatchEvent.PeerStateTold event) {
     for (String targetId : event.leaving()) {
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
@@ -62,7 +62,7 @@
   @ParameterizedTest
   @EnumSource(
       value = AttemptFault.class,
-      names = {"NOT_SENT", "REJECTED", "WRONG_TARGET"})
+      names = {"NOT_SENT", "NOBODY_THERE", "REJECTED", "WRONG_TARGET"})
   void sendsBookingElsewhereThatHasNotRun(AttemptFault fault) {
     String call = fixture.call("booking");
     fixture.failed(call, fault, false);
@@ -242,6 +242,20 @@
         .hasSize(4);
   }
 
+  @ParameterizedTest
+  @CsvSource({"true, true", "false, false"})
+  void takesTargetForGoneWhereNothingListensIfTheStoreCannotTell(boolean away, boolean gone) {
+    String engine = fixture.lastSend(fixture.generate(1_000, 500)).target().id();
+    fixture.apply(new DispatchEvent.StoreSeen(fixture.nowMs(), !away));
+    fixture.apply(new DispatchEvent.NobodyThere(fixture.nowMs(), engine));
+
+    boolean used = false;
+    for (int i = 0; i < 20; i++) {
+      used |= fixture.lastSend(fixture.generate(1_000, 500)).target().id().equals(engine);
+    }
+    assertThat(used).isEqualTo(!gone);
+  }
+
   @Test
   void tellsDaemonsThatAreLeavingToo() {
     joinPeer();
