Take the moves and the carrying out of decisions out of the call role

No behaviour changed: ActiveCalls holds the requests and emits what is decided, MoveRole moves runs, CallRole admits, places, repeats and refuses.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
@@ -3,7 +3,9 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -239,7 +241,7 @@
   }
 
   private PeerSettings peerSettings() {
-    java.net.InetSocketAddress address = GatewaySettings.resolve(settings.peerAddress());
+    InetSocketAddress address = GatewaySettings.resolve(settings.peerAddress());
     return new PeerSettings(
         settings.peerAddress(),
         incarnation,
@@ -253,7 +255,7 @@
     HttpClient client =
         HttpClient.create(platformPool)
             .runOn(resources, true)
-            .option(io.netty.channel.ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
     for (var option : KeepAliveProbes.options().entrySet()) {
       client = withOption(client, option.getKey(), option.getValue());
     }
@@ -262,7 +264,7 @@
 
   @SuppressWarnings("unchecked")
   private static <T> HttpClient withOption(
-      HttpClient client, io.netty.channel.ChannelOption<T> option, Object value) {
+      HttpClient client, ChannelOption<T> option, Object value) {
     return client.option(option, (T) value);
   }
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -23,6 +23,7 @@
 
   private final DispatchContext context;
   private final MembershipReducer membership;
+  private final MoveRole moves;
   private final CallRole calls;
   private final TargetRole targets;
   private final SpreadRole spread;
@@ -41,10 +42,12 @@
     Check.notNull(member, "member");
     this.membership = new MembershipReducer(member, nowMs -> SheetStatus.UNKNOWN);
     this.context = new DispatchContext(settings, membership);
-    this.calls = new CallRole(context);
-    this.targets = new TargetRole(context, calls);
+    ActiveCalls active = new ActiveCalls(context);
+    this.moves = new MoveRole(context, active);
+    this.calls = new CallRole(context, active, moves);
+    this.targets = new TargetRole(context, active, moves);
     this.spread = new SpreadRole(context);
-    this.life = new LifeRole(context, calls);
+    this.life = new LifeRole(context, active, calls);
   }
 
   @Override
@@ -53,6 +56,7 @@
       applyDispatch(dispatch);
     } else if (event instanceof TimeEvent.Ticked tick) {
       targets.tick(tick.nowMs());
+      moves.advance(tick.nowMs());
       calls.tick(tick.nowMs());
       spread.tick(tick.nowMs());
       life.tick(tick.nowMs());
@@ -80,7 +84,7 @@
     } else if (event instanceof DispatchEvent.CallerLeft left) {
       calls.callerLeft(left);
     } else if (event instanceof DispatchEvent.RunCopied copied) {
-      calls.runCopied(copied);
+      moves.runCopied(copied);
     } else if (event instanceof DispatchEvent.SheetLearned learned) {
       spread.sheetLearned(learned);
       life.tick(learned.nowMs());
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LifeRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LifeRole.java
@@ -8,6 +8,7 @@
 final class LifeRole {
 
   private final DispatchContext context;
+  private final ActiveCalls active;
   private final CallRole calls;
   private Optional<Boolean> announced = Optional.empty();
   private boolean draining;
@@ -15,8 +16,9 @@
   private long noticeEndMs;
   private long drainDeadlineMs;
 
-  LifeRole(DispatchContext context, CallRole calls) {
+  LifeRole(DispatchContext context, ActiveCalls active, CallRole calls) {
     this.context = context;
+    this.active = active;
     this.calls = calls;
   }
 
@@ -28,7 +30,7 @@
     noticeEndMs = event.nowMs() + context.settings().drainNoticeMs();
     drainDeadlineMs = event.deadlineMs();
     calls.endsAt(drainDeadlineMs);
-    context.note("drain", "", "", "", "calls=" + calls.count());
+    context.note("drain", "", "", "", "calls=" + active.count());
     announce();
   }
 
@@ -40,7 +42,7 @@
     if (nowMs >= drainDeadlineMs) {
       calls.endAll("the daemon stops");
     }
-    if (calls.count() == 0 && nowMs >= noticeEndMs) {
+    if (active.count() == 0 && nowMs >= noticeEndMs) {
       stopped = true;
       context.log().add(new Effect.Stop());
     }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMove.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMove.java
@@ -32,7 +32,6 @@
   private int failures;
   private long stepStartedMs;
   private long tryAgainMs;
-  private boolean backAtSource;
 
   RunMove(ActiveCall call, RoutedTarget source, long noticedMs, boolean together) {
     this.call = call;
@@ -110,15 +109,6 @@
     stepStartedMs = nowMs;
   }
 
-  /** Tells whether the run was sent back to its stopped source, as its destination had no room. */
-  boolean isBackAtSource() {
-    return backAtSource;
-  }
-
-  void backAtSource() {
-    backAtSource = true;
-  }
-
   /** Waits before the next copy, after one that did not succeed. */
   void tryAgainAt(long atMs, boolean failed) {
     step = Step.WAITING;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMover.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMover.java
@@ -94,72 +94,68 @@
     return copies;
   }
 
-  /** Takes the end of a copy; returns what is to be done next. */
-  List<DispatchEffect> copied(
-      DispatchEvent.RunCopied event, Function<RunMove, DispatchEffect> continueRun) {
+  /**
+   * Says what follows a copy.
+   *
+   * @param copy the next copy of the run; empty where none is due now
+   * @param ready the move whose run is to go on at its destination; empty where none is
+   */
+  record Next(Optional<DispatchEffect.CopyRun> copy, Optional<RunMove> ready) {
+
+    private static final Next NOTHING = new Next(Optional.empty(), Optional.empty());
+  }
+
+  /** Takes the end of a copy. */
+  Next copied(DispatchEvent.RunCopied event) {
     RunMove move = moves.get(event.callId());
     if (move == null || move.round() != event.round() || move.destination().isEmpty()) {
       // A copy of a run that has ended is freed by the engines after a while.
-      return List.of();
+      return Next.NOTHING;
     }
     if (!event.handle().isEmpty()) {
       move.copied(event.handle());
     }
     if (move.step() == RunMove.Step.STOPPING) {
-      return stopped(event, move, continueRun);
+      return stopped(event, move);
     }
     return switch (event.outcome()) {
-      case COPIED -> List.of(nextCopy(event.nowMs(), move));
+      case COPIED -> new Next(Optional.of(nextCopy(event.nowMs(), move)), Optional.empty());
       case BUSY, NO_RUN -> later(event.nowMs(), move, false);
       case NO_ROOM, UNKNOWN -> later(event.nowMs(), move, true);
     };
   }
 
-  private List<DispatchEffect> stopped(
-      DispatchEvent.RunCopied event, RunMove move, Function<RunMove, DispatchEffect> continueRun) {
+  private Next stopped(DispatchEvent.RunCopied event, RunMove move) {
     if (event.outcome() == CopyOutcome.BUSY) {
       return later(event.nowMs(), move, false);
     }
     if (move.handle().isEmpty()) {
       moves.remove(event.callId());
-      return List.of();
+      return Next.NOTHING;
     }
     move.continuing(event.nowMs());
-    return List.of(continueRun.apply(move));
+    return new Next(Optional.empty(), Optional.of(move));
   }
 
-  /** Takes the loss of the source's answer; returns whether the move can still save the run. */
-  boolean survivesLoss(ActiveCall call) {
-    RunMove move = moves.get(call.callId());
-    if (move == null) {
-      return false;
-    }
-    return move.step() == RunMove.Step.STOPPING || !move.handle().isEmpty();
-  }
-
-  private DispatchEffect nextCopy(long nowMs, RunMove move) {
-    long tookMs = nowMs - move.stepStartedMs();
-    boolean quick = tookMs <= QUICK_COPY_MS;
+  private DispatchEffect.CopyRun nextCopy(long nowMs, RunMove move) {
+    boolean quick = nowMs - move.stepStartedMs() <= QUICK_COPY_MS;
     boolean late = nowMs - move.noticedMs() >= LATEST_STOP_MS;
     return copy(nowMs, move, move.destination().orElseThrow(), quick || late);
   }
 
-  private List<DispatchEffect> later(long nowMs, RunMove move, boolean failed) {
+  private Next later(long nowMs, RunMove move, boolean failed) {
     move.tryAgainAt(nowMs + PAUSE_MS, failed);
     if (move.failures() > MOST_FAILURES) {
       moves.remove(move.call().callId());
     }
-    return List.of();
+    return Next.NOTHING;
   }
 
   private Optional<DispatchEffect.CopyRun> startCopy(
       long nowMs, RunMove move, Function<ActiveCall, List<Candidate>> engines) {
     Optional<Candidate> chosen = chooseDestination(move, engines);
     if (chosen.isEmpty()) {
-      move.tryAgainAt(nowMs + PAUSE_MS, true);
-      if (move.failures() > MOST_FAILURES) {
-        moves.remove(move.call().callId());
-      }
+      later(nowMs, move, true);
       return Optional.empty();
     }
     return Optional.of(copy(nowMs, move, chosen.get().target(), false));
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetRole.java
@@ -19,14 +19,16 @@
   private static final long OWNED_REPORT_MS = 500;
 
   private final DispatchContext context;
-  private final CallRole calls;
+  private final ActiveCalls calls;
+  private final MoveRole moves;
   private final OwnershipStrategy ownership = new RendezvousOwnership();
   private long nextReportMs;
   private long nextOwnedMs;
 
-  TargetRole(DispatchContext context, CallRole calls) {
+  TargetRole(DispatchContext context, ActiveCalls calls, MoveRole moves) {
     this.context = context;
     this.calls = calls;
+    this.moves = moves;
   }
 
   void apply(DispatchEvent event) {
@@ -62,7 +64,7 @@
 
   void tick(long nowMs) {
     context.ledger().expire(nowMs);
-    context.targets().tick(nowMs, calls::uses).forEach(target -> leave(nowMs, target));
+    context.targets().tick(nowMs, this::isUsed).forEach(target -> leave(nowMs, target));
     if (nowMs >= nextReportMs) {
       nextReportMs = nowMs + REPORT_MS;
       askReports(nowMs);
@@ -99,10 +101,14 @@
     context.index().get().sheet().services().stream()
         .filter(service -> service.engine().filter(EngineTraits::canMoveRuns).isPresent())
         .flatMap(service -> context.targets().placeable(service.name(), nowMs).stream())
-        .filter(target -> ownedAreDue && isOwned(target) || usedAreDue && calls.uses(target.id()))
+        .filter(target -> ownedAreDue && isOwned(target) || usedAreDue && isUsed(target.id()))
         .forEach(target -> context.log().add(new DispatchEffect.AskReport(target)));
   }
 
+  private boolean isUsed(String targetId) {
+    return !calls.at(targetId).isEmpty();
+  }
+
   private boolean isOwned(RoutedTarget target) {
     return ownership
         .findOwner(target.id(), target.zone(), context.membership().view())
@@ -119,7 +125,7 @@
     noteTarget("target-leaves", target, context.targets().revision());
     context.noteLeaving(nowMs, target.id());
     context.log().add(new DispatchEffect.DropTarget(target));
-    calls.engineLeaves(nowMs, target);
+    moves.engineLeaves(nowMs, target);
   }
 
   private void noteTarget(String decision, RoutedTarget target, long revision) {
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFuzzTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFuzzTest.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
@@ -21,8 +22,8 @@
 
   private static final int STEPS = 400;
 
-  /** What a target may take to give an answer, and a lapsed entry to return. */
-  private static final long LAPSE_MS = TargetLapse.MS;
+  /** The time within which entries that lapsed with the store are back. */
+  private static final long LAPSE_MS = 2_000;
 
   private static final AttemptFault[] FAULTS = AttemptFault.values();
 
@@ -31,11 +32,6 @@
     new History(seed).play();
   }
 
-  /** Names the bound that the oracle holds leaving targets to. */
-  private static final class TargetLapse {
-    private static final long MS = 2_000;
-  }
-
   private static final class History {
 
     private final SplittableRandom random;
@@ -160,11 +156,11 @@
       }
     }
 
-    private java.util.Optional<String> pick() {
+    private Optional<String> pick() {
       List<String> atTarget = open.stream().filter(oracle::isAtTarget).toList();
       return atTarget.isEmpty()
-          ? java.util.Optional.empty()
-          : java.util.Optional.of(atTarget.get(random.nextInt(atTarget.size())));
+          ? Optional.empty()
+          : Optional.of(atTarget.get(random.nextInt(atTarget.size())));
     }
   }
 
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
@@ -4,6 +4,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -11,9 +12,17 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.event.PlatformEvent;
 import org.sequoiareach.decision.event.TimeEvent;
+import org.sequoiareach.decision.membership.MembershipEvent;
+import org.sequoiareach.model.platform.MemberState;
+import org.sequoiareach.model.platform.MemberUpdate;
+import org.sequoiareach.model.platform.VmEntry;
+import org.sequoiareach.model.platform.VmKind;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
+import org.sequoiareach.model.route.TargetUse;
+import org.sequoiareach.model.sheet.SheetStatus;
 
 class DispatchReducerTest {
 
@@ -152,10 +161,10 @@
               "peer",
               1,
               10,
-              java.util.Map.of(
-                  "engines0", new org.sequoiareach.model.route.TargetUse(1, 3_000, 4_000),
-                  "engines1", new org.sequoiareach.model.route.TargetUse(1, 3_000, 4_000),
-                  "engines2", new org.sequoiareach.model.route.TargetUse(1, 3_000, 4_000)),
+              Map.of(
+                  "engines0", new TargetUse(1, 3_000, 4_000),
+                  "engines1", new TargetUse(1, 3_000, 4_000),
+                  "engines2", new TargetUse(1, 3_000, 4_000)),
               List.of()));
     }
 
@@ -181,8 +190,7 @@
   void asksPeerForSheetThatTheStoreDoesNotBring() {
     joinPeer();
     fixture.apply(
-        new DispatchEvent.PeerStateTold(
-            fixture.nowMs(), "10.0.0.2:1", 8, 10, java.util.Map.of(), List.of()));
+        new DispatchEvent.PeerStateTold(fixture.nowMs(), "10.0.0.2:1", 8, 10, Map.of(), List.of()));
     fixture.tick(100);
     assertThat(fixture.all(DispatchEffect.PullState.class)).isEmpty();
     fixture.tick(400);
@@ -214,7 +222,7 @@
     String engine = fixture.lastSend(call).target().id();
     fixture.apply(
         new DispatchEvent.PeerStateTold(
-            fixture.nowMs(), "10.0.0.2:1", 1, 10, java.util.Map.of(), List.of(engine)));
+            fixture.nowMs(), "10.0.0.2:1", 1, 10, Map.of(), List.of(engine)));
 
     assertThat(fixture.copies(call)).hasSize(1);
   }
@@ -260,18 +268,12 @@
   void tellsDaemonsThatAreLeavingToo() {
     joinPeer();
     fixture.apply(
-        new org.sequoiareach.decision.membership.MembershipEvent.ProbeReceived(
+        new MembershipEvent.ProbeReceived(
             fixture.nowMs(),
             "10.0.0.2:1",
             1,
-            List.of(
-                new org.sequoiareach.model.platform.MemberUpdate(
-                    "10.0.0.2:1",
-                    "10.0.0.2:1",
-                    "z1",
-                    5,
-                    org.sequoiareach.model.platform.MemberState.LEAVING)),
-            org.sequoiareach.model.sheet.SheetStatus.UNKNOWN));
+            List.of(new MemberUpdate("10.0.0.2:1", "10.0.0.2:1", "z1", 5, MemberState.LEAVING)),
+            SheetStatus.UNKNOWN));
     fixture.generate(1_000, 500);
     fixture.tick(200);
 
@@ -314,17 +316,11 @@
 
   private void joinPeer() {
     fixture.apply(
-        new org.sequoiareach.decision.event.PlatformEvent.VmsListed(
+        new PlatformEvent.VmsListed(
             fixture.nowMs(),
             fixture.nowMs(),
             List.of(
-                new org.sequoiareach.model.platform.VmEntry(
-                    "10.0.0.2:1",
-                    org.sequoiareach.model.platform.VmKind.DAEMON,
-                    "10.0.0.2:1",
-                    "z1",
-                    false,
-                    List.of()))));
+                new VmEntry("10.0.0.2:1", VmKind.DAEMON, "10.0.0.2:1", "z1", false, List.of()))));
   }
 
   private Set<String> targetsOf(String call) {
