Keep sums of what daemons tell, and rehearse a start with a store

Cause: placing summed up what every daemon had told for every engine: 278 us an arrival at 34 engines and 83 daemons, 30 ms at 1,000 and 299 (DispatchMeasurement, a loaded machine). The rehearsed start reached no store, so its archive lacked the classes that read one.

What remains at 1,000 engines is the list of candidates.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewayRehearsal.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewayRehearsal.java
@@ -7,11 +7,13 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
 import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.server.HttpServer;
 
 /**
- * Starts a gateway on the loopback address, sends it a request and stops it. The build runs it to
- * record the classes that a start needs, which shortens each later start.
+ * Starts a gateway and a store on the loopback address, sends it requests and stops it. The build
+ * runs it to record the classes that a start needs, which shortens each later start.
  */
 public final class GatewayRehearsal {
 
@@ -27,10 +29,12 @@
    * Runs the rehearsal.
    *
    * @param binding the forms that the platform uses
+   * @param storeAnswer what the store answers to each call
    * @throws IOException if no ports are free
    * @throws InterruptedException if the thread is interrupted
    */
-  public static void run(GatewayBinding binding) throws IOException, InterruptedException {
+  public static void run(GatewayBinding binding, String storeAnswer)
+      throws IOException, InterruptedException {
     List<String> addresses = freeAddresses();
     GatewaySettings settings =
         new GatewaySettings(
@@ -46,6 +50,11 @@
             0,
             1,
             0);
+    DisposableServer store =
+        HttpServer.create()
+            .bindAddress(() -> GatewaySettings.resolve(addresses.get(4)))
+            .handle((request, response) -> response.sendString(Mono.just(storeAnswer)))
+            .bindNow();
     try (Gateway gateway = Gateway.start(settings, binding)) {
       for (String address : List.of(addresses.get(0), addresses.get(1), addresses.get(3))) {
         HttpClient.create()
@@ -55,6 +64,8 @@
             .block(ANSWER_TIMEOUT);
       }
       TimeUnit.MILLISECONDS.sleep(RUN_MS);
+    } finally {
+      store.disposeNow();
     }
   }
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/UseLedger.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/UseLedger.java
@@ -1,6 +1,7 @@
 package org.sequoiareach.decision.fleet;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.route.TargetUse;
@@ -18,6 +19,7 @@
 
   private final Map<String, Account> own = new HashMap<>();
   private final Map<String, Told> told = new HashMap<>();
+  private final Map<String, TargetUse> toldSums = new HashMap<>();
 
   /**
    * Enters a call.
@@ -72,7 +74,11 @@
    * @param uses its use by target; targets that are left out have none
    */
   public void tell(long nowMs, String daemonId, Map<String, TargetUse> uses) {
-    told.put(daemonId, new Told(nowMs, Map.copyOf(uses)));
+    Told before = told.put(daemonId, new Told(nowMs, Map.copyOf(uses)));
+    if (before != null) {
+      forget(before);
+    }
+    uses.forEach((targetId, use) -> toldSums.merge(targetId, use, TargetUse::plus));
   }
 
   /**
@@ -81,7 +87,10 @@
    * @param nowMs the time now
    */
   public void expire(long nowMs) {
-    told.values().removeIf(entry -> nowMs - entry.atMs > TOLD_FOR_MS);
+    List<Told> expired =
+        told.values().stream().filter(entry -> nowMs - entry.atMs > TOLD_FOR_MS).toList();
+    expired.forEach(this::forget);
+    told.values().removeAll(expired);
   }
 
   /**
@@ -91,11 +100,7 @@
    * @return the use
    */
   public TargetUse useOf(String targetId) {
-    TargetUse sum = ownUseOf(targetId);
-    for (Told entry : told.values()) {
-      sum = sum.plus(entry.uses.getOrDefault(targetId, TargetUse.NONE));
-    }
-    return sum;
+    return ownUseOf(targetId).plus(toldSums.getOrDefault(targetId, TargetUse.NONE));
   }
 
   /**
@@ -109,6 +114,14 @@
     return uses;
   }
 
+  /** Takes what a daemon told out of the sums. */
+  private void forget(Told entry) {
+    entry.uses.forEach(
+        (targetId, use) ->
+            toldSums.computeIfPresent(
+                targetId, (id, sum) -> sum.equals(use) ? null : sum.minus(use)));
+  }
+
   private TargetUse ownUseOf(String targetId) {
     Account account = own.get(targetId);
     return account == null
--- a/sequoiareach-model/src/main/java/org/sequoiareach/model/route/TargetUse.java
+++ b/sequoiareach-model/src/main/java/org/sequoiareach/model/route/TargetUse.java
@@ -21,6 +21,19 @@
     Check.inRange(memoryTokens, 0, Long.MAX_VALUE, "memoryTokens");
   }
 
+  /**
+   * Takes away a use that was added before.
+   *
+   * @param other the other use
+   * @return the difference
+   */
+  public TargetUse minus(TargetUse other) {
+    return new TargetUse(
+        calls - other.calls,
+        waitingPromptTokens - other.waitingPromptTokens,
+        memoryTokens - other.memoryTokens);
+  }
+
   /**
    * Adds the use of others.
    *
