Answer requests on connections whose callers were not told to leave

The close comes exactly the lingering second after the answer.

Change: a connection is given up only if its last answer said so.

Test: GatewayTest.answersRequestBehindStreamThatEndsAfterTheStopBegan failed before.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
@@ -225,7 +225,7 @@
     answer = null;
     onCallerLeft = () -> {};
     profile = null;
-    if (!keepAlive || server.isDraining()) {
+    if (!keepAlive) {
       waiting.forEach(ReferenceCountUtil::release);
       waiting.clear();
       linger();
