--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/SpreadBridge.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/SpreadBridge.java
@@ -1,6 +1,5 @@
 package org.sequoiareach.daemon.gateway;
 
-import java.util.Optional;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.sequoiareach.daemon.control.EffectHandler;
@@ -65,8 +64,7 @@
     } else if (message instanceof StateMessage.StatePull pull) {
       events.post(new DispatchEvent.PeerPulled(nowMs, fromDaemon, pull.sheet(), pull.targets()));
     } else if (message instanceof StateMessage.StateHeld held) {
-      Optional.of(held)
-          .flatMap(StateMessage.StateHeld::sheet)
+      held.sheet()
           .ifPresent(
               sheet -> events.post(new DispatchEvent.SheetLearned(nowMs, sheet, fromDaemon)));
       held.targets()
