Count every latency in a histogram

Change: LatencyRegistry hands out timers whose reservoir is a recorder of HdrHistogram over the running and the last whole minute. Ruled out: cumulative histograms, which an incident late in a process's life would hardly move.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/Daemon.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/Daemon.java
@@ -16,6 +16,7 @@
 import org.sequoiareach.daemon.caller.RequestIds;
 import org.sequoiareach.daemon.control.ControlLoop;
 import org.sequoiareach.daemon.control.DecisionLog;
+import org.sequoiareach.daemon.measure.LatencyRegistry;
 import org.sequoiareach.daemon.operator.DaemonStatus;
 import org.sequoiareach.daemon.operator.OperatorServer;
 import org.sequoiareach.daemon.operator.ReadinessFlag;
@@ -59,7 +60,7 @@
   private static final Logger LOGGER = LogManager.getLogger(Daemon.class);
 
   private final DaemonSettings settings;
-  private final MetricRegistry metrics = new MetricRegistry();
+  private final MetricRegistry metrics = new LatencyRegistry();
   private final LoopResources traffic = LoopResources.create("traffic", TRAFFIC_THREADS, true);
   private final ScheduledExecutorService timer =
       Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "timer"));
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import org.sequoiareach.daemon.exchange.ExchangeTable;
 import org.sequoiareach.daemon.feed.StoreFeed;
 import org.sequoiareach.daemon.front.FrontServer;
+import org.sequoiareach.daemon.measure.LatencyRegistry;
 import org.sequoiareach.daemon.operator.ReadinessFlag;
 import org.sequoiareach.daemon.peer.MembershipBridge;
 import org.sequoiareach.daemon.upstream.TargetConnections;
@@ -73,7 +74,7 @@
 
   private volatile GatewaySettings settings;
   private final long incarnation = System.currentTimeMillis();
-  private final MetricRegistry metrics = new MetricRegistry();
+  private final MetricRegistry metrics = new LatencyRegistry();
   private final LoopResources resources = LoopResources.create("traffic", TRAFFIC_THREADS, true);
   private final ScheduledExecutorService timer =
       Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "feed"));
--- /dev/null
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Latencies as histograms behind the metrics registry. */
+package org.sequoiareach.daemon.measure;
