Refuse what engines and stopping daemons cannot hold, and tell when to come back

Cause: in an outage of the store three of ten engines were left; drafts were placed on them beyond their memory, waited up to seven seconds and were given up by their callers (calls=13, waiting=22,598 tokens), and running drafts were preempted. Daemons that stopped in turn sent streams back within 20 ms to neighbours that stopped as well, where their second and last attempt was refused. Durations per token were learned from clause checks, whose time is that of their prompt, so that short streams were refused too. Change: PrefillPlacement takes no more than the expected lengths that fit; a refusal for want of room tells the time in which runs end; DrainAdmission takes what ends in time, never cuts who could know of the stop, and tells callers when another daemon serves them; RunDurations sets the prompt's time apart. The case that sent streams elsewhere is replaced: it holds for all daemons now, with the pause. RunMoverTest fills its engines until they refuse, in place of 41 runs that no longer fit.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallRole.java
@@ -21,16 +21,13 @@
 
   private static final long MOST_RETRY_AFTER_MS = 900;
 
-  /** Another daemon can take the request at once. */
-  private static final long SOON_MS = 20;
-
   private final DispatchContext context;
   private final ActiveCalls calls;
   private final MoveRole moves;
   private final PlacementStrategy engines = new PrefillPlacement();
   private final PlacementStrategy plain = new LeastOutstandingPlacement();
   private final RunDurations durations = new RunDurations();
-  private long endOfLifeMs = Long.MAX_VALUE;
+  private Optional<DrainAdmission> drain = Optional.empty();
 
   CallRole(DispatchContext context, ActiveCalls calls, MoveRole moves) {
     this.context = context;
@@ -53,19 +50,20 @@
     ActiveCall call = admit(event, resolution);
     calls.add(call);
     context.budgetOf(call.service()).requested(event.nowMs());
+    Optional<Long> comeBackMs = findDrainRetryAfter(event.nowMs(), call);
     if (event.nowMs() >= call.deadlineMs()) {
       calls.refuse(call, Reason.DEADLINE, "the deadline has passed", 0);
-    } else if (outlivesDaemon(event.nowMs(), call)) {
-      // Its caller's next attempt reaches a daemon that can see it to its end.
-      calls.refuse(call, Reason.NOT_READY, "the daemon stops before the stream would end", SOON_MS);
+    } else if (comeBackMs.isPresent()) {
+      String message = "the daemon stops before the stream would end";
+      calls.refuse(call, Reason.NOT_READY, message, comeBackMs.get());
     } else {
       place(event.nowMs(), call, "arrived");
     }
   }
 
-  /** Sets when the requests that are still in progress are cut, because the daemon stops. */
-  void endsAt(long atMs) {
-    endOfLifeMs = atMs;
+  /** Admits streams from now on as a daemon that stops. */
+  void drain(DrainAdmission admission) {
+    drain = Optional.of(admission);
   }
 
   void answerStarted(DispatchEvent.AnswerStarted event) {
@@ -151,11 +149,20 @@
     }
   }
 
-  private boolean outlivesDaemon(long nowMs, ActiveCall call) {
+  private Optional<Long> findDrainRetryAfter(long nowMs, ActiveCall call) {
+    if (drain.isEmpty() || call.route().kind() != RouteKind.STREAMING) {
+      return Optional.empty();
+    }
     return demandOf(call)
-        .filter(demand -> call.route().kind() == RouteKind.STREAMING)
-        .filter(demand -> durations.estimateMs(demand) > endOfLifeMs - nowMs)
-        .isPresent();
+        .flatMap(
+            demand ->
+                drain
+                    .get()
+                    .findRetryAfter(
+                        nowMs,
+                        durations.estimateMs(demand),
+                        durations.longestMs(demand),
+                        context.zoneDaemons()));
   }
 
   private ActiveCall admit(DispatchEvent.CallArrived event, CallResolution resolution) {
@@ -184,7 +191,7 @@
     if (chosen.isEmpty()) {
       Reason reason = all.isEmpty() ? Reason.NO_TARGET : Reason.NO_CAPACITY;
       String message = "no target of " + call.service() + " has room";
-      calls.refuse(call, reason, message, retryAfterMs(0));
+      calls.refuse(call, reason, message, retryAfterMs(roomAgainMs(call)));
       return;
     }
     String inputs =
@@ -236,6 +243,15 @@
         .trySpend(event.nowMs(), context.settings(), context.mostDaemons());
   }
 
+  /**
+   * Draws when an engine is likely to have room again. Memory comes back as runs like this one end;
+   * after a burst they have all just begun, so most of that time is still to pass.
+   */
+  private long roomAgainMs(ActiveCall call) {
+    long runMs = demandOf(call).map(durations::estimateMs).orElse(0L);
+    return context.drawBetween(runMs * 2 / 3, runMs * 4 / 3);
+  }
+
   private long retryAfterMs(long toldMs) {
     return Math.max(toldMs, context.drawBetween(LEAST_RETRY_AFTER_MS, MOST_RETRY_AFTER_MS));
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
@@ -10,6 +10,7 @@
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.fleet.TargetTable;
 import org.sequoiareach.decision.fleet.UseLedger;
+import org.sequoiareach.decision.membership.Member;
 import org.sequoiareach.decision.membership.MembershipReducer;
 import org.sequoiareach.decision.routing.EjectionSettings;
 import org.sequoiareach.decision.routing.OutlierEjection;
@@ -43,6 +44,7 @@
   private Optional<RouteIndex> index = Optional.empty();
   private final Map<String, Long> leavingSinceMs = new LinkedHashMap<>();
   private int mostDaemons = 1;
+  private int mostInZone = 1;
 
   DispatchContext(DispatchSettings settings, MembershipReducer membership) {
     this.settings = settings;
@@ -110,6 +112,17 @@
     return mostDaemons;
   }
 
+  /** Returns the daemons of this zone, as far as the membership knows them. */
+  ZoneDaemons zoneDaemons() {
+    List<Member> neighbours =
+        membership.others().stream()
+            .filter(member -> member.zone().equals(settings.zone()))
+            .toList();
+    mostInZone = Math.max(mostInZone, neighbours.size() + 1);
+    int taking = (int) neighbours.stream().filter(Member::mayOwn).count();
+    return new ZoneDaemons(taking, mostInZone);
+  }
+
   /** Notes that a target was seen to leave, so that other daemons are told. */
   void noteLeaving(long nowMs, String targetId) {
     leavingSinceMs.put(targetId, nowMs);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/GenerationDemand.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/GenerationDemand.java
@@ -28,13 +28,21 @@
     parts = List.copyOf(parts);
   }
 
+  /**
+   * Returns the tokens that are expected to be generated.
+   *
+   * @return the caller's estimate, or half of the longest output where none is given
+   */
+  public long likelyOutputTokens() {
+    return Math.min(expectedOutputTokens.orElse(maxOutputTokens / 2), maxOutputTokens);
+  }
+
   /**
    * Returns the tokens that the generation is expected to hold at its end.
    *
-   * @return the prompt and the estimated output, or half of the longest output where none is given
+   * @return the prompt and the likely output
    */
   public long expectedMemoryTokens() {
-    long output = expectedOutputTokens.orElse(maxOutputTokens / 2);
-    return promptTokens + Math.min(output, maxOutputTokens);
+    return promptTokens + likelyOutputTokens();
   }
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LifeRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LifeRole.java
@@ -29,7 +29,7 @@
     draining = true;
     noticeEndMs = event.nowMs() + context.settings().drainNoticeMs();
     drainDeadlineMs = event.deadlineMs();
-    calls.endsAt(drainDeadlineMs);
+    calls.drain(new DrainAdmission(event.nowMs(), drainDeadlineMs));
     context.note("drain", "", "", "", "calls=" + active.count());
     announce();
   }
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
@@ -294,7 +294,7 @@
 
   @ParameterizedTest
   @CsvSource({"2000, true", "100, false"})
-  void sendsStreamsElsewhereThatWouldOutliveTheDaemon(long maxOutput, boolean refused) {
+  void refusesStreamsThatWouldOutliveTheDaemon(long maxOutput, boolean refused) {
     fixture.apply(new TimeEvent.DrainRequested(fixture.nowMs(), fixture.nowMs() + 5_000));
     String call = fixture.generate(3_000, maxOutput);
 
@@ -314,13 +314,36 @@
     assertThat(fixture.all(Effect.Stop.class)).hasSize(1);
   }
 
+  @ParameterizedTest
+  @CsvSource({"z0, 0, 100", "z1, 2000, 2300"})
+  void tellsCallersOfStreamsWhenTheyAreServedElsewhere(String zone, long leastMs, long mostMs) {
+    joinPeer(zone);
+    fixture.apply(new TimeEvent.DrainRequested(fixture.nowMs(), fixture.nowMs() + 7_600));
+
+    assertThat(refusal(fixture.generate(3_000, 8_000)).retryAfterMs()).isBetween(leastMs, mostMs);
+  }
+
+  @Test
+  void cutsNoStreamThatCameAfterItsCallerCouldKnowOfTheStop() {
+    fixture.apply(new TimeEvent.DrainRequested(fixture.nowMs(), fixture.nowMs() + 7_600));
+    fixture.tick(DrainAdmission.UNAWARE_MS);
+    long tokens = (7_600 - DrainAdmission.UNAWARE_MS) / 7;
+
+    assertThat(fixture.refusal(fixture.generate(70, tokens - 10))).isEmpty();
+    assertThat(fixture.refusal(fixture.generate(70, tokens + 1))).isPresent();
+  }
+
   private void joinPeer() {
+    joinPeer("z1");
+  }
+
+  private void joinPeer(String zone) {
     fixture.apply(
         new PlatformEvent.VmsListed(
             fixture.nowMs(),
             fixture.nowMs(),
             List.of(
-                new VmEntry("10.0.0.2:1", VmKind.DAEMON, "10.0.0.2:1", "z1", false, List.of()))));
+                new VmEntry("10.0.0.2:1", VmKind.DAEMON, "10.0.0.2:1", zone, false, List.of()))));
   }
 
   private Set<String> targetsOf(String call) {
--- /dev/null
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/PrefillPlacementTest.java
@@ -0,0 +1,80 @@
+package org.sequoiareach.decision.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiareach.decision.fleet.UseLedger;
+
+/** Plays callers who arrive while only a few engines are left. */
+class PrefillPlacementTest {
+
+  private static final long MEMORY = DispatchFixture.TRAITS.memoryTokens();
+
+  private final PlacementStrategy placement = new PrefillPlacement();
+  private final UseLedger ledger = new UseLedger();
+  private int sequence;
+
+  @ParameterizedTest
+  @CsvSource({"1", "3"})
+  void takesNoMoreDraftsThanTheMemoryHolds(int engines) {
+    int taken = 0;
+    while (place(engines, draft())) {
+      taken++;
+    }
+
+    long inMemory = MEMORY / draft().expectedMemoryTokens();
+    assertThat(taken).isBetween((int) (engines * inMemory), (int) (engines * inMemory * 1.3));
+  }
+
+  @Test
+  void takesShortChecksWhereNoFurtherDraftFits() {
+    while (place(3, draft())) {
+      sequence++;
+    }
+
+    assertThat(place(3, check())).isTrue();
+    assertThat(place(3, draft())).isFalse();
+  }
+
+  @Test
+  void takesWhatIsLargerThanTheMemoryOfAnIdleEngine() {
+    GenerationDemand large =
+        new GenerationDemand("m", 2 * MEMORY, 500, OptionalLong.empty(), List.of());
+
+    assertThat(place(1, large)).isTrue();
+  }
+
+  private boolean place(int engines, GenerationDemand demand) {
+    List<Candidate> candidates = new ArrayList<>();
+    for (int i = 0; i < engines; i++) {
+      var target = DispatchFixture.target(DispatchFixture.ENGINES, i, 24);
+      candidates.add(
+          new Candidate(
+              target, true, ledger.useOf(target.id()), Optional.of(DispatchFixture.TRAITS)));
+    }
+    sequence++;
+    Optional<Candidate> chosen = placement.choose(Optional.of(demand), candidates, sequence);
+    chosen.ifPresent(
+        to ->
+            ledger.enter(
+                "c" + sequence,
+                to.target().id(),
+                demand.promptTokens(),
+                demand.expectedMemoryTokens()));
+    return chosen.isPresent();
+  }
+
+  private static GenerationDemand draft() {
+    return new GenerationDemand("m", 3_079, 2_216, OptionalLong.of(936), List.of());
+  }
+
+  private static GenerationDemand check() {
+    return new GenerationDemand("m", 2_550, 48, OptionalLong.of(14), List.of());
+  }
+}
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMoverTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMoverTest.java
@@ -118,8 +118,9 @@
   @Test
   void movesRunsEvenToEnginesThatAreExpectedToFill() {
     String call = running();
-    for (int i = 0; i < 40; i++) {
-      running();
+    String last = call;
+    while (fixture.refusal(last).isEmpty()) {
+      last = fixture.generate(3_000, 2_000);
     }
     leave(call);
 
