Keep the copy of a run when a later copy of it fails

Cause: where an engine died while a later copy waited on its link, the failure of that copy was taken for the loss of the whole copy: the destination was forgotten, and the run was cut although an engine held its memory. After five copies in 250 ms that found no room the move was given up for good, with a second of notice left. Change: RunMove keeps the newest copy until another engine holds one; a run that loses its source goes on from it. Engines without room are tried anew, at growing pauses, until the notice is over. Tests: three cases of RunMoverTest, which failed before. Ruled out: longer limits for copies, since the engine is gone when they end.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MoveRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MoveRole.java
@@ -71,12 +71,13 @@
       // The source ends its answer as it stops the run; the last copy is still to come.
       return true;
     }
-    if (move.handle().isEmpty() || move.destination().isEmpty()) {
+    if (move.held().isEmpty()) {
       return false;
     }
+    RunMove.HeldCopy copy = move.held().get();
     if (move.step() != RunMove.Step.CONTINUING) {
       move.continuing(event.nowMs());
-      continueAt(event.nowMs(), move, move.destination().get(), "the engine was lost");
+      continueAt(event.nowMs(), move, copy, copy.holder(), "the engine was lost");
       return true;
     }
     boolean tooLate = event.nowMs() - move.noticedMs() > RunMover.LATEST_STOP_MS;
@@ -84,7 +85,7 @@
     if (event.fault().mayHaveRun() || wasAtSource || tooLate) {
       return false;
     }
-    continueAt(event.nowMs(), move, move.source(), "the destination rejected the run");
+    continueAt(event.nowMs(), move, copy, move.source(), "the destination rejected the run");
     return true;
   }
 
@@ -94,12 +95,10 @@
     next.copy().ifPresent(context.log()::add);
     next.ready()
         .ifPresent(
-            move ->
-                continueAt(
-                    event.nowMs(),
-                    move,
-                    move.destination().orElseThrow(),
-                    "the last copy is made"));
+            move -> {
+              RunMove.HeldCopy copy = move.held().orElseThrow();
+              continueAt(event.nowMs(), move, copy, copy.holder(), "the last copy is made");
+            });
     endLost(event);
   }
 
@@ -132,10 +131,11 @@
             + "ms");
   }
 
-  private void continueAt(long nowMs, RunMove move, RoutedTarget engine, String why) {
-    Continuation from = new Continuation(move.source().address(), move.handle());
+  private void continueAt(
+      long nowMs, RunMove move, RunMove.HeldCopy copy, RoutedTarget engine, String why) {
+    Continuation from = new Continuation(move.source().address(), copy.handle());
     calls.send(
-        nowMs, move.call(), engine, Optional.of(from), "handle=" + move.handle() + " " + why);
+        nowMs, move.call(), engine, Optional.of(from), "handle=" + copy.handle() + " " + why);
   }
 
   private long allCopiesMs(RoutedTarget engine) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMove.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMove.java
@@ -20,6 +20,14 @@
     CONTINUING
   }
 
+  /**
+   * Names a copy of the run that an engine holds.
+   *
+   * @param holder the engine
+   * @param handle the copy
+   */
+  record HeldCopy(RoutedTarget holder, String handle) {}
+
   private final ActiveCall call;
   private final RoutedTarget source;
   private final long noticedMs;
@@ -27,7 +35,7 @@
   private Step step = Step.WAITING;
   private final Set<String> failedDestinations = new HashSet<>();
   private Optional<RoutedTarget> destination = Optional.empty();
-  private String handle = "";
+  private Optional<HeldCopy> held = Optional.empty();
   private int round;
   private int failures;
   private long stepStartedMs;
@@ -70,8 +78,18 @@
     return failedDestinations.contains(targetId);
   }
 
-  String handle() {
-    return handle;
+  /** Forgets which engines had no room, since runs end there meanwhile. */
+  void forgetFailedDestinations() {
+    failedDestinations.clear();
+  }
+
+  /** Returns the newest copy, which outlives its source and later copies that fail. */
+  Optional<HeldCopy> held() {
+    return held;
+  }
+
+  boolean isHeldAt(String targetId) {
+    return held.filter(copy -> copy.holder().id().equals(targetId)).isPresent();
   }
 
   int round() {
@@ -91,17 +109,14 @@
   }
 
   void copying(long nowMs, RoutedTarget to, boolean stop) {
-    if (destination.filter(to::isSameIncarnation).isEmpty()) {
-      handle = "";
-    }
     step = stop ? Step.STOPPING : Step.COPYING;
     destination = Optional.of(to);
     round++;
     stepStartedMs = nowMs;
   }
 
-  void copied(String copyHandle) {
-    handle = copyHandle;
+  void copied(String handle) {
+    held = Optional.of(new HeldCopy(destination.orElseThrow(), handle));
   }
 
   void continuing(long nowMs) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMover.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMover.java
@@ -38,11 +38,13 @@
   /** A copy that has not ended by then is given up. */
   private static final long COPY_TIMEOUT_MS = 1_500;
 
-  /** The pause before a copy is asked for again. */
+  /** The pause before a copy is asked for again; it grows with each failure. */
   private static final long PAUSE_MS = 50;
 
-  /** A run that could not be copied so often is left to its engine. */
-  private static final int MOST_FAILURES = 4;
+  /**
+   * The longest pause, a fifth of a second, still leaves several tries before the engine is gone.
+   */
+  private static final int MOST_PAUSES = 4;
 
   /** An engine that was to leave and still works after this time is not waited for any longer. */
   private static final long GIVE_UP_MS = 6_000;
@@ -74,10 +76,11 @@
   /** Forgets a call that has ended; returns the copy to release, if there is one. */
   Optional<DispatchEffect.ReleaseCopy> ended(String callId) {
     RunMove move = moves.remove(callId);
-    if (move == null || move.handle().isEmpty() || move.step() == RunMove.Step.CONTINUING) {
+    if (move == null || move.step() == RunMove.Step.CONTINUING) {
       return Optional.empty();
     }
-    return Optional.of(new DispatchEffect.ReleaseCopy(move.source().address(), move.handle()));
+    return move.held()
+        .map(copy -> new DispatchEffect.ReleaseCopy(move.source().address(), copy.handle()));
   }
 
   /** Starts the copies that are due. */
@@ -85,9 +88,10 @@
     List<DispatchEffect.CopyRun> copies = new ArrayList<>();
     for (RunMove move : List.copyOf(moves.values())) {
       boolean givenUp = nowMs - move.noticedMs() > GIVE_UP_MS;
-      if (givenUp && move.step() == RunMove.Step.WAITING) {
+      boolean mayCopy = move.isTogether() || !isSourceBusy(move.source());
+      if (givenUp && move.step() == RunMove.Step.WAITING && move.held().isEmpty()) {
         moves.remove(move.call().callId());
-      } else if (move.isDue(nowMs) && (move.isTogether() || !isSourceBusy(move.source()))) {
+      } else if (!givenUp && move.isDue(nowMs) && mayCopy) {
         startCopy(nowMs, move, engines).ifPresent(copies::add);
       }
     }
@@ -112,7 +116,8 @@
       // A copy of a run that has ended is freed by the engines after a while.
       return Next.NOTHING;
     }
-    if (!event.handle().isEmpty()) {
+    boolean holds = event.outcome() == CopyOutcome.COPIED || move.step() == RunMove.Step.STOPPING;
+    if (holds && !event.handle().isEmpty()) {
       move.copied(event.handle());
     }
     if (move.step() == RunMove.Step.STOPPING) {
@@ -121,7 +126,8 @@
     return switch (event.outcome()) {
       case COPIED -> new Next(Optional.of(nextCopy(event.nowMs(), move)), Optional.empty());
       case BUSY, NO_RUN -> later(event.nowMs(), move, false);
-      case NO_ROOM, UNKNOWN -> later(event.nowMs(), move, true);
+      case NO_ROOM -> later(event.nowMs(), move, true);
+      case UNKNOWN -> later(event.nowMs(), move, !move.isHeldAt(move.destination().get().id()));
     };
   }
 
@@ -129,7 +135,7 @@
     if (event.outcome() == CopyOutcome.BUSY) {
       return later(event.nowMs(), move, false);
     }
-    if (move.handle().isEmpty()) {
+    if (move.held().isEmpty()) {
       moves.remove(event.callId());
       return Next.NOTHING;
     }
@@ -144,10 +150,8 @@
   }
 
   private Next later(long nowMs, RunMove move, boolean failed) {
-    move.tryAgainAt(nowMs + PAUSE_MS, failed);
-    if (move.failures() > MOST_FAILURES) {
-      moves.remove(move.call().callId());
-    }
+    int pauses = Math.min(1 + move.failures(), MOST_PAUSES);
+    move.tryAgainAt(nowMs + pauses * PAUSE_MS, failed);
     return Next.NOTHING;
   }
 
@@ -155,6 +159,7 @@
       long nowMs, RunMove move, Function<ActiveCall, List<Candidate>> engines) {
     Optional<Candidate> chosen = chooseDestination(move, engines);
     if (chosen.isEmpty()) {
+      move.forgetFailedDestinations();
       later(nowMs, move, true);
       return Optional.empty();
     }
@@ -174,9 +179,9 @@
   }
 
   /**
-   * Prefers engines that are expected to hold the run to its end, then the source's zone, then
-   * engines to which nothing is copied, then the emptiest. A run that may be preempted at its
-   * destination is still better off than one that is lost.
+   * Prefers the engine that holds a copy, then engines that are expected to hold the run to its
+   * end, then the source's zone, then engines to which nothing is copied, then the emptiest. A run
+   * that may be preempted at its destination is still better off than one that is lost.
    */
   private Optional<Candidate> chooseDestination(
       RunMove move, Function<ActiveCall, List<Candidate>> engines) {
@@ -188,7 +193,8 @@
     long needed =
         move.call().profile().generation().map(GenerationDemand::expectedMemoryTokens).orElse(0L);
     Comparator<Candidate> order =
-        Comparator.comparing((Candidate candidate) -> !fits(candidate, needed))
+        Comparator.comparing((Candidate candidate) -> !move.isHeldAt(candidate.target().id()))
+            .thenComparing(candidate -> !fits(candidate, needed))
             .thenComparing(candidate -> !candidate.target().zone().equals(move.source().zone()))
             .thenComparing(candidate -> copiesTo.getOrDefault(candidate.target().id(), 0))
             .thenComparing(candidate -> candidate.use().memoryTokens());
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMoverTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMoverTest.java
@@ -77,6 +77,56 @@
     assertThat(fixture.lastSend(call).continuation()).isPresent();
   }
 
+  /** The engine dies while a later copy waits for its link. */
+  @ParameterizedTest
+  @EnumSource(
+      value = CopyOutcome.class,
+      names = {"NO_ROOM", "UNKNOWN"})
+  void continuesFromTheEarlierCopyWhenALaterOneFails(CopyOutcome outcome) {
+    String call = running();
+    leave(call);
+    final String holder = lastCopy(call).destinationAddress();
+    copied(call, 600, CopyOutcome.COPIED, "h1");
+    copied(call, 350, outcome, "");
+    fixture.failed(call, AttemptFault.BROKEN_ANSWER, true);
+
+    assertThat(fixture.wasCut(call)).isFalse();
+    assertThat(fixture.lastSend(call).target().address()).isEqualTo(holder);
+    assertThat(fixture.lastSend(call).continuation())
+        .hasValueSatisfying(from -> assertThat(from.handle()).isEqualTo("h1"));
+  }
+
+  @Test
+  void keepsTheEarlierCopyUntilAnotherEngineHoldsOne() {
+    String call = running();
+    leave(call);
+    copied(call, 200, CopyOutcome.COPIED, "h1");
+    copied(call, 5, CopyOutcome.NO_ROOM, "");
+    fixture.tick(100);
+    copied(call, 200, CopyOutcome.COPIED, "h2");
+    final String holder = lastCopy(call).destinationAddress();
+    fixture.failed(call, AttemptFault.BROKEN_ANSWER, true);
+
+    assertThat(fixture.lastSend(call).target().address()).isEqualTo(holder);
+    assertThat(fixture.lastSend(call).continuation())
+        .hasValueSatisfying(from -> assertThat(from.handle()).isEqualTo("h2"));
+  }
+
+  /** Runs end meanwhile, and make room. */
+  @Test
+  void triesAllEnginesAnewWhileTheSourceStillRuns() {
+    String call = running();
+    leave(call);
+    for (int i = 0; i < 5; i++) {
+      copied(call, 5, CopyOutcome.NO_ROOM, "");
+      fixture.tick(250);
+    }
+    copied(call, 200, CopyOutcome.COPIED, "h1");
+    fixture.failed(call, AttemptFault.BROKEN_ANSWER, true);
+
+    assertThat(fixture.wasCut(call)).isFalse();
+  }
+
   @Test
   void cutsRunThatIsLostBeforeItsFirstCopy() {
     String call = running();
@@ -206,11 +256,15 @@
     return target;
   }
 
+  private DispatchEffect.CopyRun lastCopy(String call) {
+    List<DispatchEffect.CopyRun> copies = fixture.copies(call);
+    return copies.get(copies.size() - 1);
+  }
+
   private void copied(String call, long tookMs, CopyOutcome outcome, String handle) {
     fixture.advance(tookMs);
-    List<DispatchEffect.CopyRun> copies = fixture.copies(call);
     fixture.apply(
         new DispatchEvent.RunCopied(
-            fixture.nowMs(), call, copies.get(copies.size() - 1).round(), outcome, handle));
+            fixture.nowMs(), call, lastCopy(call).round(), outcome, handle));
   }
 }
