Move no run that its stopping daemon cannot see to its end

The list of targets is in doubt until lapsed entries must be back, 1.9 s after the store's return; engines were no longer asked often in that time, and one that left in it was lost with its runs (29.72 s). Two followers told of the store each by itself, so that the regained one hid that the other was still lost. Change: MoveRole leaves runs whose rest is longer than the daemon's; TargetRole asks while the list is in doubt; StoreContact tells of the store as away while any call fails. Ruled out: fewer copies a link (the copies of daemons that stay were the ones that found no room).

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreFeed.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreFeed.java
@@ -3,13 +3,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
-import org.apache.logging.log4j.message.StringMapMessage;
 import org.sequoiareach.daemon.control.EventSink;
 import org.sequoiareach.decision.dispatch.DispatchEvent;
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.route.RoutedTarget;
+import org.sequoiareach.store.prefix.ContactListener;
 import org.sequoiareach.store.prefix.PrefixEntry;
 import org.sequoiareach.store.prefix.PrefixFollower;
 import org.sequoiareach.store.prefix.PrefixListener;
@@ -20,8 +18,6 @@
 /** Turns what the store holds into events. */
 public final class StoreFeed {
 
-  private static final Logger LOGGER = LogManager.getLogger(StoreFeed.class);
-
   /** Sheets change seldom; a call that waits long costs little and probes notice a silent line. */
   private static final long SHEET_WAIT_MS = 8_000;
 
@@ -31,6 +27,7 @@
   private final EventSink events;
   private final PrefixFollower sheets;
   private final PrefixFollower targets;
+  private final StoreContact contact;
 
   /**
    * Creates a feed that is not started.
@@ -44,6 +41,7 @@
       PrefixStore store, StoreLayout layout, EventSink events, ScheduledExecutorService timer) {
     this.layout = Check.notNull(layout, "layout");
     this.events = Check.notNull(events, "events");
+    this.contact = new StoreContact(events);
     this.sheets =
         new PrefixFollower(store, layout.sheetPrefix(), SHEET_WAIT_MS, timer, new SheetListener());
     this.targets =
@@ -57,7 +55,14 @@
     targets.start();
   }
 
-  private final class SheetListener extends AbstractContactListener {
+  private final class SheetListener implements PrefixListener {
+
+    private final ContactListener source = contact.source("sheet");
+
+    @Override
+    public void onContact(boolean reachable, String detail) {
+      source.onContact(reachable, detail);
+    }
 
     @Override
     public void onSnapshot(PrefixSnapshot snapshot) {
@@ -77,7 +82,14 @@
     }
   }
 
-  private final class TargetListener extends AbstractContactListener {
+  private final class TargetListener implements PrefixListener {
+
+    private final ContactListener source = contact.source("targets");
+
+    @Override
+    public void onContact(boolean reachable, String detail) {
+      source.onContact(reachable, detail);
+    }
 
     @Override
     public void onSnapshot(PrefixSnapshot snapshot) {
@@ -105,23 +117,4 @@
       events.post(new DispatchEvent.TargetRemoved(nowMs, entry.revision(), targetId));
     }
   }
-
-  /** Tells when the store is lost and regained. */
-  private abstract class AbstractContactListener implements PrefixListener {
-
-    private boolean reachable = true;
-
-    @Override
-    public void onContact(boolean answered, String detail) {
-      if (answered == reachable) {
-        return;
-      }
-      reachable = answered;
-      LOGGER.info(
-          new StringMapMessage()
-              .with("decision", answered ? "store-regained" : "store-lost")
-              .with("reason", detail));
-      events.post(new DispatchEvent.StoreSeen(MonotonicClock.nowMs(), answered));
-    }
-  }
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallRole.java
@@ -26,10 +26,11 @@
   private final MoveRole moves;
   private final PlacementStrategy engines = new PrefillPlacement();
   private final PlacementStrategy plain = new LeastOutstandingPlacement();
-  private final RunDurations durations = new RunDurations();
+  private final RunDurations durations;
   private Optional<DrainAdmission> drain = Optional.empty();
 
-  CallRole(DispatchContext context, ActiveCalls calls, MoveRole moves) {
+  CallRole(DispatchContext context, ActiveCalls calls, MoveRole moves, RunDurations durations) {
+    this.durations = durations;
     this.context = context;
     this.calls = calls;
     this.moves = moves;
@@ -64,6 +65,7 @@
   /** Admits streams from now on as a daemon that stops. */
   void drain(DrainAdmission admission) {
     drain = Optional.of(admission);
+    moves.drain(admission);
   }
 
   void answerStarted(DispatchEvent.AnswerStarted event) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -43,8 +43,9 @@
     this.membership = new MembershipReducer(member, nowMs -> SheetStatus.UNKNOWN);
     this.context = new DispatchContext(settings, membership);
     ActiveCalls active = new ActiveCalls(context);
-    this.moves = new MoveRole(context, active);
-    this.calls = new CallRole(context, active, moves);
+    RunDurations durations = new RunDurations();
+    this.moves = new MoveRole(context, active, durations);
+    this.calls = new CallRole(context, active, moves, durations);
     this.targets = new TargetRole(context, active, moves);
     this.spread = new SpreadRole(context);
     this.life = new LifeRole(context, active, calls);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MoveRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MoveRole.java
@@ -10,11 +10,17 @@
 /** Moves running generations off engines that leave. Not thread-safe. */
 final class MoveRole {
 
+  /** A run that is longer than was expected has at least this share of its time to come. */
+  private static final double LEAST_REST = 0.25;
+
   private final DispatchContext context;
   private final ActiveCalls calls;
+  private final RunDurations durations;
   private final RunMover mover = new RunMover();
+  private Optional<DrainAdmission> drain = Optional.empty();
 
-  MoveRole(DispatchContext context, ActiveCalls calls) {
+  MoveRole(DispatchContext context, ActiveCalls calls, RunDurations durations) {
+    this.durations = durations;
     this.context = context;
     this.calls = calls;
     calls.onEnd(call -> mover.ended(call.callId()).ifPresent(context.log()::add));
@@ -27,6 +33,7 @@
     List<ActiveCall> runs =
         calls.at(engine.id()).stream()
             .filter(call -> call.route().kind() == RouteKind.STREAMING)
+            .filter(call -> endsInTime(nowMs, call))
             .toList();
     if (runs.isEmpty()) {
       return;
@@ -37,6 +44,25 @@
     advance(nowMs);
   }
 
+  /** Moves from now on as a daemon that stops. */
+  void drain(DrainAdmission admission) {
+    drain = Optional.of(admission);
+  }
+
+  /**
+   * Tells whether a run can end before this daemon does. Copies of others would take links and
+   * memory that runs of daemons that stay need.
+   */
+  private boolean endsInTime(long nowMs, ActiveCall call) {
+    Optional<GenerationDemand> demand = call.profile().generation();
+    if (drain.isEmpty() || demand.isEmpty()) {
+      return true;
+    }
+    long expectedMs = durations.estimateMs(demand.get());
+    long leftMs = call.profile().arrivedMs() + expectedMs - nowMs;
+    return Math.max(leftMs, Math.round(LEAST_REST * expectedMs)) <= drain.get().endMs() - nowMs;
+  }
+
   /** Starts the copies that are due. */
   void advance(long nowMs) {
     context.log().addAll(mover.advance(nowMs, call -> context.candidates(call.service(), nowMs)));
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetRole.java
@@ -86,8 +86,8 @@
   }
 
   /**
-   * Asks the engines that this daemon owns, so that each is asked by one daemon. While the store is
-   * away it is the reports that tell of leaving engines, and the daemon asks those it uses as well.
+   * Asks the engines that this daemon owns, so that each is asked by one daemon. While the list is
+   * in doubt it is the reports that tell of leaving engines, and the daemon asks those it uses too.
    */
   private void askReports(long nowMs) {
     if (context.index().isEmpty()) {
@@ -97,7 +97,7 @@
     if (ownedAreDue) {
       nextOwnedMs = nowMs + OWNED_REPORT_MS;
     }
-    boolean usedAreDue = context.targets().isStoreAway();
+    boolean usedAreDue = context.targets().isListInDoubt(nowMs);
     context.index().get().sheet().services().stream()
         .filter(service -> service.engine().filter(EngineTraits::canMoveRuns).isPresent())
         .flatMap(service -> context.targets().placeable(service.name(), nowMs).stream())
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetTable.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetTable.java
@@ -88,6 +88,17 @@
     return storeAway;
   }
 
+  /**
+   * Tells whether removals may be missed or mistaken: while the store is away, and until lapsed
+   * entries must be back.
+   *
+   * @param nowMs the time now
+   * @return true if the targets themselves know better than the list
+   */
+  public boolean isListInDoubt(long nowMs) {
+    return storeAway || nowMs - storeReturnedMs < RETURN_MS;
+  }
+
   /**
    * Replaces the list.
    *
@@ -268,7 +279,7 @@
   }
 
   private boolean isLapse(long nowMs, RoutedTarget target) {
-    if (storeAway || nowMs - storeReturnedMs < RETURN_MS) {
+    if (isListInDoubt(nowMs)) {
       return true;
     }
     long all = siblings(target).filter(sibling -> !isLeaving(sibling)).count();
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.event.PlatformEvent;
 import org.sequoiareach.decision.event.TimeEvent;
@@ -238,11 +239,13 @@
         .hasSize(4);
   }
 
-  @Test
-  void asksEnginesThatItUsesMoreOftenWhileTheStoreIsAway() {
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void asksEnginesThatItUsesMoreOftenWhileTheListIsInDoubt(boolean hasReturned) {
     String call = fixture.generate(1_000, 500);
-    String engine = fixture.lastSend(call).target().id();
+    final String engine = fixture.lastSend(call).target().id();
     fixture.apply(new DispatchEvent.StoreSeen(fixture.nowMs(), false));
+    fixture.apply(new DispatchEvent.StoreSeen(fixture.nowMs(), hasReturned));
     fixture.tick(1_000);
 
     assertThat(fixture.all(DispatchEffect.AskReport.class))
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMoverTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMoverTest.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.sequoiareach.decision.event.TimeEvent;
 import org.sequoiareach.model.route.RoutedTarget;
 
 /** Plays notices of engines that leave while they run generations. */
@@ -82,7 +84,7 @@
   @EnumSource(
       value = CopyOutcome.class,
       names = {"NO_ROOM", "UNKNOWN"})
-  void continuesFromTheEarlierCopyWhenALaterOneFails(CopyOutcome outcome) {
+  void continuesFromTheEarlierCopyWhenLaterOneFails(CopyOutcome outcome) {
     String call = running();
     leave(call);
     final String holder = lastCopy(call).destinationAddress();
@@ -221,6 +223,17 @@
         .containsExactly("h1");
   }
 
+  @ParameterizedTest
+  @CsvSource({"2000, 0", "200, 1"})
+  void movesNoRunThatOutlivesItsDaemon(long maxOutput, int copies) {
+    String call = fixture.generate(3_000, maxOutput);
+    fixture.started(call);
+    fixture.apply(new TimeEvent.DrainRequested(fixture.nowMs(), fixture.nowMs() + 5_000));
+    leave(call);
+
+    assertThat(fixture.copies(call)).hasSize(copies);
+  }
+
   @Test
   void leavesPlainCallsWhereTheyAre() {
     String call = fixture.call("booking");
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixListener.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixListener.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /** Receives what a {@link PrefixFollower} learns. Called on one thread at a time. */
-public interface PrefixListener {
+public interface PrefixListener extends ContactListener {
 
   /**
    * All keys were read.
@@ -18,12 +18,4 @@
    * @param changes the changes
    */
   void onChanges(List<PrefixEntry> changes);
-
-  /**
-   * A call to the store was answered or has failed.
-   *
-   * @param reachable whether it was answered
-   * @param detail what failed; empty where nothing did
-   */
-  void onContact(boolean reachable, String detail);
 }
--- a/sequoiareach-store/src/test/java/org/sequoiareach/store/prefix/PrefixFollowerTest.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/prefix/PrefixFollowerTest.java
@@ -6,12 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,8 +17,6 @@
 
 class PrefixFollowerTest {
 
-  private static final long WAIT_SECONDS = 5;
-
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
   private final FakeStore store = new FakeStore();
   private final RecordingListener listener = new RecordingListener();
@@ -41,8 +35,8 @@
   void awaitsChangesAfterWhatItHasRead() throws InterruptedException {
     store.next("read").complete(new PrefixSnapshot(List.of(entry("p/a", 3)), 7));
 
-    Call watch = store.nextCall("watch 7");
-    watch.answer.complete(new PrefixChanges(List.of(entry("p/b", 9)), 9));
+    FakeStore.Call watch = store.nextCall("watch 7");
+    watch.answer().complete(new PrefixChanges(List.of(entry("p/b", 9)), 9));
 
     store.nextCall("watch 9");
     assertThat(listener.seen).containsExactly("snapshot p/a", "change p/b");
@@ -56,7 +50,7 @@
 
     store
         .nextCall("watch 7")
-        .answer
+        .answer()
         .completeExceptionally(new PrefixStoreException(kind, "the connection was cut", null));
     store.next("read").complete(new PrefixSnapshot(List.of(entry("p/c", 12)), 12));
 
@@ -79,41 +73,6 @@
     return new PrefixEntry(key, revision, Optional.of("v".getBytes(StandardCharsets.UTF_8)));
   }
 
-  private record Call(String what, CompletableFuture<Object> answer) {}
-
-  private static final class FakeStore implements PrefixStore {
-
-    private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
-
-    @Override
-    public CompletableFuture<PrefixSnapshot> read(String prefix, long deadlineMs) {
-      return enqueue("read").thenApply(PrefixSnapshot.class::cast);
-    }
-
-    @Override
-    public CompletableFuture<PrefixChanges> awaitChanges(
-        String prefix, long afterRevision, long waitUntilMs, long deadlineMs) {
-      return enqueue("watch " + afterRevision).thenApply(PrefixChanges.class::cast);
-    }
-
-    private CompletableFuture<Object> enqueue(String what) {
-      Call call = new Call(what, new CompletableFuture<>());
-      calls.add(call);
-      return call.answer;
-    }
-
-    private CompletableFuture<Object> next(String what) throws InterruptedException {
-      return nextCall(what).answer;
-    }
-
-    private Call nextCall(String what) throws InterruptedException {
-      Call call = calls.poll(WAIT_SECONDS, TimeUnit.SECONDS);
-      assertThat(call).as("a call '%s'", what).isNotNull();
-      assertThat(call.what).isEqualTo(what);
-      return call;
-    }
-  }
-
   private static final class RecordingListener implements PrefixListener {
 
     private final List<String> seen = new ArrayList<>();
