--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreFeed.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreFeed.java
@@ -13,7 +13,6 @@
 import org.sequoiareach.store.prefix.PrefixListener;
 import org.sequoiareach.store.prefix.PrefixSnapshot;
 import org.sequoiareach.store.prefix.PrefixStore;
-import org.sequoiareach.store.prefix.StoreProbe;
 import org.sequoiareach.store.time.MonotonicClock;
 
 /** Turns what the store holds into events. */
@@ -28,7 +27,6 @@
   private final EventSink events;
   private final PrefixFollower sheets;
   private final PrefixFollower targets;
-  private final StoreProbe probe;
   private final StoreContact contact;
 
   /**
@@ -44,7 +42,6 @@
     this.layout = Check.notNull(layout, "layout");
     this.events = Check.notNull(events, "events");
     this.contact = new StoreContact(events);
-    this.probe = new StoreProbe(store, timer, contact.source("probe"));
     this.sheets =
         new PrefixFollower(store, layout.sheetPrefix(), SHEET_WAIT_MS, timer, new SheetListener());
     this.targets =
@@ -56,7 +53,6 @@
   public void start() {
     sheets.start();
     targets.start();
-    probe.start();
   }
 
   private final class SheetListener implements PrefixListener {
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixStore.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixStore.java
@@ -29,12 +29,4 @@
    */
   CompletableFuture<PrefixChanges> awaitChanges(
       String prefix, long afterRevision, long waitUntilMs, long deadlineMs);
-
-  /**
-   * Asks whether the store answers, at the least cost.
-   *
-   * @param deadlineMs when to give up
-   * @return completes when it has answered
-   */
-  CompletableFuture<Void> probe(long deadlineMs);
 }
--- a/sequoiareach-store/src/test/java/org/sequoiareach/store/prefix/FakeStore.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/prefix/FakeStore.java
@@ -16,11 +16,6 @@
 
   record Call(String what, CompletableFuture<Object> answer) {}
 
-  @Override
-  public CompletableFuture<Void> probe(long deadlineMs) {
-    return enqueue("probe").thenApply(answer -> null);
-  }
-
   @Override
   public CompletableFuture<PrefixSnapshot> read(String prefix, long deadlineMs) {
     return enqueue("read").thenApply(PrefixSnapshot.class::cast);
