--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/session/GoldenSessionTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/session/GoldenSessionTest.java
@@ -1,18 +1,10 @@
 package org.sequoiareach.decision.session;
 
-import static org.assertj.core.api.Assertions.assertThat;
-
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.group.GroupReducer;
 import org.sequoiareach.decision.group.GroupSettings;
-import org.sequoiareach.decision.json.DecisionJson;
 import org.sequoiareach.decision.membership.MembershipSettings;
 import org.sequoiareach.decision.placement.PassThroughAdmission;
 import org.sequoiareach.decision.reducer.DecisionReducer;
@@ -20,15 +12,9 @@
 import org.sequoiareach.decision.routing.LeastOutstandingRouting;
 import org.sequoiareach.decision.sheet.SheetGuardSettings;
 
-/**
- * Replays whole sessions: each line with an event is applied, and the lines with effects that
- * follow it must be what the reducer answers. Run with {@code -Dgolden.update=true} to write the
- * effects anew; the difference is then read by a person.
- */
+/** Replays whole sessions of the product's own composition. */
 class GoldenSessionTest {
 
-  private static final Path SESSIONS = Path.of("src/test/resources/sessions");
-
   @ParameterizedTest
   @ValueSource(
       strings = {
@@ -45,28 +31,7 @@
         "planned-stop",
       })
   void replays(String session) throws IOException {
-    Path file = SESSIONS.resolve(session + ".jsonl");
-    List<String> expected = Files.readAllLines(file);
-    List<String> replayed = replay(expected);
-    if (Boolean.getBoolean("golden.update")) {
-      Files.write(file, replayed);
-    }
-    assertThat(replayed).isEqualTo(expected);
-  }
-
-  private static List<String> replay(List<String> lines) {
-    DecisionReducer reducer = createReducer();
-    List<String> replayed = new ArrayList<>();
-    for (String line : lines) {
-      if (line.startsWith("{\"effect\"")) {
-        continue;
-      }
-      replayed.add(line);
-      for (Effect effect : reducer.apply(DecisionJson.readEvent(line))) {
-        replayed.add(DecisionJson.write(effect));
-      }
-    }
-    return replayed;
+    GoldenSession.check(session, createReducer()::apply);
   }
 
   private static GroupReducer group() {
