Log when refused callers are to come back, and the memory that decided

Cause: a refusal's line told neither its Retry-After nor how full the engines were, and the line of a placement not the memory it was weighed by; both are needed to explain a refused draft. Ruled out: a line of its own for each candidate (ten times the lines under load).

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCalls.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCalls.java
@@ -98,14 +98,26 @@
 
   /** Answers a request without an answer of a target. */
   void refuse(ActiveCall call, Reason reason, String message, long retryAfterMs) {
+    refuse(call, reason, message, retryAfterMs, "");
+  }
+
+  /** Answers a request without an answer of a target, and logs what decided it. */
+  void refuse(ActiveCall call, Reason reason, String message, long retryAfterMs, String inputs) {
     Verdict verdict = call.verdictIfEnded();
-    note("refuse", call, targetIdOf(call), reason.label() + " " + verdict.label() + " " + message);
+    String logged =
+        String.join(" ", reason.label(), verdict.label(), message, inputs).stripTrailing();
+    note("refuse", call, targetIdOf(call), logged + comeBack(retryAfterMs));
     context
         .log()
         .add(new DispatchEffect.RefuseCall(call.callId(), verdict, reason, message, retryAfterMs));
     end(call);
   }
 
+  /** Returns what the log says of the time after which a caller should come back. */
+  static String comeBack(long retryAfterMs) {
+    return retryAfterMs == 0 ? "" : " retryAfter=" + retryAfterMs + "ms";
+  }
+
   /** Breaks off an answer that has started, or refuses a request whose answer has not. */
   void giveUp(ActiveCall call, Reason reason, String message) {
     if (!call.isStarted()) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallRole.java
@@ -1,6 +1,7 @@
 package org.sequoiareach.decision.dispatch;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.sequoiareach.model.request.Reason;
@@ -9,6 +10,7 @@
 import org.sequoiareach.model.route.RouteKind;
 import org.sequoiareach.model.route.RoutedOrganisation;
 import org.sequoiareach.model.route.RoutedTarget;
+import org.sequoiareach.model.route.TargetUse;
 
 /** Decides on each request: admits, places, repeats and refuses it. Not thread-safe. */
 final class CallRole {
@@ -193,7 +195,7 @@
     if (chosen.isEmpty()) {
       Reason reason = all.isEmpty() ? Reason.NO_TARGET : Reason.NO_CAPACITY;
       String message = "no target of " + call.service() + " has room";
-      calls.refuse(call, reason, message, retryAfterMs(roomAgainMs(call)));
+      calls.refuse(call, reason, message, retryAfterMs(roomAgainMs(call)), fullness(call, all));
       return;
     }
     String inputs =
@@ -202,11 +204,32 @@
             + chosen.get().use().waitingPromptTokens()
             + " calls="
             + chosen.get().use().calls()
+            + " memory="
+            + chosen.get().use().memoryTokens()
             + " candidates="
             + all.size();
     calls.send(nowMs, call, chosen.get().target(), Optional.empty(), inputs);
   }
 
+  /** Describes the target with the most room, for the log. */
+  private static String fullness(ActiveCall call, List<Candidate> candidates) {
+    long needed = demandOf(call).map(GenerationDemand::expectedMemoryTokens).orElse(0L);
+    return candidates.stream()
+        .map(Candidate::use)
+        .min(Comparator.comparingLong(TargetUse::memoryTokens))
+        .map(
+            use ->
+                "needed="
+                    + needed
+                    + " least: calls="
+                    + use.calls()
+                    + " memory="
+                    + use.memoryTokens()
+                    + " candidates="
+                    + candidates.size())
+        .orElse("candidates=0");
+  }
+
   private void tryAgain(DispatchEvent.AttemptFailed event, ActiveCall call) {
     boolean repeatable = call.verdict() == Verdict.NOT_RUN || mayRunAgain(call);
     boolean worthwhile = call.arrivals() < MOST_ARRIVALS && event.nowMs() < call.deadlineMs();
@@ -260,7 +283,12 @@
 
   private void refuseNew(DispatchEvent.CallArrived event, Reason reason, String message) {
     long retryAfterMs = reason == Reason.NOT_READY ? retryAfterMs(0) : 0;
-    context.note("refuse", event.profile().requestId(), "", "", reason.label() + " " + message);
+    context.note(
+        "refuse",
+        event.profile().requestId(),
+        "",
+        "",
+        reason.label() + " " + message + ActiveCalls.comeBack(retryAfterMs));
     context
         .log()
         .add(
