Keep the state of a stop in one place

Whether and until when the daemon stops stood in three roles (four fields), the two listeners of the store repeated how they tell of contact, and two tests their last assertions. Change: DispatchContext holds the drain; StoreFeed's listeners share a base; RunMoverTest.assertContinues.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreFeed.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreFeed.java
@@ -55,13 +55,10 @@
     targets.start();
   }
 
-  private final class SheetListener implements PrefixListener {
+  private final class SheetListener extends AbstractListener {
 
-    private final ContactListener source = contact.source("sheet");
-
-    @Override
-    public void onContact(boolean reachable, String detail) {
-      source.onContact(reachable, detail);
+    private SheetListener() {
+      super("sheet");
     }
 
     @Override
@@ -82,13 +79,10 @@
     }
   }
 
-  private final class TargetListener implements PrefixListener {
-
-    private final ContactListener source = contact.source("targets");
+  private final class TargetListener extends AbstractListener {
 
-    @Override
-    public void onContact(boolean reachable, String detail) {
-      source.onContact(reachable, detail);
+    private TargetListener() {
+      super("targets");
     }
 
     @Override
@@ -117,4 +111,19 @@
       events.post(new DispatchEvent.TargetRemoved(nowMs, entry.revision(), targetId));
     }
   }
+
+  /** Passes on whether the calls of one kind are answered. */
+  private abstract class AbstractListener implements PrefixListener {
+
+    private final ContactListener source;
+
+    private AbstractListener(String kind) {
+      this.source = contact.source(kind);
+    }
+
+    @Override
+    public final void onContact(boolean reachable, String detail) {
+      source.onContact(reachable, detail);
+    }
+  }
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallRole.java
@@ -29,7 +29,6 @@
   private final PlacementStrategy engines = new PrefillPlacement();
   private final PlacementStrategy plain = new LeastOutstandingPlacement();
   private final RunDurations durations;
-  private Optional<DrainAdmission> drain = Optional.empty();
 
   CallRole(DispatchContext context, ActiveCalls calls, MoveRole moves, RunDurations durations) {
     this.durations = durations;
@@ -64,12 +63,6 @@
     }
   }
 
-  /** Admits streams from now on as a daemon that stops. */
-  void drain(DrainAdmission admission) {
-    drain = Optional.of(admission);
-    moves.drain(admission);
-  }
-
   void answerStarted(DispatchEvent.AnswerStarted event) {
     Optional<ActiveCall> found = calls.find(event.callId(), event.attempt());
     if (found.isEmpty()) {
@@ -154,6 +147,7 @@
   }
 
   private Optional<Long> findDrainRetryAfter(long nowMs, ActiveCall call) {
+    Optional<DrainAdmission> drain = context.drain();
     if (drain.isEmpty() || call.route().kind() != RouteKind.STREAMING) {
       return Optional.empty();
     }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
@@ -45,6 +45,7 @@
   private final Map<String, Long> leavingSinceMs = new LinkedHashMap<>();
   private int mostDaemons = 1;
   private int mostInZone = 1;
+  private Optional<DrainAdmission> drain = Optional.empty();
 
   DispatchContext(DispatchSettings settings, MembershipReducer membership) {
     this.settings = settings;
@@ -123,6 +124,15 @@
     return new ZoneDaemons(taking, mostInZone);
   }
 
+  /** Returns how the daemon admits streams while it stops; empty unless it does. */
+  Optional<DrainAdmission> drain() {
+    return drain;
+  }
+
+  void startDrain(DrainAdmission admission) {
+    drain = Optional.of(admission);
+  }
+
   /** Notes that a target was seen to leave, so that other daemons are told. */
   void noteLeaving(long nowMs, String targetId) {
     leavingSinceMs.put(targetId, nowMs);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LifeRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LifeRole.java
@@ -11,10 +11,8 @@
   private final ActiveCalls active;
   private final CallRole calls;
   private Optional<Boolean> announced = Optional.empty();
-  private boolean draining;
   private boolean stopped;
   private long noticeEndMs;
-  private long drainDeadlineMs;
 
   LifeRole(DispatchContext context, ActiveCalls active, CallRole calls) {
     this.context = context;
@@ -23,23 +21,22 @@
   }
 
   void drain(TimeEvent.DrainRequested event) {
-    if (draining) {
+    if (context.drain().isPresent()) {
       return;
     }
-    draining = true;
     noticeEndMs = event.nowMs() + context.settings().drainNoticeMs();
-    drainDeadlineMs = event.deadlineMs();
-    calls.drain(new DrainAdmission(event.nowMs(), drainDeadlineMs));
+    context.startDrain(new DrainAdmission(event.nowMs(), event.deadlineMs()));
     context.note("drain", "", "", "", "calls=" + active.count());
     announce();
   }
 
   void tick(long nowMs) {
     announce();
-    if (!draining || stopped) {
+    Optional<DrainAdmission> drain = context.drain();
+    if (drain.isEmpty() || stopped) {
       return;
     }
-    if (nowMs >= drainDeadlineMs) {
+    if (nowMs >= drain.get().endMs()) {
       calls.endAll("the daemon stops");
     }
     if (active.count() == 0 && nowMs >= noticeEndMs) {
@@ -49,6 +46,7 @@
   }
 
   private void announce() {
+    boolean draining = context.drain().isPresent();
     boolean ready = !draining && context.index().isPresent() && context.targets().isKnown();
     if (announced.equals(Optional.of(ready))) {
       return;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MoveRole.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MoveRole.java
@@ -17,7 +17,6 @@
   private final ActiveCalls calls;
   private final RunDurations durations;
   private final RunMover mover = new RunMover();
-  private Optional<DrainAdmission> drain = Optional.empty();
 
   MoveRole(DispatchContext context, ActiveCalls calls, RunDurations durations) {
     this.durations = durations;
@@ -44,17 +43,13 @@
     advance(nowMs);
   }
 
-  /** Moves from now on as a daemon that stops. */
-  void drain(DrainAdmission admission) {
-    drain = Optional.of(admission);
-  }
-
   /**
    * Tells whether a run can end before this daemon does. Copies of others would take links and
    * memory that runs of daemons that stay need.
    */
   private boolean endsInTime(long nowMs, ActiveCall call) {
     Optional<GenerationDemand> demand = call.profile().generation();
+    Optional<DrainAdmission> drain = context.drain();
     if (drain.isEmpty() || demand.isEmpty()) {
       return true;
     }
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMoverTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMoverTest.java
@@ -93,9 +93,7 @@
     fixture.failed(call, AttemptFault.BROKEN_ANSWER, true);
 
     assertThat(fixture.wasCut(call)).isFalse();
-    assertThat(fixture.lastSend(call).target().address()).isEqualTo(holder);
-    assertThat(fixture.lastSend(call).continuation())
-        .hasValueSatisfying(from -> assertThat(from.handle()).isEqualTo("h1"));
+    assertContinues(call, holder, "h1");
   }
 
   @Test
@@ -109,9 +107,7 @@
     final String holder = lastCopy(call).destinationAddress();
     fixture.failed(call, AttemptFault.BROKEN_ANSWER, true);
 
-    assertThat(fixture.lastSend(call).target().address()).isEqualTo(holder);
-    assertThat(fixture.lastSend(call).continuation())
-        .hasValueSatisfying(from -> assertThat(from.handle()).isEqualTo("h2"));
+    assertContinues(call, holder, "h2");
   }
 
   /** Runs end meanwhile, and make room. */
@@ -269,6 +265,12 @@
     return target;
   }
 
+  private void assertContinues(String call, String holder, String handle) {
+    assertThat(fixture.lastSend(call).target().address()).isEqualTo(holder);
+    assertThat(fixture.lastSend(call).continuation())
+        .hasValueSatisfying(from -> assertThat(from.handle()).isEqualTo(handle));
+  }
+
   private DispatchEffect.CopyRun lastCopy(String call) {
     List<DispatchEffect.CopyRun> copies = fixture.copies(call);
     return copies.get(copies.size() - 1);
