--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/AttemptMetadata.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/AttemptMetadata.java
@@ -12,7 +12,8 @@
  * @param organisation the caller's organisation
  * @param priority the priority of the request; 0 is the most urgent
  * @param continuation the copied memory from which a run continues; empty for a new run
- * @param lastEventId the last event received from a run that continues; empty for a new run
+ * @param lastEventId the last event received from a run that continues or is repeated; empty if the
+ *     answer starts with the first event
  */
 public record AttemptMetadata(
     String targetId,
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/CallDialect.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/CallDialect.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.OptionalLong;
 import org.sequoiareach.decision.dispatch.CallProfile;
 
 /**
@@ -21,6 +22,14 @@
    */
   CallProfile readRequest(HttpRequest request, long nowMs) throws InvalidCallException;
 
+  /**
+   * Finds the last event that the caller received of an earlier run of its request.
+   *
+   * @param headers the headers of the request
+   * @return the number of the event; empty if the caller does not resume a stream
+   */
+  OptionalLong findLastEventId(HttpHeaders headers);
+
   /**
    * Sets the headers of an attempt and removes headers that callers must not set or that targets
    * must not receive.
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -150,11 +150,12 @@
 
   private void selectMode(AnswerHead head) {
     boolean error = status.code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
-    boolean resumesRun = sendCall.continuation().isPresent();
-    if (resumesRun && status.code() != HttpResponseStatus.OK.code()) {
+    boolean resumes = sendCall.continuation().isPresent() || exchange.isHeadSent();
+    boolean isStream = head.stream() && status.code() == HttpResponseStatus.OK.code();
+    if (resumes && !isStream) {
       abortWithFault(
           AttemptFault.BROKEN_ANSWER,
-          "the engine did not resume the run: HTTP status " + status.code());
+          "the engine did not resume the stream: HTTP status " + status.code());
     } else if (head.stream() && !error) {
       mode = Mode.EVENT_STREAM;
       splitter = Optional.of(new ServerSentEventSplitter(allocator(), MAX_EVENT_BYTES));
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -53,6 +53,7 @@
   private Optional<HeldErrorResponse> heldResponse = Optional.empty();
   private boolean headSent;
   private long lastEventId;
+  private boolean allEventsNumbered = true;
   private long lastEventMs;
   private boolean ended;
 
@@ -95,6 +96,9 @@
     if (ended) {
       return;
     }
+    if (sendCall.kind() == RouteKind.RESUMABLE_STREAMING && !headSent) {
+      lastEventId = context.dialect().findLastEventId(request.headers()).orElse(0);
+    }
     boolean sourceActive =
         sendCall.continuation().isPresent() && currentAttempt.filter(r -> !r.isDone()).isPresent();
     if (!sourceActive) {
@@ -133,6 +137,11 @@
           "not sent: the daemon was paused or the deadline for sending has passed");
       return;
     }
+    if (headSent && sendCall.continuation().isEmpty() && !allEventsNumbered) {
+      next.fail(
+          AttemptFault.OUTDATED, 0, "not sent: an event without an id cannot be resumed after");
+      return;
+    }
     context
         .connections()
         .acquire(
@@ -163,7 +172,6 @@
     HopByHopHeaders.removeFrom(headers);
     headers.remove(HttpHeaderNames.CONTENT_LENGTH);
     headers.remove(HttpHeaderNames.EXPECT);
-    boolean resumesRun = sendCall.continuation().isPresent();
     context
         .dialect()
         .setAttemptHeaders(
@@ -174,7 +182,7 @@
                 sendCall.organisation(),
                 sendCall.priority(),
                 sendCall.continuation(),
-                resumesRun ? OptionalLong.of(lastEventId) : OptionalLong.empty()));
+                findResumePoint(sendCall)));
     if (body.isReadable() || !HttpMethod.GET.equals(request.method())) {
       headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
     }
@@ -184,6 +192,13 @@
     connection.send(head, body.retainedDuplicate(), attempt);
   }
 
+  private OptionalLong findResumePoint(DispatchEffect.SendCall sendCall) {
+    boolean resumesStream = sendCall.kind() == RouteKind.RESUMABLE_STREAMING && lastEventId > 0;
+    return sendCall.continuation().isPresent() || resumesStream
+        ? OptionalLong.of(lastEventId)
+        : OptionalLong.empty();
+  }
+
   /** Distinguishes a refused connection, where no process listens, from other failures. */
   private static AttemptFault classifyConnectFailure(IOException problem) {
     boolean refused =
@@ -208,6 +223,7 @@
     sendHeadOnce(attempt, OptionalLong.empty());
     attempt.reportStart();
     id.ifPresent(number -> lastEventId = number);
+    allEventsNumbered &= id.isPresent();
     recordEventLatency();
     response.sendContent(bytes);
     return true;
@@ -220,6 +236,10 @@
     response.sendContent(content);
   }
 
+  boolean isHeadSent() {
+    return headSent;
+  }
+
   /** Sends the response head of an attempt, unless a head was sent before. */
   void sendHeadOnce(AttemptResponseHandler attempt, OptionalLong length) {
     if (headSent || ended) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -121,7 +121,7 @@
     if (migrations.tryContinue(event, call, target)) {
       return;
     }
-    if (event.started()) {
+    if (event.started() && call.route().kind() != RouteKind.RESUMABLE_STREAMING) {
       calls.abort(call, Reason.TARGET_FAILED, "the attempt failed after its answer had started");
       return;
     }
@@ -159,7 +159,7 @@
 
   private Optional<Long> findDrainRetryAfterMs(long nowMs, ActiveCall call) {
     Optional<DrainAdmission> drain = context.drain();
-    if (drain.isEmpty() || call.route().kind() != RouteKind.STREAMING) {
+    if (drain.isEmpty() || !call.route().kind().isStreaming()) {
       return Optional.empty();
     }
     return demandOf(call)
@@ -197,6 +197,10 @@
     untried.removeIf(candidate -> call.wasTried(candidate.target().id()));
     PlacementStrategy strategy = demandOf(call).isPresent() ? engineStrategy : serviceStrategy;
     Optional<Candidate> chosen = strategy.choose(demandOf(call), untried, context.randomLong());
+    if (chosen.isEmpty() && call.isStarted()) {
+      calls.abort(call, Reason.NO_CAPACITY, "no other target has capacity to resume the stream");
+      return;
+    }
     if (chosen.isEmpty()) {
       Reason reason = all.isEmpty() ? Reason.NO_TARGET : Reason.NO_CAPACITY;
       String message = "no target of service " + call.service() + " has capacity";
@@ -251,6 +255,10 @@
       place(event.nowMs(), call, "after " + event.fault());
       return;
     }
+    if (event.started()) {
+      calls.abort(call, Reason.TARGET_FAILED, "no other target can resume the stream");
+      return;
+    }
     if (event.fault() == AttemptFault.SERVER_ERROR) {
       calls.logDecision("deliver-error", call, "", event.detail());
       context.effects().add(new DispatchEffect.DeliverHeldAnswer(call.callId()));
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.route.EngineTraits;
-import org.sequoiareach.model.route.RouteKind;
 import org.sequoiareach.model.route.RoutedTarget;
 
 /**
@@ -37,7 +36,7 @@
     }
     List<ActiveCall> runs =
         calls.assignedTo(engine.id()).stream()
-            .filter(call -> call.route().kind() == RouteKind.STREAMING)
+            .filter(call -> call.route().kind().isStreaming())
             .filter(call -> canFinishBeforeShutdown(nowMs, call))
             .toList();
     if (runs.isEmpty()) {
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
@@ -133,6 +133,38 @@
     assertThat(fixture.sends(call)).hasSize(1);
   }
 
+  @Test
+  void resumesRepeatableStreamOnAnotherEngineOnce() {
+    String call = fixture.generate("check", 2_000, 40);
+    fixture.started(call);
+
+    fixture.failed(call, AttemptFault.BROKEN_ANSWER, true);
+
+    assertThat(fixture.sends(call)).extracting(send -> send.target().id()).doesNotHaveDuplicates();
+    assertThat(fixture.sends(call)).hasSize(2);
+    assertThat(fixture.wasCut(call)).isFalse();
+
+    fixture.failed(call, AttemptFault.LOST, true);
+
+    assertThat(fixture.sends(call)).hasSize(2);
+    assertThat(fixture.wasCut(call)).isTrue();
+  }
+
+  @Test
+  void cutsResumableStreamIfNoEngineHasCapacity() {
+    String call = fixture.generate("check", 2_000, 40);
+    fixture.started(call);
+    DispatchFixture.targets().stream()
+        .filter(target -> !target.id().equals(fixture.lastSend(call).target().id()))
+        .forEach(
+            target -> fixture.apply(new DispatchEvent.TargetLeaves(fixture.nowMs(), target.id())));
+
+    fixture.failed(call, AttemptFault.BROKEN_ANSWER, true);
+
+    assertThat(fixture.wasCut(call)).isTrue();
+    assertThat(fixture.refusal(call)).isEmpty();
+  }
+
   @Test
   void doesNotSendToRemovedTarget() {
     String first = fixture.lastSend(fixture.call("booking")).target().id();
