--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/GatewayHttpServer.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/GatewayHttpServer.java
@@ -8,11 +8,14 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -28,7 +31,6 @@
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.route.CallerLimits;
 import org.sequoiareach.store.time.MonotonicClock;
-import reactor.netty.resources.LoopResources;
 
 /**
  * HTTP/1.1 server for callers.
@@ -70,21 +72,31 @@
   }
 
   /**
-   * Starts listening.
+   * Opens a listening socket, whose connections wait until a server accepts them.
    *
-   * @param resources selects the channel type, epoll or NIO
    * @param address the local address
+   * @return the socket
+   * @throws IOException if the address is not available
+   */
+  public static ServerSocketChannel bind(InetSocketAddress address) throws IOException {
+    ServerSocketChannel socket = ServerSocketChannel.open();
+    socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+    return socket.bind(address, ACCEPT_BACKLOG);
+  }
+
+  /**
+   * Starts accepting the connections of a listening socket.
+   *
+   * @param socket the socket, see {@link #bind}; closed together with the channel
    * @return the listening channel
    */
-  public Channel listen(LoopResources resources, InetSocketAddress address) {
+  public Channel accept(ServerSocketChannel socket) {
     return new ServerBootstrap()
         .group(loop, loop)
-        .channel(resources.onChannelClass(ServerSocketChannel.class, loop))
-        .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
-        .option(ChannelOption.SO_REUSEADDR, true)
+        .channelFactory(() -> new NioServerSocketChannel(socket))
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(new PipelineInitializer())
-        .bind(address)
+        .register()
         .syncUninterruptibly()
         .channel();
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
@@ -5,7 +5,10 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.resolver.DefaultAddressResolverGroup;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -66,6 +69,9 @@
   /** One thread, because a VM has one core and more threads would only switch contexts. */
   private static final int TRAFFIC_THREADS = 1;
 
+  /** Java's own transport, because loading the native one delays the start. */
+  private static final boolean PREFER_NATIVE = false;
+
   /** Fits a value of one megabyte in base64 and the envelope around it. */
   private static final int MAX_STORE_RESPONSE_BYTES = 4 << 20;
 
@@ -98,10 +104,11 @@
   private final List<DisposableServer> servers = new ArrayList<>();
   private final Channel callerChannel;
 
-  private Gateway(GatewaySettings settings, GatewayBinding binding) {
+  private Gateway(
+      GatewaySettings settings, GatewayBinding binding, ServerSocketChannel callerSocket) {
     this.settings = Check.notNull(settings, "settings");
     Check.notNull(binding, "binding");
-    final EventLoop loop = resources.onServer(true).next();
+    final EventLoop loop = resources.onServer(PREFER_NATIVE).next();
     this.reducer =
         new DispatchReducer(
             settings.toDispatchSettings(incarnation),
@@ -142,16 +149,16 @@
             peerState.join(),
             effect -> handleLocalEffect(effect, membership)));
     postSeedPeers();
-    this.callerChannel =
-        callerServer.listen(resources, GatewaySettings.resolve(settings.callerAddress()));
-    servers.add(startReadinessServer());
-    servers.add(startMetricsServer());
+    this.callerChannel = callerServer.accept(callerSocket);
+    // The responses of the store arrive while the remaining servers are created.
     new StoreWatcher(
             binding.createStore(http, settings.storeAddress()),
             binding.layout(),
             controlLoop,
             timer)
         .start();
+    servers.add(startReadinessServer());
+    servers.add(startMetricsServer());
   }
 
   /**
@@ -161,9 +168,13 @@
    * @param settings the settings
    * @param binding the formats and clients of the platform
    * @return the running gateway
+   * @throws IOException if the address for callers is not available
    */
-  public static Gateway start(GatewaySettings settings, GatewayBinding binding) {
-    Gateway gateway = new Gateway(settings, binding);
+  public static Gateway start(GatewaySettings settings, GatewayBinding binding) throws IOException {
+    // Bound first, so that connections wait for the rest of the start instead of being refused.
+    ServerSocketChannel callerSocket =
+        GatewayHttpServer.bind(GatewaySettings.resolve(settings.callerAddress()));
+    Gateway gateway = new Gateway(settings, binding, callerSocket);
     LOGGER.info(
         new StringMapMessage()
             .with("decision", "start")
@@ -217,6 +228,16 @@
     stopped.await();
   }
 
+  /**
+   * Blocks until the gateway accepts requests for the first time, or a deadline passes.
+   *
+   * @param deadlineMs the deadline, in milliseconds of the monotonic clock
+   * @throws InterruptedException if the waiting thread is interrupted
+   */
+  public void awaitReady(long deadlineMs) throws InterruptedException {
+    readiness.awaitFirstReady(deadlineMs);
+  }
+
   @Override
   public void close() {
     LOGGER.info(new StringMapMessage().with("decision", "stop").with("daemon", settings.name()));
@@ -268,7 +289,9 @@
   private HttpClient createClient() {
     HttpClient client =
         HttpClient.create(platformPool)
-            .runOn(resources, true)
+            .runOn(resources, PREFER_NATIVE)
+            // All addresses are IP addresses, so Netty's DNS client need not be loaded.
+            .resolver(DefaultAddressResolverGroup.INSTANCE)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
     for (var option : KeepAliveProbes.options().entrySet()) {
       client = withOption(client, option.getKey(), option.getValue());
@@ -284,7 +307,7 @@
 
   private DisposableServer startReadinessServer() {
     return HttpServer.create()
-        .runOn(resources, true)
+        .runOn(resources, PREFER_NATIVE)
         .bindAddress(() -> GatewaySettings.resolve(settings.readyAddress()))
         .handle(
             (request, response) ->
@@ -297,7 +320,7 @@
   private DisposableServer startMetricsServer() {
     MetricsTextFormatter formatter = new MetricsTextFormatter(metrics);
     return HttpServer.create()
-        .runOn(resources, true)
+        .runOn(resources, PREFER_NATIVE)
         .bindAddress(() -> GatewaySettings.resolve(settings.metricsAddress()))
         .handle((request, response) -> response.sendString(Mono.fromSupplier(formatter::format)))
         .bindNow();
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettingsReader.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettingsReader.java
@@ -1,13 +1,19 @@
 package org.sequoiareach.daemon.gateway;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.sequoiareach.model.Check;
 import org.sequoiareach.model.json.Json;
 
-/** Reads {@link GatewaySettings} from JSON. */
+/**
+ * Reads {@link GatewaySettings} from JSON. Reads the fields one by one, because binding to a record
+ * by reflection takes a noticeable part of the start.
+ */
 public final class GatewaySettingsReader {
 
   private GatewaySettingsReader() {}
@@ -34,21 +40,58 @@
    *     names the field and its value
    */
   public static GatewaySettings parse(String text) {
+    JsonNode tree;
     try {
-      return Json.mapper().readValue(text, GatewaySettings.class);
-    } catch (JsonMappingException e) {
-      throw new IllegalArgumentException(describe(e), e);
+      tree = Json.mapper().readTree(text);
     } catch (JsonProcessingException e) {
       throw new IllegalArgumentException(
           "The settings are not valid JSON: " + e.getOriginalMessage(), e);
     }
+    Check.isTrue(tree.isObject(), "The settings must be a JSON object but are " + tree + ".");
+    return new GatewaySettings(
+        readText(tree, "name"),
+        readText(tree, "zone"),
+        readText(tree, "callerAddress"),
+        readText(tree, "readyAddress"),
+        readText(tree, "peerAddress"),
+        readText(tree, "metricsAddress"),
+        readTexts(tree, "seedAddresses"),
+        readText(tree, "storeAddress"),
+        readNumber(tree, "gracePeriodSeconds"),
+        readNumber(tree, "retryRatio"),
+        readNumber(tree, "retryWindowSeconds"),
+        readNumber(tree, "retryExtra"));
   }
 
-  private static String describe(JsonMappingException e) {
-    Throwable cause = e.getCause();
-    if (cause instanceof IllegalArgumentException) {
-      return cause.getMessage();
+  /** Returns the text of a field, or an empty text if the field is absent. */
+  private static String readText(JsonNode tree, String name) {
+    JsonNode value = tree.path(name);
+    Check.isTrue(
+        value.isTextual() || value.isMissingNode(),
+        "'" + name + "' must be a text but is " + value + ".");
+    return value.asText();
+  }
+
+  private static List<String> readTexts(JsonNode tree, String name) {
+    JsonNode list = tree.path(name);
+    Check.isTrue(
+        list.isArray() || list.isMissingNode(),
+        "'" + name + "' must be a list of texts but is " + list + ".");
+    List<String> texts = new ArrayList<>();
+    for (JsonNode value : list) {
+      Check.isTrue(
+          value.isTextual(), "'" + name + "' must be a list of texts but is " + list + ".");
+      texts.add(value.asText());
     }
-    return "'" + e.getPathReference() + "': " + e.getOriginalMessage();
+    return texts;
+  }
+
+  /** Returns the number of a field, or 0 if the field is absent. */
+  private static double readNumber(JsonNode tree, String name) {
+    JsonNode value = tree.path(name);
+    Check.isTrue(
+        value.isNumber() || value.isMissingNode(),
+        "'" + name + "' must be a number but is " + value + ".");
+    return value.asDouble();
   }
 }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/ProcessGauges.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/ProcessGauges.java
@@ -4,9 +4,9 @@
 import com.codahale.metrics.Metric;
 import com.codahale.metrics.MetricSet;
 import java.util.Map;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.core.LoggerContext;
+import org.apache.logging.log4j.core.Appender;
 import org.apache.logging.log4j.core.appender.CountingNoOpAppender;
+import org.sequoiareach.daemon.log.DeferredLogging;
 
 /** Gauges of the process: its heap usage and the log lines that it dropped. */
 final class ProcessGauges {
@@ -30,12 +30,10 @@
 
   /** Returns the number of lines dropped because standard output was not read fast enough. */
   private static long droppedLogLines() {
-    if (!(LogManager.getContext(false) instanceof LoggerContext context)) {
-      return 0;
-    }
-    return context.getConfiguration().getAppender(DROPPED_APPENDER)
-            instanceof CountingNoOpAppender counting
-        ? counting.getCount()
-        : 0;
+    return DeferredLogging.findCoreContext()
+        .map(context -> context.getConfiguration().<Appender>getAppender(DROPPED_APPENDER))
+        .filter(CountingNoOpAppender.class::isInstance)
+        .map(appender -> ((CountingNoOpAppender) appender).getCount())
+        .orElse(0L);
   }
 }
--- /dev/null
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/gateway/GatewaySettingsReaderTest.java
@@ -0,0 +1,57 @@
+package org.sequoiareach.daemon.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Tests that settings are read field by field and that errors name the field and its value. */
+class GatewaySettingsReaderTest {
+
+  private static final String VALID =
+      "{\"name\":\"edge-1\",\"zone\":\"z1\",\"callerAddress\":\"10.0.0.1:80\","
+          + "\"readyAddress\":\"10.0.0.1:81\",\"peerAddress\":\"10.0.0.1:82\","
+          + "\"metricsAddress\":\"10.0.0.1:83\",\"seedAddresses\":[\"10.0.0.2:82\"],"
+          + "\"storeAddress\":\"10.0.0.9:84\",\"gracePeriodSeconds\":8,\"retryRatio\":0.2,"
+          + "\"retryWindowSeconds\":10,\"retryExtra\":54}";
+
+  @Test
+  void readsAllFields() {
+    assertThat(GatewaySettingsReader.parse(VALID))
+        .isEqualTo(
+            new GatewaySettings(
+                "edge-1",
+                "z1",
+                "10.0.0.1:80",
+                "10.0.0.1:81",
+                "10.0.0.1:82",
+                "10.0.0.1:83",
+                List.of("10.0.0.2:82"),
+                "10.0.0.9:84",
+                8,
+                0.2,
+                10,
+                54));
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "\"retryRatio\":0.2 | \"retryRatio\":\"much\" | 'retryRatio' must be a number",
+        "\"zone\":\"z1\" | \"zone\":7 | 'zone' must be a text but is 7",
+        "\"zone\":\"z1\" | \"other\":7 | 'zone'",
+        "[\"10.0.0.2:82\"] | [82] | 'seedAddresses' must be a list of texts but is [82]",
+        "[\"10.0.0.2:82\"] | [\"host\"] | 'seedAddresses' must be an IPv4 address and a port",
+        "10.0.0.9:84 | store | 'storeAddress' must be an IPv4 address and a port but is 'store'",
+        "{\"name\" | [\"name\" | The settings are not valid JSON"
+      })
+  void namesInvalidFieldAndValue(String valid, String invalid, String message) {
+    assertThatThrownBy(() -> GatewaySettingsReader.parse(VALID.replace(valid, invalid)))
+        .isInstanceOf(IllegalArgumentException.class)
+        .hasMessageContaining(message);
+  }
+}
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/http/KeepAliveProbes.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/http/KeepAliveProbes.java
@@ -1,12 +1,10 @@
 package org.sequoiareach.store.http;
 
 import io.netty.channel.ChannelOption;
-import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.socket.nio.NioChannelOption;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import jdk.net.ExtendedSocketOptions;
-import reactor.netty.resources.LoopResources;
 
 /**
  * TCP keep-alive options that make the kernel probe idle connections, so that a broken connection
@@ -23,22 +21,16 @@
   private KeepAliveProbes() {}
 
   /**
-   * Returns the channel options that enable the probes.
+   * Returns the options of NIO channels that enable the probes.
    *
    * @return the options and their values
    */
   public static Map<ChannelOption<?>, Object> options() {
     Map<ChannelOption<?>, Object> options = new LinkedHashMap<>();
     options.put(ChannelOption.SO_KEEPALIVE, true);
-    if (LoopResources.hasNativeSupport()) {
-      options.put(EpollChannelOption.TCP_KEEPIDLE, IDLE_SECONDS);
-      options.put(EpollChannelOption.TCP_KEEPINTVL, INTERVAL_SECONDS);
-      options.put(EpollChannelOption.TCP_KEEPCNT, PROBES);
-    } else {
-      options.put(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), IDLE_SECONDS);
-      options.put(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), INTERVAL_SECONDS);
-      options.put(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES);
-    }
+    options.put(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), IDLE_SECONDS);
+    options.put(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), INTERVAL_SECONDS);
+    options.put(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES);
     return options;
   }
 }
