--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -29,6 +29,7 @@
   private final PlacementStrategy engineStrategy = new PrefillPlacement();
   private final PlacementStrategy serviceStrategy = new LeastOutstandingPlacement();
   private final RunDurationEstimator durations;
+  private final UnroutedCalls unrouted = new UnroutedCalls();
 
   CallHandler(
       DispatchContext context,
@@ -42,11 +43,39 @@
   }
 
   void onCallArrived(DispatchEvent.CallArrived event) {
-    if (context.index().isEmpty() || !context.targets().hasList()) {
-      String missing = context.index().isEmpty() ? "routing sheet" : "target list";
-      refuseUnresolved(event, Reason.NOT_READY, "the daemon has not loaded a " + missing + " yet");
+    if (isRoutingLoaded()) {
+      resolve(event);
       return;
     }
+    boolean mayLoadSoon = !context.targets().isStoreUnreachable() && context.drain().isEmpty();
+    if (mayLoadSoon && unrouted.offer(event)) {
+      context.logDecision(
+          "hold", event.profile().requestId(), "", "", "the daemon has not loaded its routing yet");
+      return;
+    }
+    refuseNotLoaded(event.nowMs(), event);
+  }
+
+  /** Resolves and places the held calls if the routing sheet and the target list are loaded. */
+  void releaseHeld(long nowMs) {
+    if (isRoutingLoaded()) {
+      unrouted.takeAll().forEach(held -> resolve(held.at(nowMs)));
+    }
+  }
+
+  private boolean isRoutingLoaded() {
+    return context.index().isPresent() && context.targets().hasList();
+  }
+
+  private void refuseNotLoaded(long nowMs, DispatchEvent.CallArrived event) {
+    String missing = context.index().isEmpty() ? "routing sheet" : "target list";
+    refuseUnresolved(
+        event,
+        Reason.NOT_READY,
+        "the daemon has not loaded a " + missing + " yet, held=" + (nowMs - event.nowMs()) + "ms");
+  }
+
+  private void resolve(DispatchEvent.CallArrived event) {
     CallResolution resolution = CallResolution.resolve(context.index().get(), event.profile());
     if (resolution.refusal().isPresent()) {
       Reason reason = resolution.refusal().get();
@@ -98,6 +127,7 @@
   }
 
   void onCallerLeft(DispatchEvent.CallerLeft event) {
+    unrouted.remove(event.callId());
     calls
         .find(event.callId())
         .ifPresent(
@@ -129,6 +159,10 @@
   }
 
   void tick(long nowMs) {
+    boolean mayLoadSoon = !context.targets().isStoreUnreachable();
+    List<DispatchEvent.CallArrived> overdue =
+        mayLoadSoon ? unrouted.takeExpired(nowMs) : unrouted.takeAll();
+    overdue.forEach(call -> refuseNotLoaded(nowMs, call));
     for (ActiveCall call : calls.all()) {
       if (nowMs >= call.deadlineMs()) {
         long limitMs = call.deadlineMs() - call.profile().arrivedMs();
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -110,7 +110,13 @@
    * @param callId the identifier that the daemon assigned to the call
    * @param profile the request
    */
-  record CallArrived(long nowMs, String callId, CallProfile profile) implements DispatchEvent {}
+  record CallArrived(long nowMs, String callId, CallProfile profile) implements DispatchEvent {
+
+    /** Copies the event with the time at which a held call is processed. */
+    CallArrived at(long processedMs) {
+      return new CallArrived(processedMs, callId, profile);
+    }
+  }
 
   /**
    * The first part of an answer's body was received.
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -92,6 +92,7 @@
       migrations.onRunCopied(copied);
     } else if (event instanceof DispatchEvent.SheetLearned learned) {
       peerSync.onSheetLearned(learned);
+      calls.releaseHeld(learned.nowMs());
       lifecycle.tick(learned.nowMs());
     } else if (event instanceof DispatchEvent.PeerStateTold told) {
       peerSync.onPeerStateTold(told);
@@ -102,6 +103,7 @@
       context.applySettings(changed.settings());
     } else {
       targets.apply(event);
+      calls.releaseHeld(event.nowMs());
       lifecycle.tick(event.nowMs());
     }
   }
