--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreWatcher.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreWatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ScheduledExecutorService;
 import org.sequoiareach.daemon.control.EventSink;
 import org.sequoiareach.decision.dispatch.DispatchEvent;
@@ -13,6 +14,7 @@
 import org.sequoiareach.store.prefix.PrefixStore;
 import org.sequoiareach.store.prefix.PrefixWatcher;
 import org.sequoiareach.store.prefix.ReachabilityListener;
+import org.sequoiareach.store.prefix.StorePosition;
 import org.sequoiareach.store.time.MonotonicClock;
 
 /**
@@ -85,12 +87,15 @@
 
   private final class TargetListener extends AbstractPrefixListener {
 
+    private OptionalLong lastPosition = OptionalLong.empty();
+
     private TargetListener() {
       super("targets");
     }
 
     @Override
     public void onSnapshot(PrefixSnapshot snapshot) {
+      reportRestore(snapshot.revision());
       List<RoutedTarget> listed =
           snapshot.entries().stream().map(layout::readTarget).flatMap(Optional::stream).toList();
       events.post(
@@ -103,6 +108,19 @@
       changes.forEach(this::onChange);
     }
 
+    /** Posts that the store was restored, if a position is of a later era than the last one. */
+    private void reportRestore(long position) {
+      if (lastPosition.isPresent()
+          && StorePosition.eraOf(position) > StorePosition.eraOf(lastPosition.getAsLong())) {
+        events.post(
+            new DispatchEvent.StoreRestored(
+                MonotonicClock.nowMs(),
+                StorePosition.format(lastPosition.getAsLong()),
+                StorePosition.format(position)));
+      }
+      lastPosition = OptionalLong.of(position);
+    }
+
     private void onChange(PrefixEntry entry) {
       long nowMs = MonotonicClock.nowMs();
       Optional<RoutedTarget> target =
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -21,6 +21,7 @@
   @JsonSubTypes.Type(DispatchEvent.TargetLeaves.class),
   @JsonSubTypes.Type(DispatchEvent.NobodyThere.class),
   @JsonSubTypes.Type(DispatchEvent.StoreSeen.class),
+  @JsonSubTypes.Type(DispatchEvent.StoreRestored.class),
   @JsonSubTypes.Type(DispatchEvent.SettingsChanged.class),
   @JsonSubTypes.Type(DispatchEvent.CallArrived.class),
   @JsonSubTypes.Type(DispatchEvent.AnswerStarted.class),
@@ -95,6 +96,15 @@
    */
   record StoreSeen(long nowMs, boolean reachable) implements DispatchEvent {}
 
+  /**
+   * The store was restored from an older copy, so its entries may be older than what is known.
+   *
+   * @param nowMs when it was observed
+   * @param from the last position seen before the restore
+   * @param to the position of the next list of targets
+   */
+  record StoreRestored(long nowMs, String from, String to) implements DispatchEvent {}
+
   /**
    * The settings were reloaded.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PeerSyncHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PeerSyncHandler.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.sequoiareach.decision.membership.Member;
+import org.sequoiareach.model.route.RoutingSheet;
 import org.sequoiareach.model.route.TargetUse;
 
 /**
@@ -47,7 +48,7 @@
   }
 
   void onSheetLearned(DispatchEvent.SheetLearned event) {
-    if (event.sheet().revision() <= context.sheetRevision()) {
+    if (!isNewer(event.sheet())) {
       return;
     }
     context.useSheet(event.sheet());
@@ -61,6 +62,15 @@
     sendState(event.nowMs());
   }
 
+  /**
+   * Returns whether a sheet replaces the current one. Its version decides, as a store that was
+   * restored from an older copy returns an older sheet at a later position.
+   */
+  private boolean isNewer(RoutingSheet sheet) {
+    return sheet.version() > context.sheetVersion()
+        || sheet.version() == context.sheetVersion() && sheet.revision() > context.sheetRevision();
+  }
+
   void onPeerStateTold(DispatchEvent.PeerStateTold event) {
     context.targetUse().updatePeer(event.nowMs(), event.daemonId(), event.uses());
     peers.put(event.daemonId(), new PeerState(event.sheetRevision(), event.targetsRevision()));
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
@@ -63,6 +63,14 @@
       onNobodyThere(nowMs, nobody.targetId());
     } else if (event instanceof DispatchEvent.StoreSeen seen) {
       targets.updateStoreState(nowMs, seen.reachable());
+    } else if (event instanceof DispatchEvent.StoreRestored restored) {
+      targets.onStoreRestored(nowMs);
+      context.logDecision(
+          "store-restored",
+          "",
+          "",
+          "",
+          "from=" + restored.from() + " to=" + restored.to() + " sheet=" + context.sheetVersion());
     }
   }
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetTable.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetTable.java
@@ -88,6 +88,19 @@
     storeUnreachable = !reachable;
   }
 
+  /**
+   * Records that the store was restored from an older copy. Its next list may lack new targets,
+   * which write their entries again, and may contain targets that are gone, which stay unavailable.
+   *
+   * @param nowMs the current time
+   */
+  public void onStoreRestored(long nowMs) {
+    storeRecoveredMs = nowMs;
+    targets.values().stream()
+        .filter(target -> goneAtMs.getOrDefault(target.id(), Long.MAX_VALUE) <= nowMs)
+        .forEach(gone -> leavingIncarnations.add(incarnationOf(gone)));
+  }
+
   /**
    * Returns whether the latest request to the store failed.
    *
@@ -139,7 +152,8 @@
   }
 
   /**
-   * Adds or replaces a target.
+   * Adds or replaces a target. An earlier incarnation than the known one is ignored, as only a
+   * restored store lists it.
    *
    * @param nowMs the current time
    * @param atRevision the revision of the entry
@@ -149,6 +163,10 @@
   public Change put(long nowMs, long atRevision, RoutedTarget target) {
     revision = Math.max(revision, atRevision);
     RoutedTarget previous = targets.get(target.id());
+    boolean isKnownIncarnation = target.incarnation() > 0;
+    if (previous != null && isKnownIncarnation && target.incarnation() < previous.incarnation()) {
+      return Change.NONE;
+    }
     final boolean restarted = previous != null && !previous.isSameIncarnation(target);
     final boolean wasAvailable =
         previous != null && !isLeaving(previous) && !isRemoved(previous.id());
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFuzzTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFuzzTest.java
@@ -41,6 +41,7 @@
     private final Oracle oracle = new Oracle();
     private final List<String> open = new ArrayList<>();
     private final Set<String> started = new HashSet<>();
+    private final Map<String, RoutedTarget> latest = new HashMap<>();
     private long revision = 100;
 
     private RandomSession(long seed) {
@@ -131,10 +132,13 @@
     private void changeTarget() {
       revision++;
       List<RoutedTarget> targets = DispatchFixture.targets();
-      RoutedTarget target = targets.get(random.nextInt(targets.size()));
-      switch (random.nextInt(4)) {
+      RoutedTarget listed = targets.get(random.nextInt(targets.size()));
+      final RoutedTarget target = latest.getOrDefault(listed.id(), listed);
+      switch (random.nextInt(5)) {
+        case 4 -> restoreStore();
         case 0 -> {
           oracle.leaves(fixture.nowMs(), target);
+          oracle.announced(target);
           fixture.apply(
               new DispatchEvent.TargetChanged(fixture.nowMs(), revision, target.asLeaving()));
         }
@@ -152,6 +156,7 @@
                   target.zone(),
                   target.slots(),
                   false);
+          latest.put(next.id(), next);
           oracle.returns(target);
           fixture.apply(new DispatchEvent.TargetChanged(fixture.nowMs(), revision, next));
         }
@@ -160,6 +165,19 @@
       }
     }
 
+    /** Restores the store from a copy in which no target has left yet. */
+    private void restoreStore() {
+      long before = revision;
+      revision += 1_000_000;
+      oracle.restored(fixture.nowMs());
+      fixture.apply(
+          new DispatchEvent.StoreRestored(
+              fixture.nowMs(), Long.toString(before), Long.toString(revision)));
+      fixture.apply(
+          new DispatchEvent.TargetsListed(
+              fixture.nowMs(), revision, DispatchFixture.targets(), "store"));
+    }
+
     private Optional<String> pick() {
       List<String> atTarget = open.stream().filter(oracle::isAtTarget).toList();
       return atTarget.isEmpty()
@@ -173,6 +191,7 @@
 
     private final Map<String, CallState> calls = new HashMap<>();
     private final Map<String, Long> leavingSinceMs = new HashMap<>();
+    private final Set<String> announced = new HashSet<>();
 
     private static final class CallState {
       private boolean repeatable;
@@ -203,8 +222,21 @@
       leavingSinceMs.putIfAbsent(target.id(), nowMs);
     }
 
+    private void announced(RoutedTarget target) {
+      announced.add(target.id());
+    }
+
     private void returns(RoutedTarget target) {
       leavingSinceMs.remove(target.id());
+      announced.remove(target.id());
+    }
+
+    /** A target whose entry was just removed without notice may be back in the restored copy. */
+    private void restored(long nowMs) {
+      leavingSinceMs
+          .entrySet()
+          .removeIf(
+              left -> !announced.contains(left.getKey()) && nowMs - left.getValue() <= EXPIRY_MS);
     }
 
     private boolean isEnded(String call) {
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -22,6 +23,7 @@
 import org.sequoiareach.model.platform.VmKind;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
+import org.sequoiareach.model.route.RoutingSheet;
 import org.sequoiareach.model.route.TargetUse;
 import org.sequoiareach.model.sheet.SheetStatus;
 
@@ -213,6 +215,58 @@
     assertThat(fixture.refusal(call)).isEmpty();
   }
 
+  @Test
+  void doesNotReturnToOlderSheetOrGoneTargetAfterRestoreOfStore() {
+    fixture.apply(new DispatchEvent.SheetLearned(fixture.nowMs(), sheetAt(5, 50, "k5"), "store"));
+    fixture.apply(new DispatchEvent.TargetRemoved(fixture.nowMs(), 60, "desk0"));
+    fixture.apply(
+        new DispatchEvent.StoreRestored(fixture.nowMs(), "era 0 revision 60", "era 1 revision 20"));
+
+    fixture.apply(
+        new DispatchEvent.TargetsListed(
+            fixture.nowMs(), 1_020, DispatchFixture.targets(), "store"));
+    fixture.apply(
+        new DispatchEvent.SheetLearned(fixture.nowMs(), sheetAt(4, 1_015, "k4"), "store"));
+
+    assertThat(fixture.refusal(fixture.call("status", "k4", Optional.empty()))).isPresent();
+    for (int i = 0; i < 12; i++) {
+      String call = fixture.call("status", "k5", Optional.empty());
+      assertThat(fixture.lastSend(call).target().id()).isNotEqualTo("desk0");
+    }
+    fixture.apply(
+        new DispatchEvent.SheetLearned(fixture.nowMs(), sheetAt(6, 1_025, "k6"), "store"));
+    assertThat(fixture.refusal(fixture.call("status", "k6", Optional.empty()))).isEmpty();
+  }
+
+  @Test
+  void keepsTargetsMissingFromRestoredCopyUntilTheyWriteTheirEntriesAgain() {
+    fixture.apply(
+        new DispatchEvent.StoreRestored(fixture.nowMs(), "era 0 revision 60", "era 1 revision 20"));
+    fixture.apply(
+        new DispatchEvent.TargetsListed(
+            fixture.nowMs(), 1_020, DispatchFixture.targets().subList(0, 5), "store"));
+
+    fixture.tick(1_800);
+    assertThat(usedDesks()).hasSizeGreaterThan(1);
+
+    fixture.tick(200);
+    String late = fixture.call("status");
+    assertThat(fixture.lastSend(late).target().id()).isEqualTo("desk0");
+  }
+
+  private static RoutingSheet sheetAt(long version, long revision, String key) {
+    RoutingSheet sheet = DispatchFixture.sheet(version, key);
+    return new RoutingSheet(
+        revision, version, sheet.routes(), sheet.services(), sheet.limits(), sheet.organisations());
+  }
+
+  private List<String> usedDesks() {
+    return Stream.generate(() -> fixture.lastSend(fixture.call("status")).target().id())
+        .limit(6)
+        .distinct()
+        .toList();
+  }
+
   @Test
   void doesNotSendToRemovedTarget() {
     String first = fixture.lastSend(fixture.call("booking")).target().id();
--- a/sequoiareach-model/src/main/java/org/sequoiareach/model/route/RoutingSheet.java
+++ b/sequoiareach-model/src/main/java/org/sequoiareach/model/route/RoutingSheet.java
@@ -6,8 +6,8 @@
 /**
  * One version of the complete routing configuration. Immutable.
  *
- * @param revision the revision of the store at which the sheet was written; it increases with each
- *     sheet
+ * @param revision the position in the history of the store at which the sheet was written; it
+ *     increases with each sheet
  * @param version the version number assigned by the operators
  * @param routes the routes
  * @param services the services
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/http/HttpCallResponse.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/http/HttpCallResponse.java
@@ -1,5 +1,6 @@
 package org.sequoiareach.store.http;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import org.sequoiareach.model.Check;
 
 /**
@@ -7,14 +8,16 @@
  *
  * @param status the HTTP status code
  * @param body the body, decoded as UTF-8
+ * @param headers the headers
  */
-public record HttpCallResponse(int status, String body) {
+public record HttpCallResponse(int status, String body, HttpHeaders headers) {
 
   private static final int OK = 200;
 
   /** Validates the components. */
   public HttpCallResponse {
     Check.notNull(body, "body");
+    Check.notNull(headers, "headers");
   }
 
   /**
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/http/HttpCaller.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/http/HttpCaller.java
@@ -156,7 +156,9 @@
         .map(
             buffer ->
                 new HttpCallResponse(
-                    response.status().code(), buffer.toString(StandardCharsets.UTF_8)));
+                    response.status().code(),
+                    buffer.toString(StandardCharsets.UTF_8),
+                    response.responseHeaders()));
   }
 
   private Publisher<String> toLines(
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixChanges.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixChanges.java
@@ -6,7 +6,8 @@
  * The changes of keys under a prefix since an earlier revision.
  *
  * @param changes the writes and removals, in the order of their revisions
- * @param revision the revision from which to await further changes, exclusive
+ * @param revision the position, see {@link StorePosition}, from which to await further changes,
+ *     exclusive
  */
 public record PrefixChanges(List<PrefixEntry> changes, long revision) {
 
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixEntry.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixEntry.java
@@ -7,7 +7,7 @@
  * The write or the removal of one key.
  *
  * @param key the key
- * @param revision the revision of the write or removal
+ * @param revision the position, see {@link StorePosition}, of the write or removal
  * @param value the value written; empty for a removal
  */
 public record PrefixEntry(String key, long revision, Optional<byte[]> value) {
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixSnapshot.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixSnapshot.java
@@ -6,7 +6,8 @@
  * All keys under a prefix, as read by one call.
  *
  * @param entries the keys and their values
- * @param revision the revision from which to await further changes, exclusive
+ * @param revision the position, see {@link StorePosition}, from which to await further changes,
+ *     exclusive
  */
 public record PrefixSnapshot(List<PrefixEntry> entries, long revision) {
 
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixWatcher.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixWatcher.java
@@ -93,10 +93,22 @@
       return;
     }
     handleSuccess();
+    long known = revision.orElse(0L);
+    if (StorePosition.eraOf(changes.revision()) != StorePosition.eraOf(known)) {
+      // Revisions were given out again, so changes may be missing between the two.
+      LOGGER.info(
+          "The store was restored from {} to {}; reading all keys under prefix {} again",
+          StorePosition.format(known),
+          StorePosition.format(changes.revision()),
+          prefix);
+      revision = Optional.empty();
+      readOrAwaitChanges();
+      return;
+    }
     if (!changes.changes().isEmpty()) {
       listener.onChanges(changes.changes());
     }
-    revision = Optional.of(Math.max(revision.orElse(0L), changes.revision()));
+    revision = Optional.of(Math.max(known, changes.revision()));
     readOrAwaitChanges();
   }
 
--- a/sequoiareach-store/src/test/java/org/sequoiareach/store/prefix/PrefixWatcherTest.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/prefix/PrefixWatcherTest.java
@@ -42,6 +42,23 @@
     assertThat(listener.events).containsExactly("snapshot p/a", "change p/b");
   }
 
+  /** Revisions that were given out again may hide changes before the one that is reported. */
+  @Test
+  void readsAllKeysAgainIfWatchIsAnsweredInAnotherEra() throws InterruptedException {
+    store.next("read").complete(new PrefixSnapshot(List.of(), StorePosition.of(1, 7)));
+
+    store
+        .nextCall("watch " + StorePosition.of(1, 7))
+        .answer()
+        .complete(new PrefixChanges(List.of(entry("p/b", 9)), StorePosition.of(2, 9)));
+    store
+        .next("read")
+        .complete(new PrefixSnapshot(List.of(entry("p/c", 8)), StorePosition.of(2, 9)));
+
+    store.nextCall("watch " + StorePosition.of(2, 9));
+    assertThat(listener.events).containsExactly("snapshot", "snapshot p/c");
+  }
+
   /** A store that has discarded its history may accept a watch that it cannot serve. */
   @ParameterizedTest
   @EnumSource(Kind.class)
