--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
@@ -24,6 +24,8 @@
   private int reachedAttempts;
   private int possibleRuns;
   private boolean started;
+  private long lastSentAtMs;
+  private long startedAtMs;
 
   ActiveCall(
       String callId,
@@ -107,17 +109,32 @@
     return triedTargets.contains(targetId);
   }
 
-  void attemptSent(RoutedTarget to) {
+  void attemptSent(long nowMs, RoutedTarget to) {
+    lastSentAtMs = nowMs;
     attempt++;
     reachedAttempts++;
     target = Optional.of(to);
     triedTargets.add(to.id());
   }
 
-  void answerStarted() {
+  /** Records that a part of the answer's body was received. Only the first one is kept. */
+  void answerStarted(long nowMs) {
+    if (!started) {
+      startedAtMs = nowMs;
+    }
     started = true;
   }
 
+  /** Returns when the latest attempt was sent, in milliseconds; 0 before the first. */
+  long lastSentAtMs() {
+    return lastSentAtMs;
+  }
+
+  /** Returns when the answer's body started, in milliseconds; the arrival if it has not. */
+  long startedAtMs() {
+    return started ? startedAtMs : profile.arrivedMs();
+  }
+
   void attemptFailed(AttemptFault fault) {
     target = Optional.empty();
     if (!fault.reachedTarget()) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -26,17 +26,19 @@
   private final DispatchContext context;
   private final ActiveCalls calls;
   private final MigrationHandler migrations;
-  private final PlacementStrategy engineStrategy = new PrefillPlacement();
   private final PlacementStrategy serviceStrategy = new LeastOutstandingPlacement();
-  private final RunDurationEstimator durations;
+  private final RunDurationRegistry durations;
+  private final TargetHandler targets;
   private final UnroutedCalls unrouted = new UnroutedCalls();
 
   CallHandler(
       DispatchContext context,
       ActiveCalls calls,
       MigrationHandler migrations,
-      RunDurationEstimator durations) {
+      RunDurationRegistry durations,
+      TargetHandler targets) {
     this.durations = durations;
+    this.targets = targets;
     this.context = context;
     this.calls = calls;
     this.migrations = migrations;
@@ -105,7 +107,13 @@
     }
     ActiveCall call = found.get();
     RoutedTarget target = call.target().orElseThrow();
-    call.answerStarted();
+    if (!call.isStarted()) {
+      demandOf(call)
+          .ifPresent(
+              demand ->
+                  durationsOf(call).recordPrefill(demand, event.nowMs() - call.lastSentAtMs()));
+    }
+    call.answerStarted(event.nowMs());
     context.targetUse().markPromptRead(call.callId(), target.id());
     migrations.onAnswerStarted(event.nowMs(), call, target);
   }
@@ -121,7 +129,8 @@
               demandOf(call)
                   .ifPresent(
                       demand ->
-                          durations.record(demand, event.nowMs() - call.profile().arrivedMs()));
+                          durationsOf(call)
+                              .recordDecode(demand, event.nowMs() - call.startedAtMs()));
               calls.end(call);
             });
   }
@@ -148,6 +157,9 @@
     calls.logDecision("attempt-failed", call, target.id(), event.fault() + " " + event.detail());
     calls.releaseTarget(call);
     call.attemptFailed(event.fault());
+    if (showsTargetHasLeft(event.fault())) {
+      targets.markLeaving(event.nowMs(), target.id());
+    }
     if (migrations.tryContinue(event, call, target)) {
       return;
     }
@@ -176,19 +188,20 @@
     calls.all().forEach(call -> calls.abort(call, Reason.NOT_READY, why));
   }
 
-  /**
-   * Records a failure for outlier ejection. Marks a target as leaving if another one has its
-   * address, or if nothing listens there and the store cannot report its removal.
-   */
+  /** Records a failure for outlier ejection. */
   private void recordFailure(DispatchEvent.AttemptFailed event, RoutedTarget target) {
     if (event.fault().countsAgainstTarget() && context.targets().find(target.id()).isPresent()) {
       context.ejection().recordFailure(event.nowMs(), target.id(), context.randomLong());
     }
-    boolean isGone =
-        event.fault() == AttemptFault.NOBODY_THERE && context.targets().isStoreUnreachable();
-    if (isGone || event.fault() == AttemptFault.WRONG_TARGET) {
-      context.targets().markLeaving(target.id());
-    }
+  }
+
+  /**
+   * Returns whether a failure shows that its target has left: another one has its address, or
+   * nothing listens there and the store cannot report its removal.
+   */
+  private boolean showsTargetHasLeft(AttemptFault fault) {
+    return fault == AttemptFault.WRONG_TARGET
+        || fault == AttemptFault.NOBODY_THERE && context.targets().isStoreUnreachable();
   }
 
   private Optional<Long> findDrainRetryAfterMs(long nowMs, ActiveCall call) {
@@ -203,8 +216,8 @@
                     .get()
                     .findRetryAfter(
                         nowMs,
-                        durations.estimateMs(demand),
-                        durations.estimateMaxMs(demand),
+                        durationsOf(call).estimateMs(demand),
+                        durationsOf(call).estimateMaxMs(demand),
                         context.zoneDaemonCounts()));
   }
 
@@ -229,7 +242,8 @@
     List<Candidate> all = context.candidates(call.service(), nowMs);
     List<Candidate> untried = new ArrayList<>(all);
     untried.removeIf(candidate -> call.wasTried(candidate.target().id()));
-    PlacementStrategy strategy = demandOf(call).isPresent() ? engineStrategy : serviceStrategy;
+    PlacementStrategy strategy =
+        demandOf(call).isPresent() ? new PrefillPlacement(durationsOf(call)) : serviceStrategy;
     Optional<Candidate> chosen = strategy.choose(demandOf(call), untried, context.randomLong());
     if (chosen.isEmpty() && call.isStarted()) {
       calls.abort(call, Reason.NO_CAPACITY, "no other target has capacity to resume the stream");
@@ -330,7 +344,7 @@
    * burst they have all just started, so most of their duration is still to come.
    */
   private long drawCapacityRetryMs(ActiveCall call) {
-    long runMs = demandOf(call).map(durations::estimateMs).orElse(0L);
+    long runMs = demandOf(call).map(durationsOf(call)::estimateMs).orElse(0L);
     return context.randomBetween(runMs * 2 / 3, runMs * 4 / 3);
   }
 
@@ -360,6 +374,10 @@
         : "no organisation in the routing sheet has this API key";
   }
 
+  private RunDurationEstimator durationsOf(ActiveCall call) {
+    return durations.getEstimator(call.service());
+  }
+
   private static Optional<GenerationDemand> demandOf(ActiveCall call) {
     return call.profile().generation();
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -47,10 +47,10 @@
     this.membership = new MembershipReducer(member, nowMs -> SheetStatus.UNKNOWN);
     this.context = new DispatchContext(settings, membership);
     ActiveCalls active = new ActiveCalls(context);
-    RunDurationEstimator durations = new RunDurationEstimator();
+    RunDurationRegistry durations = new RunDurationRegistry();
     this.migrations = new MigrationHandler(context, active, durations);
-    this.calls = new CallHandler(context, active, migrations, durations);
     this.targets = new TargetHandler(context, active, migrations);
+    this.calls = new CallHandler(context, active, migrations, durations, targets);
     this.peerSync = new PeerSyncHandler(context);
     this.lifecycle = new LifecycleHandler(context, active, calls);
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
@@ -20,10 +20,10 @@
 
   private final DispatchContext context;
   private final ActiveCalls calls;
-  private final RunDurationEstimator durations;
+  private final RunDurationRegistry durations;
   private final RunMigrator migrator = new RunMigrator();
 
-  MigrationHandler(DispatchContext context, ActiveCalls calls, RunDurationEstimator durations) {
+  MigrationHandler(DispatchContext context, ActiveCalls calls, RunDurationRegistry durations) {
     this.durations = durations;
     this.context = context;
     this.calls = calls;
@@ -58,7 +58,7 @@
     if (drain.isEmpty() || demand.isEmpty()) {
       return true;
     }
-    long expectedMs = durations.estimateMs(demand.get());
+    long expectedMs = durations.getEstimator(call.service()).estimateMs(demand.get());
     long remainingMs = call.profile().arrivedMs() + expectedMs - nowMs;
     return Math.max(remainingMs, Math.round(MIN_REMAINING_SHARE * expectedMs))
         <= drain.get().endMs() - nowMs;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PrefillPlacement.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PrefillPlacement.java
@@ -16,11 +16,11 @@
  */
 final class PrefillPlacement implements PlacementStrategy {
 
-  /** The delay that a call adds to each step, as the equivalent number of prefill tokens. */
-  private static final long CALL_COST_TOKENS = 60;
+  /** The delay that a running call adds to the first token of another. */
+  private static final double CALL_COST_MS = 8;
 
-  /** The latency of another availability zone, as the equivalent number of prefill tokens. */
-  private static final long CROSS_ZONE_COST_TOKENS = 40;
+  /** The delay that another availability zone adds to the first token. */
+  private static final double CROSS_ZONE_COST_MS = 6;
 
   /**
    * The share of an engine's memory that expected lengths fill at no extra cost; the rest covers
@@ -44,8 +44,15 @@
   /** The same for short generations, which end before the others reach their full length. */
   private static final double SHORT_OVERCOMMIT_RATIO = 1.5;
 
-  /** The maximum output of a short generation, which ends within two seconds at 7 ms per token. */
-  private static final long SHORT_OUTPUT_TOKENS = 256;
+  /** The maximum decode time of a short generation. */
+  private static final long SHORT_DECODE_MS = 1_800;
+
+  private final RunDurationEstimator durations;
+
+  /** Creates a strategy for a service whose engines have the observed durations. */
+  PrefillPlacement(RunDurationEstimator durations) {
+    this.durations = durations;
+  }
 
   @Override
   public Optional<Candidate> choose(
@@ -56,7 +63,7 @@
     return candidates.stream().filter(candidate -> hasCapacity(candidate, demand)).min(order);
   }
 
-  private static boolean hasCapacity(Candidate candidate, Optional<GenerationDemand> demand) {
+  private boolean hasCapacity(Candidate candidate, Optional<GenerationDemand> demand) {
     if (candidate.use().calls() >= candidate.target().slots() * (1 + QUEUED_CALLS_PER_SLOT)) {
       return false;
     }
@@ -64,17 +71,20 @@
       return true;
     }
     long needed = demand.get().expectedMemoryTokens();
-    boolean isShort = demand.get().estimatedOutputTokens() <= SHORT_OUTPUT_TOKENS;
+    boolean isShort = durations.estimateDecodeMs(demand.get()) <= SHORT_DECODE_MS;
     double share = isShort ? SHORT_OVERCOMMIT_RATIO : OVERCOMMIT_RATIO;
     long memory = candidate.engine().get().memoryTokens();
     return candidate.use().memoryTokens() + needed <= share * memory;
   }
 
-  private static long estimateCostTokens(Candidate candidate, Optional<GenerationDemand> demand) {
-    long cost = candidate.use().waitingPromptTokens() + candidate.use().calls() * CALL_COST_TOKENS;
+  private long estimateCostTokens(Candidate candidate, Optional<GenerationDemand> demand) {
+    double delayMs = candidate.use().calls() * CALL_COST_MS;
     if (!candidate.sameZone()) {
-      cost += CROSS_ZONE_COST_TOKENS;
+      delayMs += CROSS_ZONE_COST_MS;
     }
+    long cost =
+        candidate.use().waitingPromptTokens()
+            + Math.round(delayMs * durations.prefillTokensPerMs());
     long needed = demand.map(GenerationDemand::expectedMemoryTokens).orElse(0L);
     long memory = candidate.engine().map(EngineTraits::memoryTokens).orElse(Long.MAX_VALUE);
     double overflow = candidate.use().memoryTokens() + needed - PREFERRED_FILL_RATIO * memory;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunDurationEstimator.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunDurationEstimator.java
@@ -1,49 +1,72 @@
 package org.sequoiareach.decision.dispatch;
 
 /**
- * Estimates the duration of runs from their prompt and expected output lengths. Not thread-safe.
+ * Estimates the duration of runs on the engines of one service from their prompt and expected
+ * output lengths. Not thread-safe.
  *
- * <p>The decode time per token is an exponentially weighted average over the runs that ended.
- * Estimates are averages, not bounds: output lengths are often far from the expected ones.
+ * <p>The prefill rate and the decode time per token are exponentially weighted averages over the
+ * runs that were observed, so they follow engines that are fast, slow or loaded. Estimates are
+ * averages, not bounds: output lengths are often far from the expected ones.
  */
 final class RunDurationEstimator {
 
-  /** The decode time per token of a lightly loaded engine, used until runs have ended. */
+  /** The decode time per token until runs have ended. */
   private static final double INITIAL_MS_PER_TOKEN = 7;
 
-  /** The weight of the initial value, in tokens: about one long generation. */
-  private static final double INITIAL_WEIGHT_TOKENS = 1_000;
+  /** The weight of the initial decode time, in tokens: about one long generation. */
+  private static final double INITIAL_OUTPUT_TOKENS = 1_000;
 
-  /** The prefill rate of an engine that decodes other runs at the same time. */
-  private static final double PREFILL_TOKENS_PER_MS = 7;
+  /** The prefill rate until answers have started. */
+  private static final double INITIAL_PREFILL_TOKENS_PER_MS = 7;
+
+  /** The weight of the initial prefill rate, in tokens: a few long prompts. */
+  private static final double INITIAL_PROMPT_TOKENS = 10_000;
 
   /** The weight that earlier runs keep with each new one; low enough to follow the load. */
   private static final double DECAY_FACTOR = 0.95;
 
-  private double tokens = INITIAL_WEIGHT_TOKENS;
-  private double decodeTimeMs = INITIAL_WEIGHT_TOKENS * INITIAL_MS_PER_TOKEN;
+  private double outputTokens = INITIAL_OUTPUT_TOKENS;
+  private double decodeTimeMs = INITIAL_OUTPUT_TOKENS * INITIAL_MS_PER_TOKEN;
+  private double promptTokens = INITIAL_PROMPT_TOKENS;
+  private double prefillTimeMs = INITIAL_PROMPT_TOKENS / INITIAL_PREFILL_TOKENS_PER_MS;
+
+  /** Records the time from sending a run to its first event, in milliseconds. */
+  void recordPrefill(GenerationDemand demand, long durationMs) {
+    promptTokens = DECAY_FACTOR * promptTokens + demand.promptTokens();
+    prefillTimeMs = DECAY_FACTOR * prefillTimeMs + Math.max(0, durationMs);
+  }
 
-  /** Records the duration of a completed run, in milliseconds. */
-  void record(GenerationDemand demand, long durationMs) {
-    tokens = DECAY_FACTOR * tokens + demand.estimatedOutputTokens();
-    decodeTimeMs = DECAY_FACTOR * decodeTimeMs + Math.max(0, durationMs - prefillMs(demand));
+  /** Records the time from the first event of a completed run to its end, in milliseconds. */
+  void recordDecode(GenerationDemand demand, long durationMs) {
+    outputTokens = DECAY_FACTOR * outputTokens + demand.estimatedOutputTokens();
+    decodeTimeMs = DECAY_FACTOR * decodeTimeMs + Math.max(0, durationMs);
   }
 
   /** Estimates the duration of a run, in milliseconds. */
   long estimateMs(GenerationDemand demand) {
-    return prefillMs(demand) + decodeMs(demand.estimatedOutputTokens());
+    return estimatePrefillMs(demand) + estimateDecodeMs(demand);
   }
 
   /** Estimates the duration of a run with the maximum output, in milliseconds. */
   long estimateMaxMs(GenerationDemand demand) {
-    return prefillMs(demand) + decodeMs(demand.maxOutputTokens());
+    return estimatePrefillMs(demand) + decodeMs(demand.maxOutputTokens());
   }
 
-  private long decodeMs(long output) {
-    return Math.round(output * decodeTimeMs / tokens);
+  /** Estimates the time from the first event of a run to its end, in milliseconds. */
+  long estimateDecodeMs(GenerationDemand demand) {
+    return decodeMs(demand.estimatedOutputTokens());
   }
 
-  private static long prefillMs(GenerationDemand demand) {
-    return Math.round(demand.promptTokens() / PREFILL_TOKENS_PER_MS);
+  /** Returns the number of prompt tokens that engines prefill in a millisecond. */
+  double prefillTokensPerMs() {
+    return promptTokens / Math.max(1, prefillTimeMs);
+  }
+
+  private long estimatePrefillMs(GenerationDemand demand) {
+    return Math.round(demand.promptTokens() / prefillTokensPerMs());
+  }
+
+  private long decodeMs(long output) {
+    return Math.round(output * decodeTimeMs / outputTokens);
   }
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
@@ -58,7 +58,7 @@
           "target-removed", "", "", removed.targetId(), "revision=" + removed.revision());
       applyChange(nowMs, targets.remove(nowMs, removed.revision(), removed.targetId()));
     } else if (event instanceof DispatchEvent.TargetLeaves leaves) {
-      targets.markLeaving(leaves.targetId()).ifPresent(target -> handleLeaving(nowMs, target));
+      markLeaving(nowMs, leaves.targetId());
     } else if (event instanceof DispatchEvent.NobodyThere nobody) {
       onNobodyThere(nowMs, nobody.targetId());
     } else if (event instanceof DispatchEvent.StoreSeen seen) {
@@ -86,18 +86,18 @@
   /** Marks a target as leaving if the store is unreachable and cannot report its removal. */
   private void onNobodyThere(long nowMs, String targetId) {
     if (context.targets().isStoreUnreachable()) {
-      context.targets().markLeaving(targetId).ifPresent(target -> handleLeaving(nowMs, target));
+      markLeaving(nowMs, targetId);
     }
   }
 
+  /** Marks a target as leaving and moves its runs, unless it was marked before. */
+  void markLeaving(long nowMs, String targetId) {
+    context.targets().markLeaving(targetId).ifPresent(target -> handleLeaving(nowMs, target));
+  }
+
   /** Marks the targets that another daemon reports as leaving. */
   void onPeerStateTold(DispatchEvent.PeerStateTold event) {
-    for (String targetId : event.leaving()) {
-      context
-          .targets()
-          .markLeaving(targetId)
-          .ifPresent(target -> handleLeaving(event.nowMs(), target));
-    }
+    event.leaving().forEach(targetId -> markLeaving(event.nowMs(), targetId));
   }
 
   /**
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
@@ -401,6 +401,33 @@
     assertThat(used).isEqualTo(!marked);
   }
 
+  @Test
+  void movesOtherRunsAndTellsPeersIfFailedAttemptShowsThatEngineHasLeft() {
+    joinPeer();
+    List<String> runs = Stream.generate(() -> fixture.generate(3_000, 1_000)).limit(8).toList();
+    String failing = runs.get(0);
+    final String engine = fixture.lastSend(failing).target().id();
+    final String sibling =
+        runs.stream()
+            .skip(1)
+            .filter(run -> fixture.lastSend(run).target().id().equals(engine))
+            .findFirst()
+            .orElseThrow();
+    fixture.started(sibling);
+
+    fixture.failed(failing, AttemptFault.WRONG_TARGET, false);
+    fixture.tick(100);
+
+    assertThat(fixture.all(DispatchEffect.DropTarget.class))
+        .extracting(drop -> drop.target().id())
+        .containsExactly(engine);
+    assertThat(fixture.copies(sibling)).isNotEmpty();
+    assertThat(fixture.copies(failing)).isEmpty();
+    assertThat(fixture.lastSend(failing).target().id()).isNotEqualTo(engine);
+    assertThat(fixture.all(DispatchEffect.TellPeer.class))
+        .anyMatch(tell -> tell.leaving().contains(engine));
+  }
+
   @Test
   void sendsStateToLeavingPeers() {
     joinPeer();
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/PrefillPlacementTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/PrefillPlacementTest.java
@@ -16,8 +16,8 @@
 
   private static final long MEMORY = DispatchFixture.TRAITS.memoryTokens();
 
-  private final PlacementStrategy placement = new PrefillPlacement();
-  private final TargetUseTracker targetUse = new TargetUseTracker();
+  private PlacementStrategy placement = new PrefillPlacement(new RunDurationEstimator());
+  private TargetUseTracker targetUse = new TargetUseTracker();
   private int sequence;
 
   @ParameterizedTest
@@ -42,6 +42,31 @@
     assertThat(place(3, longRun())).isFalse();
   }
 
+  @Test
+  void treatsRunAsShortByTheObservedSpeedOfEngines() {
+    RunDurationEstimator fast = new RunDurationEstimator();
+    RunDurationEstimator slow = new RunDurationEstimator();
+    for (int i = 0; i < 50; i++) {
+      fast.recordDecode(longRun(), 936 * 1);
+      slow.recordDecode(shortRun(), 14 * 200);
+    }
+
+    assertThat(admittedOnOneEngine(fast, longRun()))
+        .isGreaterThan(admittedOnOneEngine(new RunDurationEstimator(), longRun()));
+    assertThat(admittedOnOneEngine(slow, shortRun()))
+        .isLessThan(admittedOnOneEngine(new RunDurationEstimator(), shortRun()));
+  }
+
+  private int admittedOnOneEngine(RunDurationEstimator durations, GenerationDemand demand) {
+    targetUse = new TargetUseTracker();
+    placement = new PrefillPlacement(durations);
+    int admitted = 0;
+    while (place(1, demand)) {
+      admitted++;
+    }
+    return admitted;
+  }
+
   @Test
   void admitsOversizedRunOnIdleEngine() {
     GenerationDemand large =
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunDurationEstimatorTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunDurationEstimatorTest.java
@@ -6,6 +6,8 @@
 import java.util.OptionalLong;
 import org.assertj.core.data.Percentage;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class RunDurationEstimatorTest {
 
@@ -13,29 +15,42 @@
 
   private final RunDurationEstimator durations = new RunDurationEstimator();
 
-  @Test
-  void learnsDecodeTimePerToken() {
+  @ParameterizedTest
+  @CsvSource({"0.33", "1", "3"})
+  void learnsSpeedOfEngines(double slowdown) {
     GenerationDemand longRun = demand(2_800, 900);
+    GenerationDemand shortRun = demand(2_100, 12);
     for (int i = 0; i < 100; i++) {
-      durations.record(longRun, 400 + 900 * 12);
+      observe(longRun, 400 * slowdown, 900 * 7 * slowdown);
+      observe(shortRun, 300 * slowdown, 12 * 7 * slowdown);
+      observe(shortRun, 300 * slowdown, 12 * 7 * slowdown);
     }
 
-    assertThat(durations.estimateMs(longRun)).isCloseTo(400 + 900 * 12, CLOSE);
-    assertThat(durations.estimateMaxMs(longRun)).isCloseTo(400 + 1_800 * 12, CLOSE);
+    assertThat(durations.estimateMs(longRun))
+        .isCloseTo(Math.round((400 + 900 * 7) * slowdown), CLOSE);
+    assertThat(durations.estimateMaxMs(longRun))
+        .isCloseTo(Math.round((400 + 1_800 * 7) * slowdown), CLOSE);
+    assertThat(durations.estimateMaxMs(shortRun))
+        .isCloseTo(Math.round((300 + 24 * 7) * slowdown), CLOSE);
+    assertThat(durations.prefillTokensPerMs()).isCloseTo(7 / slowdown, CLOSE);
   }
 
   @Test
-  void excludesPrefillFromDecodeTime() {
-    GenerationDemand longRun = demand(2_800, 900);
-    GenerationDemand shortRun = demand(2_100, 12);
+  void followsEnginesThatTurnSlow() {
+    GenerationDemand run = demand(2_800, 900);
     for (int i = 0; i < 100; i++) {
-      durations.record(longRun, 400 + 900 * 7);
-      durations.record(shortRun, 500);
-      durations.record(shortRun, 500);
+      observe(run, 400, 900 * 7);
     }
+    for (int i = 0; i < 50; i++) {
+      observe(run, 1_200, 900 * 21);
+    }
+
+    assertThat(durations.estimateMs(run)).isCloseTo(1_200 + 900 * 21, CLOSE);
+  }
 
-    assertThat(durations.estimateMs(longRun)).isCloseTo(400 + 900 * 7, CLOSE);
-    assertThat(durations.estimateMaxMs(shortRun)).isLessThan(1_000);
+  private void observe(GenerationDemand demand, double prefillMs, double decodeMs) {
+    durations.recordPrefill(demand, Math.round(prefillMs));
+    durations.recordDecode(demand, Math.round(decodeMs));
   }
 
   private static GenerationDemand demand(long prompt, long output) {
