--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/log/DeferredLoggerContextFactory.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/log/DeferredLoggerContextFactory.java
@@ -27,6 +27,12 @@
     return DeferredLogging.CONTEXT;
   }
 
+  @Override
+  public boolean hasContext(String className, ClassLoader loader, boolean currentContext) {
+    // Without a context, LogManager.shutdown() would not write the lines that are still queued.
+    return true;
+  }
+
   @Override
   public void removeContext(LoggerContext context) {
     // The context lives as long as the process.
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/log/DeferredLoggerContextTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/log/DeferredLoggerContextTest.java
@@ -105,6 +105,16 @@
     assertThat(context.findCore()).contains(core);
   }
 
+  @Test
+  void stopsCoreWhenLoggingIsShutDown() {
+    context.start(() -> core);
+
+    context.terminate();
+
+    assertThat(core.isStopped()).isTrue();
+    assertThat(new DeferredLoggerContextFactory().hasContext("any", null, false)).isTrue();
+  }
+
   private static final class RecordingAppender extends AbstractAppender {
 
     private final List<LogEvent> events = Collections.synchronizedList(new ArrayList<>());
