--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
@@ -1,6 +1,8 @@
 package org.sequoiareach.decision.dispatch;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.route.EngineTraits;
@@ -22,6 +24,7 @@
   private final ActiveCalls calls;
   private final RunDurationRegistry durations;
   private final RunMigrator migrator = new RunMigrator();
+  private final Map<String, String> reservedAt = new HashMap<>();
 
   MigrationHandler(DispatchContext context, ActiveCalls calls, RunDurationRegistry durations) {
     this.durations = durations;
@@ -66,9 +69,54 @@
 
   /** Starts the copies that are due. */
   void startDueCopies(long nowMs) {
-    context
-        .effects()
-        .addAll(migrator.startDueCopies(nowMs, call -> context.candidates(call.service(), nowMs)));
+    releaseReservations();
+    migrator.startDueCopies(
+        nowMs,
+        call -> context.candidates(call.service(), nowMs),
+        copy -> {
+          reserveDestination(copy.callId());
+          context.effects().add(copy);
+        });
+  }
+
+  /**
+   * Counts a copy as use of its destination, so that neither this daemon nor another one, which is
+   * told of the use, plans more runs there than its memory and slots hold.
+   */
+  private void reserveDestination(String callId) {
+    RunMigration migration = migrator.find(callId).orElseThrow();
+    String destinationId = migration.destination().orElseThrow().id();
+    releaseReservation(callId);
+    reservedAt.put(callId, destinationId);
+    long memoryTokens =
+        migration
+            .call()
+            .profile()
+            .generation()
+            .map(GenerationDemand::expectedMemoryTokens)
+            .orElse(0L);
+    context.targetUse().add(reservationOf(callId), destinationId, 0, memoryTokens);
+  }
+
+  /** Releases the reservations of runs that have ended, continue, or have no copy to go to. */
+  private void releaseReservations() {
+    for (String callId : List.copyOf(reservedAt.keySet())) {
+      boolean planned = migrator.find(callId).filter(RunMigration::occupiesDestination).isPresent();
+      if (!planned) {
+        releaseReservation(callId);
+      }
+    }
+  }
+
+  private void releaseReservation(String callId) {
+    String targetId = reservedAt.remove(callId);
+    if (targetId != null) {
+      context.targetUse().remove(reservationOf(callId), targetId);
+    }
+  }
+
+  private static String reservationOf(String callId) {
+    return "copy of " + callId;
   }
 
   /**
@@ -126,6 +174,7 @@
   void onRunCopied(DispatchEvent.RunCopied event) {
     migrator.find(event.callId()).ifPresent(migration -> logCopy(event, migration));
     RunMigrator.CopyFollowUp next = migrator.onCopyEnded(event);
+    releaseReservations();
     next.copy().ifPresent(context.effects()::add);
     next.ready()
         .ifPresent(
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigration.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigration.java
@@ -73,6 +73,11 @@
     return destination;
   }
 
+  /** Returns whether the current destination holds a copy of the run or is receiving one. */
+  boolean occupiesDestination() {
+    return step != Step.CONTINUING && destination.isPresent();
+  }
+
   /** Returns whether a copy to the given engine has failed. */
   boolean hasFailedAt(String targetId) {
     return failedDestinations.contains(targetId);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigrator.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigrator.java
@@ -1,12 +1,12 @@
 package org.sequoiareach.decision.dispatch;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.sequoiareach.model.route.EngineTraits;
 import org.sequoiareach.model.route.RoutedTarget;
@@ -89,10 +89,11 @@
         .map(copy -> new DispatchEffect.ReleaseCopy(migration.source().address(), copy.handle()));
   }
 
-  /** Starts the copies that are due. */
-  List<DispatchEffect.CopyRun> startDueCopies(
-      long nowMs, Function<ActiveCall, List<Candidate>> engines) {
-    List<DispatchEffect.CopyRun> copies = new ArrayList<>();
+  /** Starts the copies that are due. Each is reported before the next destination is chosen. */
+  void startDueCopies(
+      long nowMs,
+      Function<ActiveCall, List<Candidate>> engines,
+      Consumer<DispatchEffect.CopyRun> onStarted) {
     for (RunMigration migration : List.copyOf(migrations.values())) {
       boolean timedOut = nowMs - migration.noticedAtMs() > MIGRATION_TIMEOUT_MS;
       boolean mayCopy = migration.isConcurrent() || !isSourceBusy(migration.source());
@@ -101,10 +102,9 @@
           && migration.latestCopy().isEmpty()) {
         migrations.remove(migration.call().callId());
       } else if (!timedOut && migration.isDue(nowMs) && mayCopy) {
-        startCopy(nowMs, migration, engines).ifPresent(copies::add);
+        startCopy(nowMs, migration, engines).ifPresent(onStarted);
       }
     }
-    return copies;
   }
 
   /**
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMigratorTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMigratorTest.java
@@ -3,17 +3,25 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.sequoiareach.decision.event.PlatformEvent;
 import org.sequoiareach.decision.event.TimeEvent;
+import org.sequoiareach.model.platform.VmEntry;
+import org.sequoiareach.model.platform.VmKind;
 import org.sequoiareach.model.route.RoutedTarget;
 
 /** Tests the migration of generations off leaving engines. */
 class RunMigratorTest {
 
+  /** The prompt of a run and half of its maximum output, which it is expected to have. */
+  private static final long RUN_MEMORY_TOKENS = 3_000 + 1_000;
+
   private final DispatchFixture fixture = DispatchFixture.ready();
 
   @Test
@@ -238,6 +246,65 @@
     assertThat(fixture.copies(call)).isEmpty();
   }
 
+  /** A crowd of copies to one engine fills its memory, and the last ones find no room. */
+  @Test
+  void spreadsRunsOfEngineOverMemoryOfOthers() {
+    List<String> runs = startRunsAtOneEngine(6);
+    RoutedTarget source = fixture.lastSend(runs.get(0)).target();
+    Map<String, Long> memory = new HashMap<>();
+    fixture.all(DispatchEffect.SendCall.class).stream()
+        .filter(send -> !send.target().id().equals(source.id()))
+        .forEach(send -> memory.merge(send.target().address(), RUN_MEMORY_TOKENS, Long::sum));
+
+    markLeaving(runs.get(0));
+    for (int step = 0; step < 40; step++) {
+      for (String run : runs) {
+        if (!fixture.copies(run).isEmpty() && fixture.sends(run).size() == 1) {
+          copied(run, 1, CopyOutcome.COPIED, "h-" + run);
+        }
+      }
+      fixture.tick(50);
+    }
+
+    runs.forEach(
+        run ->
+            memory.merge(
+                fixture.copies(run).get(0).destinationAddress(), RUN_MEMORY_TOKENS, Long::sum));
+    assertThat(memory.values())
+        .allSatisfy(
+            used -> assertThat(used).isLessThanOrEqualTo(DispatchFixture.TRAITS.memoryTokens()));
+  }
+
+  @Test
+  void tellsPeersOfMemoryThatCopiesWillOccupy() {
+    fixture.apply(
+        new PlatformEvent.VmsListed(
+            fixture.nowMs(),
+            fixture.nowMs(),
+            List.of(
+                new VmEntry("10.0.0.2:1", VmKind.DAEMON, "10.0.0.2:1", "z1", false, List.of()))));
+    String run = startRun();
+    markLeaving(run);
+
+    fixture.tick(200);
+
+    String destination = lastCopy(run).destinationAddress();
+    String destinationId =
+        DispatchFixture.targets().stream()
+            .filter(target -> target.address().equals(destination))
+            .findFirst()
+            .orElseThrow()
+            .id();
+    List<DispatchEffect.TellPeer> told = fixture.all(DispatchEffect.TellPeer.class);
+    assertThat(told.get(told.size() - 1).uses().get(destinationId).memoryTokens())
+        .isEqualTo(RUN_MEMORY_TOKENS);
+
+    fixture.apply(new DispatchEvent.CallerLeft(fixture.nowMs(), run));
+    fixture.tick(200);
+    told = fixture.all(DispatchEffect.TellPeer.class);
+    assertThat(told.get(told.size() - 1).uses()).doesNotContainKey(destinationId);
+  }
+
   private String startRun() {
     String call = fixture.generate(3_000, 2_000);
     fixture.started(call);
