--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
@@ -26,6 +26,7 @@
   private boolean started;
   private long lastSentAtMs;
   private long startedAtMs;
+  private long firstEventDelayMs;
 
   ActiveCall(
       String callId,
@@ -51,6 +52,11 @@
     return profile;
   }
 
+  /** Returns the memory that a generation is expected to occupy at its end; 0 for a plain call. */
+  long expectedMemoryTokens() {
+    return profile.generation().map(GenerationDemand::expectedMemoryTokens).orElse(0L);
+  }
+
   Route route() {
     return route;
   }
@@ -121,13 +127,14 @@
   void answerStarted(long nowMs) {
     if (!started) {
       startedAtMs = nowMs;
+      firstEventDelayMs = nowMs - lastSentAtMs;
     }
     started = true;
   }
 
-  /** Returns when the latest attempt was sent, in milliseconds; 0 before the first. */
-  long lastSentAtMs() {
-    return lastSentAtMs;
+  /** Returns the time from sending the first attempt that answered to the start of its answer. */
+  long firstEventDelayMs() {
+    return firstEventDelayMs;
   }
 
   /** Returns when the answer's body started, in milliseconds; the arrival if it has not. */
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCalls.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCalls.java
@@ -71,11 +71,7 @@
         continuation.isPresent() ? 0 : demand.map(GenerationDemand::promptTokens).orElse(0L);
     context
         .targetUse()
-        .add(
-            call.callId(),
-            target.id(),
-            waitingPromptTokens,
-            demand.map(GenerationDemand::expectedMemoryTokens).orElse(0L));
+        .add(call.callId(), target.id(), waitingPromptTokens, call.expectedMemoryTokens());
     context
         .effects()
         .add(
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -113,12 +113,6 @@
     }
     ActiveCall call = found.get();
     RoutedTarget target = call.target().orElseThrow();
-    if (!call.isStarted()) {
-      demandOf(call)
-          .ifPresent(
-              demand ->
-                  durationsOf(call).recordPrefill(demand, event.nowMs() - call.lastSentAtMs()));
-    }
     call.answerStarted(event.nowMs());
     context.targetUse().markPromptRead(call.callId(), target.id());
     migrations.onAnswerStarted(event.nowMs(), call, target);
@@ -132,15 +126,11 @@
               String targetId = ActiveCalls.targetIdOf(call);
               if (event.status() < MIN_SERVER_ERROR_STATUS) {
                 health.onSuccess(event.nowMs(), targetId);
+                recordDuration(event.nowMs(), call);
               } else {
                 health.onFailure(event.nowMs(), targetId);
               }
               calls.logDecision("deliver", call, targetId, "status=" + event.status());
-              demandOf(call)
-                  .ifPresent(
-                      demand ->
-                          durationsOf(call)
-                              .recordDecode(demand, event.nowMs() - call.startedAtMs()));
               calls.end(call);
             });
   }
@@ -280,7 +270,7 @@
 
   /** Describes the target with the least memory in use, for the decision log. */
   private static String describeLeastLoaded(ActiveCall call, List<Candidate> candidates) {
-    long needed = demandOf(call).map(GenerationDemand::expectedMemoryTokens).orElse(0L);
+    long needed = call.expectedMemoryTokens();
     return candidates.stream()
         .map(Candidate::use)
         .min(Comparator.comparingLong(TargetUse::memoryTokens))
@@ -379,6 +369,15 @@
         : "no organisation in the routing sheet has this API key";
   }
 
+  private void recordDuration(long nowMs, ActiveCall call) {
+    demandOf(call)
+        .ifPresent(
+            demand -> {
+              durationsOf(call).recordPrefill(demand, call.firstEventDelayMs());
+              durationsOf(call).recordDecode(demand, nowMs - call.startedAtMs());
+            });
+  }
+
   private RunDurationEstimator durationsOf(ActiveCall call) {
     return durations.getEstimator(call.service());
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
@@ -88,14 +88,9 @@
     String destinationId = migration.destination().orElseThrow().id();
     releaseReservation(callId);
     reservedAt.put(callId, destinationId);
-    long memoryTokens =
-        migration
-            .call()
-            .profile()
-            .generation()
-            .map(GenerationDemand::expectedMemoryTokens)
-            .orElse(0L);
-    context.targetUse().add(reservationOf(callId), destinationId, 0, memoryTokens);
+    context
+        .targetUse()
+        .add(reservationOf(callId), destinationId, 0, migration.call().expectedMemoryTokens());
   }
 
   /** Releases the reservations of runs that have ended, continue, or have no copy to go to. */
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigrator.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigrator.java
@@ -210,13 +210,7 @@
                 other
                     .destination()
                     .ifPresent(to -> copiesByDestination.merge(to.id(), 1, Integer::sum)));
-    long needed =
-        migration
-            .call()
-            .profile()
-            .generation()
-            .map(GenerationDemand::expectedMemoryTokens)
-            .orElse(0L);
+    long needed = migration.call().expectedMemoryTokens();
     Comparator<Candidate> order =
         Comparator.comparing((Candidate candidate) -> !migration.hasCopyAt(candidate.target().id()))
             .thenComparing(candidate -> !fits(candidate, needed))
