--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -57,6 +57,7 @@
   private HttpResponseStatus status = HttpResponseStatus.OK;
   private HttpHeaders headers = new DefaultHttpHeaders();
   private AttemptFault rejection = AttemptFault.REJECTED;
+  private String answeredRequestId = "";
   private long retryAfterMs;
   private boolean done;
   private boolean startReported;
@@ -130,6 +131,7 @@
     headers.remove(HttpHeaderNames.CONTENT_LENGTH);
     connection.ifPresent(conn -> conn.setReusableUntil(head.idleUntilMs().orElse(nowMs)));
     retryAfterMs = head.retryAfterMs();
+    answeredRequestId = head.requestId().orElse("missing");
     if (head.rejected() || head.otherTarget()) {
       rejection = head.otherTarget() ? AttemptFault.WRONG_TARGET : AttemptFault.REJECTED;
       mode = Mode.REJECTED;
@@ -188,10 +190,10 @@
           fail(
               rejection,
               retryAfterMs,
-              "target " + sendCall.target().id() + " answered with HTTP status " + status.code());
+              "target " + sendCall.target().id() + " answered with " + describeOrigin());
       case SERVER_ERROR -> {
         exchange.holdResponse(new HeldErrorResponse(status, headers, buffered.retain()));
-        fail(AttemptFault.SERVER_ERROR, 0, "HTTP status " + status.code());
+        fail(AttemptFault.SERVER_ERROR, 0, describeOrigin());
       }
       case EVENT_STREAM -> {
         forwardRemainder();
@@ -224,6 +226,16 @@
     exchange.onFailed(this, fault, retryDelayMs, detail);
   }
 
+  /** Describes what the response says of itself and how often its connection was used. */
+  private String describeOrigin() {
+    return "HTTP status "
+        + status.code()
+        + " answeredRequest="
+        + answeredRequestId
+        + " connectionRequests="
+        + connection.map(TargetConnection::sentRequests).orElse(0);
+  }
+
   private void completeDelivered() {
     finish();
     exchange.onDelivered(this);
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -276,6 +276,10 @@
 
   void onFailed(
       AttemptResponseHandler attempt, AttemptFault fault, long retryAfterMs, String detail) {
+    context
+        .metrics()
+        .meter("attempts.failed." + fault.name().toLowerCase(Locale.ROOT).replace('_', '-'))
+        .mark();
     post(
         new DispatchEvent.AttemptFailed(
             MonotonicClock.nowMs(),
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
@@ -33,6 +33,7 @@
   private boolean reusable;
   private boolean discarding;
   private long reusableUntilMs;
+  private int sentRequests;
 
   TargetConnection(TargetConnectionPool pool) {
     this.pool = pool;
@@ -54,10 +55,20 @@
     listener = Optional.of(responseListener);
     reusable = false;
     discarding = false;
+    sentRequests++;
     channel.write(request);
     written = Optional.of(channel.writeAndFlush(new DefaultLastHttpContent(body)));
   }
 
+  /**
+   * Returns the number of requests sent on this connection.
+   *
+   * @return the number, including the request in progress
+   */
+  public int sentRequests() {
+    return sentRequests;
+  }
+
   /** Returns the connection to its pool without having sent a request. */
   public void releaseUnused() {
     if (channel.isActive()) {
