Take a rejection only for the request that it names

Cause: the gateway looked at the rejection (the header of a target that did not execute the request, or status 421) before it compared the request id that the answer echoes, and the connection stayed in use, so one answer too many on a connection made each later request take the rejection of the one before.

Now AnswerAssessment alone turns the head of an answer into a fault, and compares the id first: an answer that names another request or none proves nothing and ends the attempt as may-have-run, on a connection that is given up. An answer without an id counts as such too, since targets echo it.

AnswerAssessmentTest holds the table.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -56,7 +56,7 @@
   private Mode mode = Mode.AWAITING_HEAD;
   private HttpResponseStatus status = HttpResponseStatus.OK;
   private HttpHeaders headers = new DefaultHttpHeaders();
-  private AttemptFault rejection = AttemptFault.REJECTED;
+  private AnswerAssessment assessment = AnswerAssessment.OWN_ANSWER;
   private String answeredRequestId = "";
   private long retryAfterMs;
   private boolean done;
@@ -132,19 +132,18 @@
     connection.ifPresent(conn -> conn.setReusableUntil(head.idleUntilMs().orElse(nowMs)));
     retryAfterMs = head.retryAfterMs();
     answeredRequestId = head.requestId().orElse("missing");
-    if (head.rejected() || head.otherTarget()) {
-      rejection = head.otherTarget() ? AttemptFault.WRONG_TARGET : AttemptFault.REJECTED;
+    assessment = AnswerAssessment.of(head, exchange.requestId());
+    if (assessment.isRejection()) {
       mode = Mode.REJECTED;
       return;
     }
-    boolean sameRequest = head.requestId().filter(exchange.requestId()::equals).isPresent();
-    if (!sameRequest || head.encoded()) {
-      String why =
-          sameRequest
-              ? "its body is encoded"
-              : "its request id is " + head.requestId().orElse("missing");
+    if (assessment.fault().isPresent()) {
       abortWithFault(
-          AttemptFault.BROKEN_ANSWER, "the response does not come from the target itself: " + why);
+          assessment.fault().get(),
+          "the response is not the target's own answer to this request: "
+              + assessment
+              + " "
+              + describeOrigin());
       return;
     }
     selectMode(head);
@@ -188,7 +187,7 @@
     switch (mode) {
       case REJECTED ->
           fail(
-              rejection,
+              assessment.fault().orElseThrow(),
               retryAfterMs,
               "target " + sendCall.target().id() + " answered with " + describeOrigin());
       case SERVER_ERROR -> {
--- /dev/null
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/AnswerAssessmentTest.java
@@ -0,0 +1,52 @@
+package org.sequoiareach.daemon.exchange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiareach.daemon.dialect.AnswerHead;
+import org.sequoiareach.decision.dispatch.AttemptFault;
+
+class AnswerAssessmentTest {
+
+  private static final String REQUEST = "r-1";
+
+  @ParameterizedTest
+  @CsvSource({
+    "r-1, true, false, false, REJECTED",
+    "r-1, true, false, true, REJECTED",
+    "r-1, false, true, false, WRONG_TARGET",
+    "r-1, true, true, false, WRONG_TARGET",
+    "r-1, false, false, true, ENCODED",
+    "r-1, false, false, false, OWN_ANSWER",
+    "r-2, true, false, false, UNATTRIBUTED",
+    "r-2, false, true, false, UNATTRIBUTED",
+    "r-2, false, false, false, UNATTRIBUTED",
+    ", true, false, false, UNATTRIBUTED",
+    ", false, true, false, UNATTRIBUTED",
+    ", false, false, false, UNATTRIBUTED",
+  })
+  void provesNotRunOnlyForRequestThatAnswerNames(
+      String named,
+      boolean rejected,
+      boolean otherTarget,
+      boolean encoded,
+      AnswerAssessment expected) {
+    AnswerHead head =
+        new AnswerHead(
+            Optional.ofNullable(named), rejected, otherTarget, encoded, false, 0, Optional.empty());
+
+    AnswerAssessment assessment = AnswerAssessment.of(head, REQUEST);
+
+    assertThat(assessment).isEqualTo(expected);
+    boolean notRun = assessment.fault().filter(fault -> !fault.mayHaveRun()).isPresent();
+    assertThat(notRun && !REQUEST.equals(named)).isFalse();
+  }
+
+  @ParameterizedTest
+  @CsvSource({"UNATTRIBUTED, true", "ENCODED, true", "REJECTED, false", "WRONG_TARGET, false"})
+  void impliesFaultOfSameStrength(AnswerAssessment assessment, boolean mayHaveRun) {
+    assertThat(assessment.fault().map(AttemptFault::mayHaveRun)).contains(mayHaveRun);
+  }
+}
