Forward a status that means not-run only if its target stated that it ran nothing

Cause: the gateway forwarded every status of a target as it was, also where the target did not state that it had executed nothing.

Such an answer is now a fault of its own, UNCONFIRMED_REJECTION: the request may have run, so it is repeated only if its route allows that, and its caller gets 502 and the verdict may-have-run without the target's stamp. It holds for all kinds of request, for held server errors and for resumed streams, as all pass AnswerAssessment. Which statuses callers read so is knowledge of the platform's dialect.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/AnswerHead.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/AnswerHead.java
@@ -8,6 +8,7 @@
  * @param requestId the request that it answers; empty if not stated
  * @param rejected whether the target rejected the request without running it
  * @param otherTarget whether a target other than the addressed one answered
+ * @param impliesNotRun whether callers take its status to mean that the request has not run
  * @param encoded whether the body has a content encoding, so is not as the target produced it
  * @param stream whether the body is a stream of events
  * @param retryAfterMs the delay after which the target may accept the request, in milliseconds; 0
@@ -19,6 +20,7 @@
     Optional<String> requestId,
     boolean rejected,
     boolean otherTarget,
+    boolean impliesNotRun,
     boolean encoded,
     boolean stream,
     long retryAfterMs,
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AnswerAssessment.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AnswerAssessment.java
@@ -17,6 +17,8 @@
   REJECTED(AttemptFault.REJECTED),
   /** A target other than the addressed one answered, without running the request. */
   WRONG_TARGET(AttemptFault.WRONG_TARGET),
+  /** The status implies that the request has not run, but the target does not state so. */
+  UNCONFIRMED_REJECTION(AttemptFault.UNCONFIRMED_REJECTION),
   /** The body has a content encoding, so it is not as the target produced it. */
   ENCODED(AttemptFault.BROKEN_ANSWER),
   /** The target's own answer to the request. */
@@ -39,6 +41,9 @@
     if (head.rejected()) {
       return REJECTED;
     }
+    if (head.impliesNotRun()) {
+      return UNCONFIRMED_REJECTION;
+    }
     return head.encoded() ? ENCODED : OWN_ANSWER;
   }
 
@@ -47,8 +52,8 @@
     return fault;
   }
 
-  /** Returns whether the answer is complete in itself, so that its connection remains usable. */
-  boolean isRejection() {
-    return this == REJECTED || this == WRONG_TARGET;
+  /** Returns whether the answer is read to its end but not forwarded. */
+  boolean isDiscarded() {
+    return this == REJECTED || this == WRONG_TARGET || this == UNCONFIRMED_REJECTION;
   }
 }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -41,8 +41,8 @@
     BUFFERED,
     /** A body that exceeded the buffer and is forwarded as it arrives. */
     PASS_THROUGH,
-    /** The target did not run the request; the body is discarded. */
-    REJECTED,
+    /** The answer is not forwarded; its body is discarded so that the connection can be reused. */
+    DISCARDED,
     /** A server error that is held while another target may be tried. */
     SERVER_ERROR
   }
@@ -133,8 +133,8 @@
     retryAfterMs = head.retryAfterMs();
     answeredRequestId = head.requestId().orElse("missing");
     assessment = AnswerAssessment.of(head, exchange.requestId());
-    if (assessment.isRejection()) {
-      mode = Mode.REJECTED;
+    if (assessment.isDiscarded()) {
+      mode = Mode.DISCARDED;
       return;
     }
     if (assessment.fault().isPresent()) {
@@ -185,7 +185,7 @@
       return;
     }
     switch (mode) {
-      case REJECTED ->
+      case DISCARDED ->
           fail(
               assessment.fault().orElseThrow(),
               retryAfterMs,
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/AnswerAssessmentTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/AnswerAssessmentTest.java
@@ -14,28 +14,40 @@
 
   @ParameterizedTest
   @CsvSource({
-    "r-1, true, false, false, REJECTED",
-    "r-1, true, false, true, REJECTED",
-    "r-1, false, true, false, WRONG_TARGET",
-    "r-1, true, true, false, WRONG_TARGET",
-    "r-1, false, false, true, ENCODED",
-    "r-1, false, false, false, OWN_ANSWER",
-    "r-2, true, false, false, UNATTRIBUTED",
-    "r-2, false, true, false, UNATTRIBUTED",
-    "r-2, false, false, false, UNATTRIBUTED",
-    ", true, false, false, UNATTRIBUTED",
-    ", false, true, false, UNATTRIBUTED",
-    ", false, false, false, UNATTRIBUTED",
+    "r-1, true, false, true, false, REJECTED",
+    "r-1, true, false, true, true, REJECTED",
+    "r-1, true, false, false, false, REJECTED",
+    "r-1, false, true, true, false, WRONG_TARGET",
+    "r-1, true, true, true, false, WRONG_TARGET",
+    "r-1, false, false, true, false, UNCONFIRMED_REJECTION",
+    "r-1, false, false, true, true, UNCONFIRMED_REJECTION",
+    "r-1, false, false, false, true, ENCODED",
+    "r-1, false, false, false, false, OWN_ANSWER",
+    "r-2, true, false, true, false, UNATTRIBUTED",
+    "r-2, false, true, true, false, UNATTRIBUTED",
+    "r-2, false, false, true, false, UNATTRIBUTED",
+    "r-2, false, false, false, false, UNATTRIBUTED",
+    ", true, false, true, false, UNATTRIBUTED",
+    ", false, true, true, false, UNATTRIBUTED",
+    ", false, false, false, false, UNATTRIBUTED",
   })
   void provesNotRunOnlyForRequestThatAnswerNames(
       String named,
       boolean rejected,
       boolean otherTarget,
+      boolean impliesNotRun,
       boolean encoded,
       AnswerAssessment expected) {
     AnswerHead head =
         new AnswerHead(
-            Optional.ofNullable(named), rejected, otherTarget, encoded, false, 0, Optional.empty());
+            Optional.ofNullable(named),
+            rejected,
+            otherTarget,
+            impliesNotRun,
+            encoded,
+            false,
+            0,
+            Optional.empty());
 
     AnswerAssessment assessment = AnswerAssessment.of(head, REQUEST);
 
@@ -45,7 +57,13 @@
   }
 
   @ParameterizedTest
-  @CsvSource({"UNATTRIBUTED, true", "ENCODED, true", "REJECTED, false", "WRONG_TARGET, false"})
+  @CsvSource({
+    "UNATTRIBUTED, true",
+    "ENCODED, true",
+    "UNCONFIRMED_REJECTION, true",
+    "REJECTED, false",
+    "WRONG_TARGET, false"
+  })
   void impliesFaultOfSameStrength(AnswerAssessment assessment, boolean mayHaveRun) {
     assertThat(assessment.fault().map(AttemptFault::mayHaveRun)).contains(mayHaveRun);
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/AttemptFault.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/AttemptFault.java
@@ -14,6 +14,8 @@
   OUTDATED(false, false),
   /** The connection was lost, so the request may have run. */
   LOST(true, true),
+  /** The target answered with a status of rejections without stating that it ran nothing. */
+  UNCONFIRMED_REJECTION(true, true),
   /** The target answered with an error of its own, which is held for delivery to the caller. */
   SERVER_ERROR(true, true),
   /** The answer was incomplete or belongs to another request. */
