Cut an answer that has started rather than write a refusal into it

Callers would see the head of a second response inside an event stream. Cause: the reducer learns by an event that an answer has started; if a deadline passes before it has read that event, it refuses the call, and the exchange wrote status and body of the refusal behind the events already sent. The state of the response is known where it is written, so the exchange now cuts it and logs that.

Evidence: ProxyExchangeTest.doesNotWriteSecondResponseHeadWhenRefusedAfterAnswerStarted got a head with 200, an event, then a head with 504; now the event is followed by the cut.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -18,6 +18,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.sequoiareach.daemon.dialect.AttemptMetadata;
 import org.sequoiareach.daemon.front.ResponseWriter;
 import org.sequoiareach.daemon.upstream.TargetConnection;
@@ -38,6 +40,8 @@
  */
 final class ProxyExchange {
 
+  private static final Logger LOGGER = LogManager.getLogger(ProxyExchange.class);
+
   /** Time for a stopped engine to end its response before another engine resumes the run. */
   private static final long SOURCE_END_TIMEOUT_MS = 40;
 
@@ -311,10 +315,22 @@
     end();
   }
 
+  /**
+   * Refuses the request. A response that has started meanwhile is cut, because its status can no
+   * longer be changed.
+   */
   void refuse(Verdict verdict, Reason reason, String message, long retryAfterMs) {
     if (ended) {
       return;
     }
+    if (headSent) {
+      LOGGER.info(
+          "Cutting the response to request {}, which started before it was refused: {}",
+          profile.requestId(),
+          message);
+      abort();
+      return;
+    }
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(HttpHeaderNames.CONTENT_TYPE, "application/problem+json");
     headers.set("Sequoiareach-Verdict", verdict.label());
--- /dev/null
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
@@ -0,0 +1,194 @@
+package org.sequoiareach.daemon.exchange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sequoiareach.daemon.dialect.AnswerHead;
+import org.sequoiareach.daemon.dialect.AttemptMetadata;
+import org.sequoiareach.daemon.dialect.CallDialect;
+import org.sequoiareach.daemon.front.ResponseWriter;
+import org.sequoiareach.daemon.upstream.TargetConnectionManager;
+import org.sequoiareach.decision.dispatch.CallProfile;
+import org.sequoiareach.decision.dispatch.DispatchEffect;
+import org.sequoiareach.model.request.Reason;
+import org.sequoiareach.model.request.Verdict;
+import org.sequoiareach.model.route.RouteKind;
+import org.sequoiareach.model.route.RoutedTarget;
+import org.sequoiareach.store.time.MonotonicClock;
+import reactor.netty.resources.LoopResources;
+
+/** Tests what a caller receives when decisions arrive later than the state of its answer. */
+class ProxyExchangeTest {
+
+  private static final long TIMEOUT_MS = 5_000;
+
+  private final LoopResources resources = LoopResources.create("test", 1, true);
+  private final EventLoop loop = resources.onServer(false).next();
+  private final RecordingWriter response = new RecordingWriter();
+  private ServerSocket target;
+  private ProxyExchange exchange;
+
+  @BeforeEach
+  void start() throws Exception {
+    target = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+    target.setSoTimeout((int) TIMEOUT_MS);
+    ProxyExchangeContext context =
+        new ProxyExchangeContext(
+            new PlainDialect(),
+            new TargetConnectionManager(loop, resources),
+            event -> {},
+            new MetricRegistry(),
+            loop,
+            new SuspensionDetector());
+    long nowMs = MonotonicClock.nowMs();
+    CallProfile profile =
+        new CallProfile(
+            "r-1",
+            "mill.example",
+            "/booking/1",
+            Optional.empty(),
+            nowMs,
+            nowMs + TIMEOUT_MS,
+            Optional.empty());
+    HttpRequest request =
+        new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/booking/1");
+    exchange =
+        new ProxyExchange(
+            context, "r-1#1", profile, request, Unpooled.buffer(), response, () -> {});
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    target.close();
+    resources.dispose();
+  }
+
+  @Test
+  void reportsNotRunBeforeRequestIsSent() throws Exception {
+    onLoop(() -> exchange.refuse(Verdict.NOT_RUN, Reason.NO_CAPACITY, "no capacity", 300));
+
+    assertThat(response.events)
+        .containsExactly("head 503 verdict=not-run retry=true", "content", "finish");
+  }
+
+  @Test
+  void doesNotWriteSecondResponseHeadWhenRefusedAfterAnswerStarted() throws Exception {
+    onLoop(
+        () -> {
+          AttemptResponseHandler attempt =
+              new AttemptResponseHandler(exchange, sendCall(RouteKind.STREAMING), 0);
+          ByteBuf event = Unpooled.copiedBuffer("id: 1\n\n", StandardCharsets.UTF_8);
+          exchange.forwardEvent(attempt, OptionalLong.of(1), event);
+          exchange.refuse(Verdict.MAY_HAVE_RUN, Reason.DEADLINE, "too late", 0);
+        });
+
+    assertThat(response.events).containsExactly("head 200 verdict=null", "content", "abort");
+  }
+
+  private DispatchEffect.SendCall sendCall(RouteKind kind) {
+    long nowMs = MonotonicClock.nowMs();
+    RoutedTarget at =
+        new RoutedTarget("i-1", 1, "desk", "127.0.0.1:" + target.getLocalPort(), "z1", 1, false);
+    return new DispatchEffect.SendCall(
+        "r-1#1",
+        1,
+        at,
+        kind,
+        Optional.empty(),
+        0,
+        1,
+        nowMs + TIMEOUT_MS,
+        nowMs + TIMEOUT_MS,
+        Optional.empty());
+  }
+
+  private void onLoop(Runnable action) throws Exception {
+    loop.submit(action).get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Records the calls as text. */
+  private static final class RecordingWriter implements ResponseWriter {
+
+    private final List<String> events = new CopyOnWriteArrayList<>();
+
+    @Override
+    public boolean isOpen() {
+      return true;
+    }
+
+    @Override
+    public void sendHead(HttpResponseStatus status, HttpHeaders headers, OptionalLong length) {
+      String verdict = headers.get("Sequoiareach-Verdict");
+      String retry = verdict == null ? "" : " retry=" + headers.contains("Retry-After");
+      events.add("head " + status.code() + " verdict=" + verdict + retry);
+    }
+
+    @Override
+    public void sendContent(ByteBuf part) {
+      events.add("content");
+      part.release();
+    }
+
+    @Override
+    public void finish() {
+      events.add("finish");
+    }
+
+    @Override
+    public void abort() {
+      events.add("abort");
+    }
+
+    @Override
+    public void onWritabilityChanged(Consumer<Boolean> listener) {}
+  }
+
+  /** Adds no headers to attempts. */
+  private static final class PlainDialect implements CallDialect {
+
+    @Override
+    public CallProfile readRequest(HttpRequest request, long nowMs) {
+      throw new UnsupportedOperationException("requests are not read in this test");
+    }
+
+    @Override
+    public OptionalLong findLastEventId(HttpHeaders headers) {
+      return OptionalLong.empty();
+    }
+
+    @Override
+    public void setAttemptHeaders(HttpHeaders headers, AttemptMetadata attempt) {}
+
+    @Override
+    public AnswerHead readAnswer(HttpResponse answer, long nowMs) {
+      throw new UnsupportedOperationException("answers are not read in this test");
+    }
+
+    @Override
+    public void setRetryAfter(HttpHeaders headers, long delayMs) {
+      headers.set("Retry-After", delayMs);
+    }
+  }
+}
