Check decisions against what an exchange has sent before they reach callers or targets

The class of the fault: the promise that a request has not run is made far from where it can be known. The reducer combines outcomes that reach it as events, and any of them may be wrong or late.

Evidence: ProxyExchangeTest.doesNotReportNotRunWhileRequestIsAtTarget got 503 not-run before, and doesNotSendRequestAgainWhileItIsAtTarget sent the request again; both failed before (2 of 4 tests) and pass.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AnswerAssessment.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AnswerAssessment.java
@@ -52,8 +52,13 @@
     return fault;
   }
 
+  /** Returns whether the answer proves that its target has not run the request. */
+  boolean provesNotRun() {
+    return this == REJECTED || this == WRONG_TARGET;
+  }
+
   /** Returns whether the answer is read to its end but not forwarded. */
   boolean isDiscarded() {
-    return this == REJECTED || this == WRONG_TARGET || this == UNCONFIRMED_REJECTION;
+    return provesNotRun() || this == UNCONFIRMED_REJECTION;
   }
 }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -185,11 +185,15 @@
       return;
     }
     switch (mode) {
-      case DISCARDED ->
-          fail(
-              assessment.fault().orElseThrow(),
-              retryAfterMs,
-              "target " + sendCall.target().id() + " answered with " + describeOrigin());
+      case DISCARDED -> {
+        if (assessment.provesNotRun()) {
+          exchange.onProvenNotRun();
+        }
+        fail(
+            assessment.fault().orElseThrow(),
+            retryAfterMs,
+            "target " + sendCall.target().id() + " answered with " + describeOrigin());
+      }
       case SERVER_ERROR -> {
         exchange.holdResponse(new HeldErrorResponse(status, headers, buffered.retain()));
         fail(AttemptFault.SERVER_ERROR, 0, describeOrigin());
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -61,6 +61,9 @@
   private long lastEventMs;
   private boolean ended;
 
+  /** Attempts whose request was handed to a connection, except those that provably did not run. */
+  private int unprovenAttempts;
+
   ProxyExchange(
       ProxyExchangeContext context,
       String callId,
@@ -141,7 +144,12 @@
           "not sent: the daemon was paused or the deadline for sending has passed");
       return;
     }
-    if (headSent && sendCall.continuation().isEmpty() && !allEventsNumbered) {
+    boolean newRun = sendCall.continuation().isEmpty();
+    if (newRun && unprovenAttempts > 0 && !sendCall.kind().isRepeatable()) {
+      next.fail(AttemptFault.LOST, 0, "not sent: an earlier attempt of the request may have run");
+      return;
+    }
+    if (headSent && newRun && !allEventsNumbered) {
       next.fail(
           AttemptFault.OUTDATED, 0, "not sent: an event without an id cannot be resumed after");
       return;
@@ -193,6 +201,7 @@
     HttpRequest head =
         new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(), headers);
     attempt.onSent(connection);
+    unprovenAttempts++;
     connection.send(head, body.retainedDuplicate(), attempt);
   }
 
@@ -278,6 +287,11 @@
     end();
   }
 
+  /** Records that the target of an attempt stated that it did not run the request. */
+  void onProvenNotRun() {
+    unprovenAttempts--;
+  }
+
   void onFailed(
       AttemptResponseHandler attempt, AttemptFault fault, long retryAfterMs, String detail) {
     context
@@ -331,17 +345,18 @@
       abort();
       return;
     }
+    Verdict proven = weakenToProven(verdict);
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(HttpHeaderNames.CONTENT_TYPE, "application/problem+json");
-    headers.set("Sequoiareach-Verdict", verdict.label());
-    if (retryAfterMs > 0) {
+    headers.set("Sequoiareach-Verdict", proven.label());
+    if (retryAfterMs > 0 && proven == verdict) {
       context.dialect().setRetryAfter(headers, retryAfterMs);
     }
     ByteBuf problem =
         Unpooled.copiedBuffer(
-            ProblemDetails.toJson(reason, verdict, message), StandardCharsets.UTF_8);
+            ProblemDetails.toJson(reason, proven, message), StandardCharsets.UTF_8);
     response.sendHead(
-        HttpResponseStatus.valueOf(ProblemDetails.statusOf(reason, verdict)),
+        HttpResponseStatus.valueOf(ProblemDetails.statusOf(reason, proven)),
         headers,
         OptionalLong.of(problem.readableBytes()));
     response.sendContent(problem);
@@ -350,6 +365,22 @@
     end();
   }
 
+  /**
+   * Weakens the verdict of a decision to what this exchange knows of the requests that it sent. The
+   * decision may have been made on older knowledge.
+   */
+  private Verdict weakenToProven(Verdict decided) {
+    if (decided != Verdict.NOT_RUN || unprovenAttempts == 0) {
+      return decided;
+    }
+    context.metrics().meter("verdict.weakened").mark();
+    LOGGER.warn(
+        "Request {} was refused as not run, but {} of its attempts may have run",
+        profile.requestId(),
+        unprovenAttempts);
+    return Verdict.MAY_HAVE_RUN;
+  }
+
   void abort() {
     if (ended) {
       return;
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
@@ -32,6 +33,8 @@
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
 import org.sequoiareach.decision.dispatch.CallProfile;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
+import org.sequoiareach.decision.dispatch.DispatchEvent;
+import org.sequoiareach.decision.event.Event;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.route.RouteKind;
@@ -46,6 +49,7 @@
 
   private final LoopResources resources = LoopResources.create("test", 1, true);
   private final EventLoop loop = resources.onServer(false).next();
+  private final List<Event> posted = new CopyOnWriteArrayList<>();
   private final RecordingWriter response = new RecordingWriter();
   private ServerSocket target;
   private ProxyExchange exchange;
@@ -58,7 +62,7 @@
         new ProxyExchangeContext(
             new PlainDialect(),
             new TargetConnectionManager(loop, resources),
-            event -> {},
+            posted::add,
             new MetricRegistry(),
             loop,
             new SuspensionDetector());
@@ -85,6 +89,34 @@
     resources.dispose();
   }
 
+  @Test
+  void doesNotReportNotRunWhileRequestIsAtTarget() throws Exception {
+    onLoop(() -> exchange.send(sendCall(RouteKind.NON_IDEMPOTENT)));
+    try (Socket accepted = target.accept()) {
+      assertThat(accepted.getInputStream().read()).isPositive();
+
+      onLoop(() -> exchange.refuse(Verdict.NOT_RUN, Reason.NO_CAPACITY, "no capacity", 300));
+    }
+
+    assertThat(response.events)
+        .containsExactly("head 502 verdict=may-have-run retry=false", "content", "finish");
+  }
+
+  @Test
+  void doesNotSendRequestAgainWhileItIsAtTarget() throws Exception {
+    onLoop(() -> exchange.send(sendCall(RouteKind.NON_IDEMPOTENT)));
+    try (Socket accepted = target.accept()) {
+      assertThat(accepted.getInputStream().read()).isPositive();
+
+      onLoop(() -> exchange.send(sendCall(RouteKind.NON_IDEMPOTENT)));
+
+      assertThat(posted).hasSize(1);
+      DispatchEvent.AttemptFailed failed = (DispatchEvent.AttemptFailed) posted.get(0);
+      assertThat(failed.fault().mayHaveRun()).isTrue();
+      assertThat(failed.detail()).startsWith("not sent");
+    }
+  }
+
   @Test
   void reportsNotRunBeforeRequestIsSent() throws Exception {
     onLoop(() -> exchange.refuse(Verdict.NOT_RUN, Reason.NO_CAPACITY, "no capacity", 300));
