Keep in a call's verdict that a replaced attempt may have run

Callers of a stream that moves off a leaving engine could see 503, or have it run anew, although its first run had begun. Only streams are concerned: plain calls are never moved.

Cause: when the final copy of a run is complete, the continuation replaces the attempt at the source. ActiveCall.attemptSent overwrote the target without recording that the replaced attempt may have run; its late failure is dropped, since its number is no longer current. If no event had been received and the continuation was then rejected or not sent, the verdict was still not-run, so that the call was placed anew or refused with 503. The same holds for a source that rejects a run of which it has made a copy. A moved run was not counted towards the route's maximum number of targets either.

A call now keeps the set of targets that may have run it, and its verdict follows from that set. The set only grows: by an attempt that fails without proof that it did not run, by an attempt that is replaced, and by the source of each continuation. A target counts once, also if the run returns to it.

Wanted change of another kind: a resumable stream that was moved and then lost at its destination has used two targets, so a route with a maximum of two does not resume it at a third one. A stream that was continued after a failure of its source was counted so before.

Ruled out: recording the late failure of the replaced attempt, which comes after the decision or never.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
@@ -18,11 +18,10 @@
   private final int priority;
   private final long deadlineMs;
   private final Set<String> triedTargets = new HashSet<>();
+  private final Set<String> possibleRunTargets = new HashSet<>();
   private Optional<RoutedTarget> target = Optional.empty();
-  private Verdict verdict = Verdict.NOT_RUN;
   private int attempt;
   private int reachedAttempts;
-  private int possibleRuns;
   private boolean started;
   private long lastSentAtMs;
   private long startedAtMs;
@@ -96,9 +95,9 @@
     return started;
   }
 
-  /** Returns whether any attempt so far may have run. */
+  /** Returns whether any attempt so far may have run, apart from the one in progress. */
   Verdict verdict() {
-    return verdict;
+    return possibleRunTargets.isEmpty() ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
   }
 
   /** Returns the number of attempts that reached, or may have reached, their target. */
@@ -106,16 +105,18 @@
     return reachedAttempts;
   }
 
-  /** Returns the number of failed attempts that the target may have executed. */
+  /** Returns the number of targets that may have run the call, before the attempt in progress. */
   int possibleRuns() {
-    return possibleRuns;
+    return possibleRunTargets.size();
   }
 
   boolean wasTried(String targetId) {
     return triedTargets.contains(targetId);
   }
 
+  /** Records that an attempt was sent. A previous one that has not failed may have run. */
   void attemptSent(long nowMs, RoutedTarget to) {
+    target.ifPresent(replaced -> recordPossibleRun(replaced.id()));
     lastSentAtMs = nowMs;
     attempt++;
     reachedAttempts++;
@@ -143,18 +144,22 @@
   }
 
   void attemptFailed(AttemptFault fault) {
-    target = Optional.empty();
     if (!fault.reachedTarget()) {
       reachedAttempts--;
     }
     if (fault.mayHaveRun()) {
-      verdict = verdict.and(Verdict.MAY_HAVE_RUN);
-      possibleRuns++;
+      target.ifPresent(failed -> recordPossibleRun(failed.id()));
     }
+    target = Optional.empty();
+  }
+
+  /** Records that a target may have run the call; nothing that follows can disprove it. */
+  void recordPossibleRun(String targetId) {
+    possibleRunTargets.add(targetId);
   }
 
   /** Returns the verdict for ending the call now: an attempt in progress may have run. */
   Verdict verdictIfEnded() {
-    return target.isPresent() ? verdict.and(Verdict.MAY_HAVE_RUN) : verdict;
+    return target.isPresent() ? Verdict.MAY_HAVE_RUN : verdict();
   }
 }
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFixture.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFixture.java
@@ -163,6 +163,11 @@
         .toList();
   }
 
+  /** Returns the attempts of a call that do not continue an earlier one. */
+  List<DispatchEffect.SendCall> newRuns(String callId) {
+    return sends(callId).stream().filter(send -> send.continuation().isEmpty()).toList();
+  }
+
   DispatchEffect.SendCall lastSend(String callId) {
     List<DispatchEffect.SendCall> sends = sends(callId);
     return sends.get(sends.size() - 1);
@@ -184,6 +189,24 @@
         .toList();
   }
 
+  DispatchEffect.CopyRun lastCopy(String callId) {
+    List<DispatchEffect.CopyRun> copies = copies(callId);
+    return copies.get(copies.size() - 1);
+  }
+
+  /** Ends the last copy of a call some time after now. */
+  void copied(String callId, long tookMs, CopyOutcome outcome, String handle) {
+    advance(tookMs);
+    apply(new DispatchEvent.RunCopied(nowMs, callId, lastCopy(callId).round(), outcome, handle));
+  }
+
+  /** Marks the target of a call as leaving and returns it. */
+  RoutedTarget markLeaving(String callId) {
+    RoutedTarget target = lastSend(callId).target();
+    apply(new DispatchEvent.TargetChanged(nowMs, 11, target.asLeaving()));
+    return target;
+  }
+
   <T extends Effect> List<T> all(Class<T> type) {
     return effects.stream().filter(type::isInstance).map(type::cast).toList();
   }
--- /dev/null
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
@@ -0,0 +1,81 @@
+package org.sequoiareach.decision.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.sequoiareach.model.request.Verdict;
+
+/** Tests what is reported of generations, and whether they are run anew, around a migration. */
+class MigrationVerdictTest {
+
+  private final DispatchFixture fixture = DispatchFixture.ready();
+
+  /** A continuation that never ran says nothing of the run that it replaced. */
+  @ParameterizedTest
+  @EnumSource(
+      value = AttemptFault.class,
+      names = {"NOT_SENT", "NOBODY_THERE", "REJECTED", "WRONG_TARGET", "OUTDATED"})
+  void neitherRepeatsMovedRunNorRefusesItAsNotRunWhenContinuationFails(AttemptFault fault) {
+    String call = moveRun("draft");
+    fixture.failed(call, fault, false);
+    fixture.failed(call, fault, false);
+
+    assertRefusedAfterOneRun(call);
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = AttemptFault.class,
+      names = {"REJECTED", "LOST"})
+  void neitherRepeatsMovedRunNorRefusesItAsNotRunWhenSourceFailsLate(AttemptFault fault) {
+    String call = moveRun("draft");
+    fixture.failed(call, AttemptFault.REJECTED, false);
+    fixture.apply(
+        new DispatchEvent.AttemptFailed(fixture.nowMs(), call, 1, fault, 0, false, "replaced"));
+    fixture.failed(call, AttemptFault.REJECTED, false);
+
+    assertRefusedAfterOneRun(call);
+  }
+
+  @Test
+  void neitherRepeatsCopiedRunNorRefusesItAsNotRunWhenSourceRejectsIt() {
+    String call = fixture.generate(3_000, 2_000);
+    fixture.markLeaving(call);
+    fixture.copied(call, 180, CopyOutcome.COPIED, "h1");
+    fixture.failed(call, AttemptFault.REJECTED, false);
+    fixture.failed(call, AttemptFault.REJECTED, false);
+    fixture.failed(call, AttemptFault.REJECTED, false);
+
+    assertRefusedAfterOneRun(call);
+  }
+
+  @Test
+  void countsMovedRunTowardsMaxTargetsOfResumableStream() {
+    String call = moveRun("check");
+    fixture.failed(call, AttemptFault.NOT_SENT, false);
+    fixture.failed(call, AttemptFault.NOT_SENT, false);
+    assertThat(fixture.newRuns(call)).hasSize(2);
+    fixture.failed(call, AttemptFault.LOST, false);
+
+    assertThat(fixture.newRuns(call)).hasSize(2);
+  }
+
+  /** Moves a run off its engine before its first event. */
+  private String moveRun(String route) {
+    String call = fixture.generate(route, 3_000, 2_000);
+    fixture.markLeaving(call);
+    fixture.copied(call, 180, CopyOutcome.COPIED, "h1");
+    fixture.copied(call, 10, CopyOutcome.COPIED, "h1");
+    fixture.copied(call, 9, CopyOutcome.COPIED, "h1");
+    return call;
+  }
+
+  private void assertRefusedAfterOneRun(String call) {
+    assertThat(fixture.newRuns(call)).hasSize(1);
+    assertThat(fixture.refusal(call))
+        .hasValueSatisfying(
+            refusal -> assertThat(refusal.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN));
+  }
+}
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMigratorTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMigratorTest.java
@@ -325,11 +325,8 @@
     }
   }
 
-  /** Marks the engine of a call as leaving and returns it. */
   private RoutedTarget markLeaving(String call) {
-    RoutedTarget target = fixture.lastSend(call).target();
-    fixture.apply(new DispatchEvent.TargetChanged(fixture.nowMs(), 11, target.asLeaving()));
-    return target;
+    return fixture.markLeaving(call);
   }
 
   private void assertContinues(String call, String holder, String handle) {
@@ -339,14 +336,10 @@
   }
 
   private DispatchEffect.CopyRun lastCopy(String call) {
-    List<DispatchEffect.CopyRun> copies = fixture.copies(call);
-    return copies.get(copies.size() - 1);
+    return fixture.lastCopy(call);
   }
 
   private void copied(String call, long tookMs, CopyOutcome outcome, String handle) {
-    fixture.advance(tookMs);
-    fixture.apply(
-        new DispatchEvent.RunCopied(
-            fixture.nowMs(), call, lastCopy(call).round(), outcome, handle));
+    fixture.copied(call, tookMs, outcome, handle);
   }
 }
