Ignore the end of a copy once its run continues elsewhere

Callers could have a stream that had been continued on another engine taken off it again, or the copy that it was continued from released under it; a second continuation could start while the first one was still at work.

Cause: a dying engine breaks the answer of a run and the copy in progress, in either order. If the answer fails first, the run continues from its latest copy. The end of the copy in progress was then taken for that of the current step, because only its number was compared: the migration went back from CONTINUING to WAITING or COPYING, asked the dead engine for further copies, and was no longer found when the continuation started, so that it never ended. A completed copy led to another continuation.

The end of a copy is now used only while that copy is in progress.

Evidence: MigrationVerdictTest.continuesRunOnceIfCopyEndsAfterItsSourceFailed failed before for each of the five outcomes (a third copy was started) and passes now. Ruled out: a new number for each step, which would need one for continuations as well.

Conclusion: of streams that move, this could run one twice; it does not concern plain calls.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigration.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigration.java
@@ -113,6 +113,16 @@
     return step == Step.WAITING && retryAtMs <= nowMs;
   }
 
+  /** Returns whether a copy is in progress. */
+  boolean isCopying() {
+    return step == Step.COPYING || step == Step.STOPPING;
+  }
+
+  /** Returns whether the copy with the given number is in progress. */
+  boolean isCopying(int copyRound) {
+    return isCopying() && round == copyRound;
+  }
+
   void startCopy(long nowMs, RoutedTarget to, boolean stop) {
     step = stop ? Step.STOPPING : Step.COPYING;
     destination = Optional.of(to);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigrator.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigrator.java
@@ -122,10 +122,8 @@
   /** Processes the end of a copy and returns the action that follows it. */
   CopyFollowUp onCopyEnded(DispatchEvent.RunCopied event) {
     RunMigration migration = migrations.get(event.callId());
-    if (migration == null
-        || migration.round() != event.round()
-        || migration.destination().isEmpty()) {
-      // The run has ended or been copied anew; engines free unused copies after a while.
+    if (migration == null || !migration.isCopying(event.round())) {
+      // The run has ended, continues, or is copied anew; engines free unused copies after a while.
       return CopyFollowUp.NOTHING;
     }
     boolean copyExists =
@@ -243,10 +241,7 @@
   private boolean isSourceBusy(RoutedTarget source) {
     return migrations.values().stream()
         .filter(migration -> migration.source().id().equals(source.id()))
-        .anyMatch(
-            migration ->
-                migration.step() == RunMigration.Step.COPYING
-                    || migration.step() == RunMigration.Step.STOPPING);
+        .anyMatch(RunMigration::isCopying);
   }
 
   private static boolean isSameSource(RunMigration one, RunMigration other) {
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
@@ -62,6 +62,24 @@
     assertThat(fixture.newRuns(call)).hasSize(2);
   }
 
+  /** A dying engine breaks its answer and the copy in progress, in either order. */
+  @ParameterizedTest
+  @EnumSource(CopyOutcome.class)
+  void continuesRunOnceIfCopyEndsAfterItsSourceFailed(CopyOutcome outcome) {
+    String call = fixture.generate(3_000, 2_000);
+    fixture.markLeaving(call);
+    fixture.copied(call, 600, CopyOutcome.COPIED, "h1");
+    fixture.failed(call, AttemptFault.LOST, false);
+    fixture.copied(call, 5, outcome, outcome == CopyOutcome.COPIED ? "h1" : "");
+    fixture.tick(300);
+
+    assertThat(fixture.sends(call)).hasSize(2);
+    assertThat(fixture.copies(call)).hasSize(2);
+    fixture.started(call);
+    fixture.delivered(call);
+    assertThat(fixture.all(DispatchEffect.ReleaseCopy.class)).isEmpty();
+  }
+
   /** Moves a run off its engine before its first event. */
   private String moveRun(String route) {
     String call = fixture.generate(route, 3_000, 2_000);
