End the migration of a run that is not continued

Callers could have the new run of a rejected stream replaced by a continuation of the old one, or cut when its own engine left.

Cause: if an engine rejects a run while it is leaving, the call is placed on another engine, but the migration of the old run stayed. Its copies went on from the old engine; a completed one would have replaced the new run by a continuation of the old one, a failure of the new run during the final copy was taken for the end of the stopped one, and the new engine's notice started no migration, because there was one already.

A migration now ends with the failure from which the run is not continued.

Evidence: MigrationVerdictTest.doesNotMoveNewRunByCopyOfRejectedOne failed before for each of the five outcomes of the copy in progress (a second copy of the old run was started) and passes now.

Conclusion: of streams that move, this could run one twice; it does not concern plain calls.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
@@ -30,7 +30,7 @@
     this.durations = durations;
     this.context = context;
     this.calls = calls;
-    calls.setEndListener(call -> migrator.remove(call.callId()).ifPresent(context.effects()::add));
+    calls.setEndListener(call -> endMigration(call.callId()));
   }
 
   void onEngineLeaving(long nowMs, RoutedTarget engine) {
@@ -133,16 +133,25 @@
   }
 
   /**
-   * Tries to continue a run after a failed attempt from the latest copy of its memory.
+   * Tries to continue a run after a failed attempt from the latest copy of its memory. Ends its
+   * migration otherwise: a new run of the call must not be replaced by copies of the old one.
    *
    * @return true if the run continues or waits for its final copy, false if it is lost
    */
   boolean tryContinue(DispatchEvent.AttemptFailed event, ActiveCall call, RoutedTarget failedAt) {
-    Optional<RunMigration> found = migrator.find(call.callId());
-    if (found.isEmpty()) {
-      return false;
+    boolean continues =
+        migrator
+            .find(call.callId())
+            .filter(migration -> tryContinue(event, migration, failedAt))
+            .isPresent();
+    if (!continues) {
+      endMigration(call.callId());
     }
-    RunMigration migration = found.get();
+    return continues;
+  }
+
+  private boolean tryContinue(
+      DispatchEvent.AttemptFailed event, RunMigration migration, RoutedTarget failedAt) {
     if (migration.step() == RunMigration.Step.STOPPING) {
       // The source ends its answer when it stops the run; the final copy is still to come.
       return true;
@@ -193,6 +202,10 @@
                     call, Reason.TARGET_FAILED, "the run was stopped but its final copy failed"));
   }
 
+  private void endMigration(String callId) {
+    migrator.remove(callId).ifPresent(context.effects()::add);
+  }
+
   private void logCopy(DispatchEvent.RunCopied event, RunMigration migration) {
     String destination = migration.destination().map(RoutedTarget::id).orElse("");
     long tookMs = event.nowMs() - migration.stepStartedMs();
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.sequoiareach.model.request.Verdict;
+import org.sequoiareach.model.route.RoutedTarget;
 
 /** Tests what is reported of generations, and whether they are run anew, around a migration. */
 class MigrationVerdictTest {
@@ -80,6 +81,21 @@
     assertThat(fixture.all(DispatchEffect.ReleaseCopy.class)).isEmpty();
   }
 
+  @ParameterizedTest
+  @EnumSource(CopyOutcome.class)
+  void doesNotMoveNewRunByCopyOfRejectedOne(CopyOutcome outcome) {
+    String call = fixture.generate(3_000, 2_000);
+    fixture.markLeaving(call);
+    fixture.failed(call, AttemptFault.REJECTED, false);
+    fixture.copied(call, 180, outcome, outcome == CopyOutcome.COPIED ? "h1" : "");
+    fixture.tick(300);
+    assertThat(fixture.newRuns(call)).hasSize(2);
+    assertThat(fixture.copies(call)).hasSize(1);
+
+    RoutedTarget second = fixture.markLeaving(call);
+    assertThat(fixture.lastCopy(call).sourceAddress()).isEqualTo(second.address());
+  }
+
   /** Moves a run off its engine before its first event. */
   private String moveRun(String route) {
     String call = fixture.generate(route, 3_000, 2_000);
