Do not reuse connections with undecoded bytes behind a response

What callers saw: the start of an unrequested response stayed in the decoder of a pooled connection. The response to the next request was joined to it, so that its status and first headers were those of the unrequested response and its request id that of the next request: a truncated 503 with the header of a rejection, followed by a header name without a line end, yields a rejection that passes the comparison of request ids.

Cause: bytes were noticed only once they made up a message, and an incomplete head makes up none. Netty's client codec does not tell that it holds bytes.

Evidence: TargetConnectionReuseTest.doesNotReuseConnectionWithBytesBehindResponse and .doesNotReuseConnectionWithBytesReceivedWhileIdle, cases 2 and 3 of each, failed before ("the connection is still open after 5000 ms"); complete responses and bytes that are no response were noticed before. All cases pass now.

Ruled out: bytes that arrive once the connection is taken from the pool cannot be told from the response; the comparison of request ids covers these if they are a whole response.

Why it works: a decoder of our own closes the connection on any byte that no request waits for, and is asked for undecoded bytes before the connection is released. It takes over the handling of HEAD from the client codec.

Conclusion: a pooled connection holds no bytes. That the incident came this way is not shown.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
@@ -7,6 +7,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -26,17 +28,20 @@
 public final class TargetConnection extends ChannelDuplexHandler {
 
   private final TargetConnectionPool pool;
+  private final TargetResponseDecoder decoder;
   private Channel channel;
   private Optional<ResponseListener> listener = Optional.empty();
   private Optional<ChannelFuture> written = Optional.empty();
   private boolean interimResponse;
   private boolean reusable;
   private boolean discarding;
+  private boolean headRequest;
   private long reusableUntilMs;
   private int sentRequests;
 
-  TargetConnection(TargetConnectionPool pool) {
+  TargetConnection(TargetConnectionPool pool, HttpDecoderConfig config) {
     this.pool = pool;
+    this.decoder = new TargetResponseDecoder(config, this);
   }
 
   @Override
@@ -55,6 +60,7 @@
     listener = Optional.of(responseListener);
     reusable = false;
     discarding = false;
+    headRequest = HttpMethod.HEAD.equals(request.method());
     sentRequests++;
     channel.write(request);
     written = Optional.of(channel.writeAndFlush(new DefaultLastHttpContent(body)));
@@ -101,6 +107,7 @@
 
   /**
    * Resumes or suspends reading, which applies the back-pressure of a slow caller to the target.
+   * Has no effect once the response is complete, because the connection may be in its pool again.
    *
    * @param enabled whether to read
    */
@@ -116,10 +123,24 @@
     channel.close();
   }
 
+  TargetResponseDecoder decoder() {
+    return decoder;
+  }
+
+  /** Returns whether a request was sent whose response is incomplete. */
+  boolean isResponseExpected() {
+    return listener.isPresent() || discarding;
+  }
+
+  /** Returns whether the latest request has the method HEAD, so that its response has no body. */
+  boolean isHeadRequest() {
+    return headRequest;
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     try {
-      if (listener.isEmpty() && !discarding) {
+      if (!isResponseExpected()) {
         // Bytes that do not belong to any request.
         channel.close();
         return;
@@ -172,7 +193,7 @@
     discarding = false;
     channel.config().setAutoRead(true);
     boolean requestWritten = written.filter(ChannelFuture::isSuccess).isPresent();
-    if (reusable && requestWritten && channel.isActive()) {
+    if (reusable && requestWritten && !decoder.hasUndecodedBytes() && channel.isActive()) {
       pool.release(this);
     } else {
       channel.close();
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnectionManager.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnectionManager.java
@@ -6,8 +6,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
@@ -113,7 +113,8 @@
       done.accept(null, new IOException(e.getMessage(), e));
       return;
     }
-    TargetConnection connection = new TargetConnection(pool);
+    TargetConnection connection =
+        new TargetConnection(pool, new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES));
     pool.onOpening();
     ChannelFuture opened =
         bootstrap
@@ -122,7 +123,9 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
-                    channel.pipeline().addLast(createCodec(), connection);
+                    channel
+                        .pipeline()
+                        .addLast(connection.decoder(), new HttpRequestEncoder(), connection);
                   }
                 })
             .connect(address);
@@ -143,11 +146,6 @@
     bootstrap.option(option, (T) value);
   }
 
-  private static HttpClientCodec createCodec() {
-    return new HttpClientCodec(
-        new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES), false, false);
-  }
-
   private static IOException toIoException(Throwable cause) {
     return cause instanceof IOException problem ? problem : new IOException(cause);
   }
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionReuseTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionReuseTest.java
@@ -37,6 +37,47 @@
     }
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 503 Busy\\r\\nX-Late: 1\\r\\nContent-Length: 0\\r\\n\\r\\n",
+        "HTTP/1.1 503 Busy\\r\\nX-Late: ",
+        "HTT",
+        "\u0000\u0001\\n"
+      })
+  void doesNotReuseConnectionWithBytesBehindResponse(String trailing) throws Exception {
+    final RecordingListener listener = new RecordingListener();
+    TargetConnection connection = acquire();
+    listener.connection = connection;
+    final RawServer.Connection accepted = server.accept();
+    send(connection, "GET", "", listener);
+    accepted.awaitReceived("GET");
+
+    accepted.send(OK + unescape(trailing));
+
+    assertThat(listener.await()).isEqualTo("complete");
+    accepted.awaitClosed();
+    assertThat(acquire()).isNotSameAs(connection);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 503 Busy\\r\\nX-Late: 1\\r\\nContent-Length: 0\\r\\n\\r\\n",
+        "HTTP/1.1 503 Busy\\r\\nX-Late: ",
+        "HTT",
+        "\u0000\u0001\\n"
+      })
+  void doesNotReuseConnectionWithBytesReceivedWhileIdle(String trailing) throws Exception {
+    TargetConnection connection = acquire();
+    RawServer.Connection accepted = exchange(connection, "GET");
+
+    accepted.send(unescape(trailing));
+
+    accepted.awaitClosed();
+    assertThat(acquire()).isNotSameAs(connection);
+  }
+
   @Test
   void reusesConnectionAfterDiscardedResponse() throws Exception {
     RecordingListener listener = new RecordingListener();
