Keep reading on pooled connections after a slow caller's response

What callers saw: a request without an answer until its deadline, although the target had run it and answered.

Cause: the last part of a response that a slow caller cannot take makes the caller's connection unwritable, which suspended reading on the target's connection after its response was complete and it was back in its pool. Nothing resumed reading there, so neither the response to the next request nor the end of the connection was seen.

Evidence: TargetConnectionReuseTest.readsNextResponseAfterReadingWasSuspendedAtEndOfPreviousOne failed before (no end of the response within 5 s) and passes now.

Ruled out: a false "not run"; the attempt is in progress at its deadline and ends as may have run.

Why it works: reading is suspended only while a response is in progress.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
@@ -112,7 +112,9 @@
    * @param enabled whether to read
    */
   public void setReadEnabled(boolean enabled) {
-    channel.config().setAutoRead(enabled);
+    if (listener.isPresent()) {
+      channel.config().setAutoRead(enabled);
+    }
   }
 
   boolean isReusableAt(long nowMs) {
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionReuseTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionReuseTest.java
@@ -104,6 +104,28 @@
     assertThat(second.content.toString()).isEqualTo("ok");
   }
 
+  @Test
+  void readsNextResponseAfterReadingWasSuspendedAtEndOfPreviousOne() throws Exception {
+    TargetConnection connection = acquire();
+    final RawServer.Connection accepted = server.accept();
+    RecordingListener slow = new RecordingListener();
+    slow.connection = connection;
+    slow.onComplete = () -> connection.setReadEnabled(false);
+    send(connection, "GET", "", slow);
+    accepted.awaitReceived("GET");
+    accepted.send(OK);
+    assertThat(slow.await()).isEqualTo("complete");
+    RecordingListener second = new RecordingListener();
+
+    TargetConnection reused = acquire();
+    send(reused, "POST", "x", second);
+    server.received();
+    (reused == connection ? accepted : server.accept()).awaitReceived("POST");
+    accepted.send(OK);
+
+    assertThat(second.await()).isEqualTo("complete");
+  }
+
   @ParameterizedTest
   @CsvSource({"GET, ok", "HEAD, ''"})
   void skipsInterimResponsesOfEachRequest(String method, String body) throws Exception {
