Read discarded responses to their end after a slow caller has left

What was seen: a connection, and the target that writes to it, stalled for good when a slow caller left during the response to a request that may not be repeated.

Cause: the response is then discarded, but reading stayed suspended for the caller that had gone.

Evidence: TargetConnectionReuseTest.readsDiscardedResponseToItsEndAfterReadingWasSuspended failed before (the connection did not become reusable within 5 s) and passes now.

Ruled out: an effect on what callers are told; nobody waits for a discarded response.

Why it works: discarding resumes reading.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
@@ -93,6 +93,7 @@
     if (listener.isPresent()) {
       listener = Optional.empty();
       discarding = true;
+      channel.config().setAutoRead(true);
     }
   }
 
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionReuseTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionReuseTest.java
@@ -104,6 +104,24 @@
     assertThat(second.content.toString()).isEqualTo("ok");
   }
 
+  @Test
+  void readsDiscardedResponseToItsEndAfterReadingWasSuspended() throws Exception {
+    final RecordingListener listener = new RecordingListener();
+    TargetConnection connection = acquire();
+    listener.connection = connection;
+    final RawServer.Connection accepted = server.accept();
+    send(connection, "POST", "x", listener);
+    accepted.awaitReceived("POST");
+    accepted.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no");
+    listener.awaitHead();
+
+    onLoop(run(() -> connection.setReadEnabled(false)));
+    onLoop(run(connection::discardResponse));
+    accepted.send("k");
+
+    awaitReusable(connection);
+  }
+
   @Test
   void readsNextResponseAfterReadingWasSuspendedAtEndOfPreviousOne() throws Exception {
     TargetConnection connection = acquire();
