Tell the listener when a request cannot be written

What callers would see: a request that hangs until its deadline.

Cause: the end of a connection is told to the listener when the channel becomes inactive. A request sent later failed to be written and nobody heard of it. The manager hands out active connections only, so no path to this is known; failures of the encoder would take it too.

Evidence: TargetConnectionTest.reportsFailureIfConnectionIsClosedWhenRequestIsSent failed before (the listener was told nothing within 5 s) and passes now.

Ruled out: a claim of "not sent". The listener is told of a failure, which counts as may have run, because bytes of a failed write may have left.

Why it works: the outcome of the write is observed; a request that fails otherwise first has no listener any more.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
@@ -63,7 +63,15 @@
     headRequest = HttpMethod.HEAD.equals(request.method());
     sentRequests++;
     channel.write(request);
-    written = Optional.of(channel.writeAndFlush(new DefaultLastHttpContent(body)));
+    ChannelFuture write = channel.writeAndFlush(new DefaultLastHttpContent(body));
+    written = Optional.of(write);
+    write.addListener(
+        ignored -> {
+          if (!write.isSuccess()) {
+            fail("the request was not written completely: " + write.cause());
+            channel.close();
+          }
+        });
   }
 
   /**
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionTest.java
@@ -87,6 +87,19 @@
     assertThat(listener.events).hasSize(1);
   }
 
+  @Test
+  void reportsFailureIfConnectionIsClosedWhenRequestIsSent() throws Exception {
+    RecordingListener listener = new RecordingListener();
+    TargetConnection connection = acquire();
+    server.accept().close();
+    awaitConnectionCount(0);
+
+    send(connection, "POST", "x", listener);
+
+    assertThat(listener.await()).startsWith("failure");
+    assertThat(listener.events).hasSize(1);
+  }
+
   @Test
   void doesNotNotifyListenerOfLateResponseAfterAbort() throws Exception {
     RecordingListener listener = new RecordingListener();
