Test that an attempt reported as not sent has written nothing

Played with the real connections and a server that records what arrives: the event loop stalls until the send deadline; the deadline passes, the caller leaves or another attempt replaces this one while the connection is opened; the wall clock steps by -1 h, -249, 249, 250 ms and +1 h; the server resets the connection after a part of the request.

Ruled out: NOT_SENT, NOBODY_THERE and OUTDATED of an attempt whose bytes left, in the cases played. A suspension that coincides with an equal backward step of the wall clock is not detected; the tests show that as it is.

--- /dev/null
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeSendTest.java
@@ -0,0 +1,299 @@
+package org.sequoiareach.daemon.exchange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiareach.daemon.dialect.AnswerHead;
+import org.sequoiareach.daemon.dialect.AttemptMetadata;
+import org.sequoiareach.daemon.dialect.CallDialect;
+import org.sequoiareach.daemon.front.ResponseWriter;
+import org.sequoiareach.daemon.upstream.RawServer;
+import org.sequoiareach.daemon.upstream.TargetConnectionManager;
+import org.sequoiareach.decision.dispatch.AttemptFault;
+import org.sequoiareach.decision.dispatch.CallProfile;
+import org.sequoiareach.decision.dispatch.DispatchEffect;
+import org.sequoiareach.decision.dispatch.DispatchEvent;
+import org.sequoiareach.decision.event.Event;
+import org.sequoiareach.model.route.RouteKind;
+import org.sequoiareach.model.route.RoutedTarget;
+import org.sequoiareach.store.time.MonotonicClock;
+import reactor.netty.resources.LoopResources;
+
+/** Tests that an attempt which is reported as not sent has written nothing. */
+class ProxyExchangeSendTest {
+
+  private static final long TIMEOUT_MS = 5_000;
+  private static final long LONG_MS = 60_000;
+
+  /** Time in which a request would arrive at the server if it was sent. */
+  private static final long ARRIVAL_MS = 200;
+
+  private final LoopResources resources = LoopResources.create("test", 1, true);
+  private final EventLoop loop = resources.onServer(false).next();
+  private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+  private final AtomicLong wallClockStepMs = new AtomicLong();
+  private RawServer server;
+  private ProxyExchange exchange;
+
+  @BeforeEach
+  void start() throws Exception {
+    server = new RawServer();
+    SuspensionDetector detector =
+        new SuspensionDetector(
+            MonotonicClock::nowMs, () -> MonotonicClock.nowMs() + wallClockStepMs.get());
+    ProxyExchangeContext context =
+        new ProxyExchangeContext(
+            new PlainDialect(),
+            new TargetConnectionManager(loop, resources),
+            events::add,
+            new MetricRegistry(),
+            loop,
+            detector);
+    HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x");
+    exchange =
+        onLoop(
+            () ->
+                new ProxyExchange(
+                    context,
+                    "c1",
+                    new CallProfile(
+                        "r1",
+                        "host",
+                        "/x",
+                        Optional.empty(),
+                        MonotonicClock.nowMs(),
+                        MonotonicClock.nowMs() + LONG_MS,
+                        Optional.empty()),
+                    request,
+                    Unpooled.copiedBuffer("body", StandardCharsets.ISO_8859_1),
+                    new SilentWriter(),
+                    () -> {}));
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    server.close();
+    resources.disposeLater(Duration.ZERO, Duration.ofMillis(TIMEOUT_MS)).block();
+  }
+
+  @Test
+  void sendsRequestWithinItsTime() throws Exception {
+    onLoop(run(() -> exchange.send(sendCall(1, LONG_MS, LONG_MS))));
+
+    server.accept().awaitReceived("attempt: 1");
+    assertThat(events).isEmpty();
+  }
+
+  @Test
+  void sendsNothingIfLoopStallsUntilSendDeadline() throws Exception {
+    DispatchEffect.SendCall decided = sendCall(1, 100, LONG_MS);
+
+    onLoop(
+        run(
+            () -> {
+              sleep(200);
+              exchange.send(decided);
+            }));
+
+    assertNotSent(AttemptFault.OUTDATED);
+  }
+
+  @Test
+  void sendsNothingIfDeadlinePassesWhileConnecting() throws Exception {
+    onLoop(
+        run(
+            () -> {
+              exchange.send(sendCall(1, LONG_MS, 100));
+              sleep(200);
+            }));
+
+    assertNotSent(AttemptFault.OUTDATED);
+  }
+
+  @Test
+  void sendsNothingIfCallerLeavesWhileConnecting() throws Exception {
+    onLoop(
+        run(
+            () -> {
+              exchange.send(sendCall(1, LONG_MS, LONG_MS));
+              exchange.onCallerDisconnected();
+            }));
+
+    assertThat(next()).isInstanceOf(DispatchEvent.CallerLeft.class);
+    TimeUnit.MILLISECONDS.sleep(ARRIVAL_MS);
+    assertThat(server.received()).isEmpty();
+    assertThat(events).isEmpty();
+  }
+
+  @Test
+  void sendsOnlyLatestAttemptIfAttemptIsSupersededWhileConnecting() throws Exception {
+    onLoop(
+        run(
+            () -> {
+              exchange.send(sendCall(1, LONG_MS, LONG_MS));
+              exchange.send(sendCall(2, LONG_MS, LONG_MS));
+            }));
+
+    DispatchEvent.AttemptFailed failed = (DispatchEvent.AttemptFailed) next();
+    assertThat(failed.attempt()).isEqualTo(1);
+    assertThat(failed.fault()).isEqualTo(AttemptFault.OUTDATED);
+    TimeUnit.MILLISECONDS.sleep(ARRIVAL_MS);
+    assertThat(server.received()).contains("attempt: 2").doesNotContain("attempt: 1");
+  }
+
+  @ParameterizedTest
+  @CsvSource({"-3600000, true", "-249, true", "249, true", "250, false", "3600000, false"})
+  void sendsNothingAfterForwardStepOfWallClock(long stepMs, boolean sent) throws Exception {
+    wallClockStepMs.set(stepMs);
+    onLoop(run(() -> exchange.send(sendCall(1, LONG_MS, LONG_MS))));
+
+    if (sent) {
+      server.accept().awaitReceived("attempt: 1");
+      assertThat(events).isEmpty();
+    } else {
+      assertNotSent(AttemptFault.OUTDATED);
+    }
+  }
+
+  @Test
+  void reportsLossIfServerResetsAfterPartOfRequest() throws Exception {
+    onLoop(run(() -> exchange.send(sendCall(1, LONG_MS, LONG_MS))));
+    RawServer.Connection accepted = server.accept();
+    accepted.awaitReceived("attempt: 1");
+
+    accepted.reset();
+
+    assertThat(((DispatchEvent.AttemptFailed) next()).fault()).isEqualTo(AttemptFault.LOST);
+  }
+
+  private void assertNotSent(AttemptFault fault) throws InterruptedException {
+    DispatchEvent.AttemptFailed failed = (DispatchEvent.AttemptFailed) next();
+    assertThat(failed).as("event of an attempt that was not sent").isNotNull();
+    assertThat(failed.fault()).isEqualTo(fault);
+    TimeUnit.MILLISECONDS.sleep(ARRIVAL_MS);
+    assertThat(server.received()).isEmpty();
+  }
+
+  private Event next() throws InterruptedException {
+    return events.poll(1, TimeUnit.SECONDS);
+  }
+
+  private DispatchEffect.SendCall sendCall(int attempt, long sendWithinMs, long timeoutMs) {
+    return sendCall(attempt, sendWithinMs, timeoutMs, "sawmill");
+  }
+
+  private DispatchEffect.SendCall sendCall(
+      int attempt, long sendWithinMs, long timeoutMs, String organisation) {
+    long nowMs = MonotonicClock.nowMs();
+    return new DispatchEffect.SendCall(
+        "c1",
+        attempt,
+        new RoutedTarget("i-1", 1, "desk", server.address(), "z1", 1, false),
+        RouteKind.NON_IDEMPOTENT,
+        Optional.of(organisation),
+        attempt,
+        10,
+        nowMs + sendWithinMs,
+        nowMs + timeoutMs,
+        Optional.empty());
+  }
+
+  private <T> T onLoop(Callable<T> task) throws Exception {
+    return loop.submit(task).get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private static Callable<Void> run(Runnable task) {
+    return () -> {
+      task.run();
+      return null;
+    };
+  }
+
+  private static void sleep(long ms) {
+    try {
+      TimeUnit.MILLISECONDS.sleep(ms);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** Dialect that states the number of the attempt, which the test passes as its priority. */
+  private static final class PlainDialect implements CallDialect {
+
+    @Override
+    public CallProfile readRequest(HttpRequest request, long nowMs) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public OptionalLong findLastEventId(HttpHeaders headers) {
+      return OptionalLong.empty();
+    }
+
+    @Override
+    public void setAttemptHeaders(HttpHeaders headers, AttemptMetadata attempt) {
+      headers.set("attempt", attempt.priority());
+      attempt.organisation().ifPresent(name -> headers.set("organisation", name));
+    }
+
+    @Override
+    public AnswerHead readAnswer(HttpResponse answer, long nowMs) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void setRetryAfter(HttpHeaders headers, long delayMs) {}
+  }
+
+  /** Writer of a response that no test looks at. */
+  private static final class SilentWriter implements ResponseWriter {
+
+    @Override
+    public boolean isOpen() {
+      return true;
+    }
+
+    @Override
+    public void sendHead(HttpResponseStatus status, HttpHeaders headers, OptionalLong length) {}
+
+    @Override
+    public void sendContent(ByteBuf part) {
+      part.release();
+    }
+
+    @Override
+    public void finish() {}
+
+    @Override
+    public void abort() {}
+
+    @Override
+    public void onWritabilityChanged(Consumer<Boolean> listener) {}
+  }
+}
