Report an attempt whose answer cannot be relayed as one that may have run

What callers saw: a generation that a daemon forwarded to the owner of its engine, and that the engine ran, was answered as `not-run`; with reason `no-capacity` by status 503.

Cause: the owner relays the parts of an answer by messages to the daemon that forwarded the attempt. A message that is not written fails with the verdict of the message, "no byte was handed to a connection", and ForwardedAnswerRelay passed that on as the verdict of the attempt. By then the target has run at least to that part.

Evidence: ForwardedAnswerRelayTest failed for each of the five reasons (NOT_RUN in place of MAY_HAVE_RUN). EngineFailureTest, with two daemons and an engine over plain sockets that sends an event larger than a frame, failed for the daemon that does not own the engine: verdict `not-run` with the engine's answer under way. Both pass now.

Ruled out: an attempt that fails before its answer keeps the verdict of its own failure, tested in the same class. An attempt whose connection was lost is ended as may-have-run by the forwarding daemon before the message of the owner can arrive; that order holds by the code and is not tested here.

Why the fix works: the verdict of a failed message is replaced where messages are sent, so no failure of a message can become the verdict of an attempt. The reason stays.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/ForwardedAnswerRelay.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/ForwardedAnswerRelay.java
@@ -5,7 +5,9 @@
 import org.sequoiareach.daemon.attempt.AnswerReceiver;
 import org.sequoiareach.daemon.attempt.RequestFailures;
 import org.sequoiareach.model.request.Outcome;
+import org.sequoiareach.model.request.RequestFailedException;
 import org.sequoiareach.model.request.RequestKind;
+import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.peer.AttemptMessage;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -81,12 +83,20 @@
     String attemptId = opened.attemptId();
     if (part instanceof AnswerPart.Data data) {
       int tokens = kind() == RequestKind.GENERATION ? 1 : 0;
-      return sender.send(
-          new AttemptMessage.AttemptData(attemptId, data.sequence(), data.payload(), tokens));
+      return sender
+          .send(new AttemptMessage.AttemptData(attemptId, data.sequence(), data.payload(), tokens))
+          .onErrorMap(ForwardedAnswerRelay::toAttemptFailure);
     }
     if (part instanceof AnswerPart.End end) {
       sender.end(Outcome.finished(end.tokens()));
     }
     return Mono.empty();
   }
+
+  /** Converts the failure of a message, whose verdict says nothing about the attempt. */
+  private static RequestFailedException toAttemptFailure(Throwable thrown) {
+    RequestFailedException failure = RequestFailures.classify(thrown);
+    return new RequestFailedException(
+        Verdict.MAY_HAVE_RUN, failure.reason(), failure.getMessage(), failure.retryAfterMs());
+  }
 }
