Answer 429 and 503 only to requests that have not run

What callers saw: a generation that had been sent to an engine which died, and was then refused by the others, was answered by status 503 with `Retry-After` and the verdict `may-have-run`. So was a call that may not be repeated and was still in progress at the daemon's final deadline, by the code.

Cause: the status followed from the reason of the last failure (`no-capacity`, `no-target`, `not-ready`), the verdict from all attempts. Clients and libraries that read the status alone take it for a refusal.

The tests of refusals that have not run, in GenerationFaultTest, still see 503.

Ruled out: a verdict that was wrong; it was right in each of these answers.

Why the fix works: the status is chosen from reason and verdict together, in the one place that writes failures to callers, as the gateway does. 502 takes the place of 429 and 503 unless the verdict is `not-run`. Verdict, reason and Retry-After are as before.

Conclusion: the status promises no more than the verdict.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/ErrorResponses.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/ErrorResponses.java
@@ -8,6 +8,7 @@
 import org.sequoiareach.model.json.Json;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.RequestFailedException;
+import org.sequoiareach.model.request.Verdict;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerResponse;
 
@@ -16,6 +17,9 @@
 
   static final String VERDICT_HEADER = "Sequoiareach-Verdict";
   private static final long MS_PER_SECOND = 1_000;
+  private static final int STATUS_TOO_MANY_REQUESTS = 429;
+  private static final int STATUS_BAD_GATEWAY = 502;
+  private static final int STATUS_UNAVAILABLE = 503;
 
   private ErrorResponses() {}
 
@@ -29,7 +33,7 @@
     ObjectNode body = Json.mapper().createObjectNode();
     body.put("type", "about:blank");
     body.put("title", failure.reason().label());
-    body.put("status", failure.reason().httpStatus());
+    body.put("status", statusOf(failure));
     body.put("detail", failure.getMessage());
     body.put("verdict", failure.verdict().label());
     failure.retryAfterMs().ifPresent(ms -> body.put("retryAfterMs", ms));
@@ -55,7 +59,7 @@
       RequestFailedException failure,
       String contentType,
       ObjectNode body) {
-    response.status(HttpResponseStatus.valueOf(failure.reason().httpStatus()));
+    response.status(HttpResponseStatus.valueOf(statusOf(failure)));
     response.header("Content-Type", contentType);
     response.header(VERDICT_HEADER, failure.verdict().label());
     failure.retryAfterMs().ifPresent(ms -> response.header("Retry-After", toSeconds(ms)));
@@ -70,6 +74,16 @@
     }
   }
 
+  /**
+   * Returns the HTTP status of a failure. Statuses 429 and 503 are understood as a promise that the
+   * request has not run, so they are used only in that case.
+   */
+  private static int statusOf(RequestFailedException failure) {
+    int status = failure.reason().httpStatus();
+    boolean refusal = status == STATUS_TOO_MANY_REQUESTS || status == STATUS_UNAVAILABLE;
+    return refusal && failure.verdict() != Verdict.NOT_RUN ? STATUS_BAD_GATEWAY : status;
+  }
+
   private static String toSeconds(long ms) {
     return Long.toString(Math.max(1, (ms + MS_PER_SECOND - 1) / MS_PER_SECOND));
   }
