Count an attempt whose answer has started as one that may have run

Cause: RequestCoordinator took the verdict at the end of an attempt as it came, also where the same attempt had delivered a part of its answer. With `not-run` the attempt was repeated, a claimed idempotency key was given back, and no tokens were charged.

Evidence: StartedAttemptTest failed in all eight cases: after AttemptStarted, an end with `not-run` led to a second Dispatch, of a stream after its resumes were spent and of a call that may not be repeated at once.

Why the fix works: the outcome of a started attempt is weakened to may-have-run before anything is decided by it, so retry, claim, charge and final answer all follow from the weakened one.

Conclusion: the verdict can no longer contradict what the reducer has itself seen of the attempt. An attempt that ran and has shown nothing of it is not covered by this.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/RequestCoordinator.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/RequestCoordinator.java
@@ -168,11 +168,12 @@
    * Handles the end of an attempt. Returns true if the generation is resumed, in which case the
    * attempt continues.
    */
-  boolean handleAttemptEnded(long nowMs, String attemptId, Outcome outcome) {
+  boolean handleAttemptEnded(long nowMs, String attemptId, Outcome reported) {
     ActiveRequest request = requestsByAttempt.get(attemptId);
     if (request == null) {
       return false;
     }
+    Outcome outcome = request.started ? reported.ofStartedAttempt() : reported;
     selector.recordOutcome(nowMs, request, outcome);
     if (outcome.succeeded()) {
       request.attemptTokens = outcome.tokens();
--- a/sequoiareach-model/src/main/java/org/sequoiareach/model/request/Outcome.java
+++ b/sequoiareach-model/src/main/java/org/sequoiareach/model/request/Outcome.java
@@ -44,6 +44,17 @@
     return new Outcome(verdict, Optional.of(reason), message, 0, 0);
   }
 
+  /**
+   * Returns the outcome as that of an attempt whose answer has started, which has therefore run at
+   * least in part, whatever verdict was reported with its end.
+   *
+   * @return an outcome whose verdict is not {@link Verdict#NOT_RUN}
+   */
+  public Outcome ofStartedAttempt() {
+    Verdict started = verdict.and(Verdict.MAY_HAVE_RUN);
+    return new Outcome(started, reason, message, tokens, retryAfterMs);
+  }
+
   /**
    * Checks whether the attempt succeeded.
    *
