Do not repeat a service call whose answer the caller has begun to read

What callers saw: an answer of status 200 whose body was the beginning of one target's answer and then the whole answer of another, looking complete.

Cause: a repeatable call was sent to another target after its answer had broken off, as long as the request was not a stream. That holds for a generation that is not streamed, whose answer is collected and starts anew. The answer of a service is passed on as it arrives, its head with the first part.

Evidence: ServiceFailureTest failed: no error was raised for the broken answer. On the same code, a trial that printed the answer showed status 200 and the body `firstthe second`, of two answers `first…` and `the second`. With the change the caller's connection ends in an error and the service gets one call.

Ruled out: a call that may not be repeated was sent once and ended in an error, before and after (second test of the class).

Why the fix works: only a collected answer counts as undelivered after its start.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/RequestCoordinator.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/reducer/RequestCoordinator.java
@@ -335,7 +335,7 @@
 
   private void retryOrFinish(long nowMs, ActiveRequest request, Outcome outcome) {
     boolean notRun = outcome.verdict() == Verdict.NOT_RUN;
-    boolean undelivered = !request.started || !request.spec.streamed();
+    boolean undelivered = !request.started || isCollected(request.spec);
     boolean allowed = notRun || (request.spec.repeatable() && undelivered);
     boolean retryable = outcome.reason().filter(RequestCoordinator::isRequestFault).isEmpty();
     boolean attemptsLeft = request.attempts < settings.maxAttempts();
@@ -459,6 +459,11 @@
         .isPresent();
   }
 
+  /** Returns whether the caller gets the answer only once it is complete. */
+  private static boolean isCollected(RequestSpec spec) {
+    return spec.kind() == RequestKind.GENERATION && !spec.streamed();
+  }
+
   /** Returns whether the request itself is at fault, so that every target would reject it. */
   private static boolean isRequestFault(Reason reason) {
     return reason == Reason.BAD_REQUEST || reason == Reason.TOO_LARGE;
