Count a run that is continued on another target once towards the route's maximum

Callers of a resumable stream that had been moved and then lost its second engine would have seen it end, although their route allows another run: since each target of a run counted. The limit is on runs, and a continuation is the same run, so a call now numbers its runs and keeps which of them may have begun; the verdict still follows from that set, which only grows.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
@@ -230,7 +230,7 @@
       RunMigration.CompletedCopy copy,
       RoutedTarget engine,
       String why) {
-    migration.call().recordPossibleRun(migration.source().id());
+    migration.call().recordPossibleRun();
     Continuation from = new Continuation(migration.source().address(), copy.handle());
     calls.send(
         nowMs, migration.call(), engine, Optional.of(from), "handle=" + copy.handle() + " " + why);
