Deliver the answer that follows an extra answer to an earlier request

The answer to the request itself comes next, and the request id identifies it, so the extra answer is now skipped, logged and counted, and the connection is closed after the answer. An answer without an id, or on the first request of a connection, is not skipped.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -133,6 +133,11 @@
     retryAfterMs = head.retryAfterMs();
     answeredRequestId = head.requestId().orElse("missing");
     assessment = AnswerAssessment.of(head, exchange.requestId());
+    if (isExtraAnswer(head)) {
+      exchange.onExtraAnswer(describeOrigin());
+      connection.ifPresent(TargetConnection::skipResponse);
+      return;
+    }
     if (assessment.isDiscarded()) {
       mode = Mode.DISCARDED;
       return;
@@ -149,6 +154,17 @@
     selectMode(head);
   }
 
+  /**
+   * Returns whether an answer belongs to an earlier request of the connection, so that the answer
+   * to this one is still to come.
+   */
+  private boolean isExtraAnswer(AnswerHead head) {
+    boolean sentEarlier = connection.filter(conn -> conn.sentRequests() > 1).isPresent();
+    return assessment == AnswerAssessment.UNATTRIBUTED
+        && head.requestId().isPresent()
+        && sentEarlier;
+  }
+
   private void selectMode(AnswerHead head) {
     boolean error = status.code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
     boolean resumes = sendCall.continuation().isPresent() || exchange.isHeadSent();
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -287,6 +287,12 @@
     end();
   }
 
+  /** Records that a target answered an earlier request once more instead of this one. */
+  void onExtraAnswer(String origin) {
+    context.metrics().meter("answers.extra").mark();
+    LOGGER.info("Skipping an extra answer on the connection of {}: {}", requestId(), origin);
+  }
+
   /** Records that the target of an attempt stated that it did not run the request. */
   void onProvenNotRun() {
     unprovenAttempts--;
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
@@ -35,6 +35,8 @@
   private boolean interimResponse;
   private boolean reusable;
   private boolean discarding;
+  private boolean skipping;
+  private boolean skippedResponse;
   private boolean headRequest;
   private long reusableUntilMs;
   private int sentRequests;
@@ -60,6 +62,7 @@
     listener = Optional.of(responseListener);
     reusable = false;
     discarding = false;
+    skipping = false;
     headRequest = HttpMethod.HEAD.equals(request.method());
     sentRequests++;
     channel.write(request);
@@ -105,6 +108,16 @@
     }
   }
 
+  /**
+   * Skips the response whose head was received last, because it answers an earlier request. The
+   * response that follows it is taken for that of the request in progress, and the connection is
+   * not used for another one.
+   */
+  public void skipResponse() {
+    skipping = true;
+    skippedResponse = true;
+  }
+
   /**
    * Sets the time up to which the connection may be reused after the response is complete.
    *
@@ -190,6 +203,10 @@
     if (interimResponse) {
       return;
     }
+    if (skipping) {
+      skipping = !(message instanceof LastHttpContent);
+      return;
+    }
     if (message instanceof HttpContent part && part.content().isReadable()) {
       listener.ifPresent(responseListener -> responseListener.onContent(part.content()));
     }
@@ -204,7 +221,11 @@
     discarding = false;
     channel.config().setAutoRead(true);
     boolean requestWritten = written.filter(ChannelFuture::isSuccess).isPresent();
-    if (reusable && requestWritten && !decoder.hasUndecodedBytes() && channel.isActive()) {
+    if (reusable
+        && !skippedResponse
+        && requestWritten
+        && !decoder.hasUndecodedBytes()
+        && channel.isActive()) {
       pool.release(this);
     } else {
       channel.close();
