Number the copies of a call across its migrations

Callers could lose a stream that is moved a second time.

Cause: each migration numbered its copies from 1. If an engine died during a copy and the engine that continued the run left as well, the late end of the first migration's copy was taken for that of the second one's, with a handle that the new source does not know. The numbers are now those of the call.

Evidence: MigrationVerdictTest.doesNotTakeEndOfEarlierMigrationsCopyForItsOwn failed before (the next copy was started by the late end) and passes now.

Conclusion: cost a stream, not a promise; it does not concern plain calls.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
@@ -22,6 +22,7 @@
   private Optional<RoutedTarget> target = Optional.empty();
   private int attempt;
   private int reachedAttempts;
+  private int copyRounds;
   private boolean started;
   private long lastSentAtMs;
   private long startedAtMs;
@@ -158,6 +159,12 @@
     possibleRunTargets.add(targetId);
   }
 
+  /** Numbers the copies of the call's runs, so that none is taken for one of an earlier run. */
+  int nextCopyRound() {
+    copyRounds++;
+    return copyRounds;
+  }
+
   /** Returns the verdict for ending the call now: an attempt in progress may have run. */
   Verdict verdictIfEnded() {
     return target.isPresent() ? Verdict.MAY_HAVE_RUN : verdict();
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigration.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigration.java
@@ -126,7 +126,7 @@
   void startCopy(long nowMs, RoutedTarget to, boolean stop) {
     step = stop ? Step.STOPPING : Step.COPYING;
     destination = Optional.of(to);
-    round++;
+    round = call.nextCopyRound();
     stepStartedMs = nowMs;
   }
 
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
@@ -96,6 +96,24 @@
     assertThat(fixture.lastCopy(call).sourceAddress()).isEqualTo(second.address());
   }
 
+  @Test
+  void doesNotTakeEndOfEarlierMigrationsCopyForItsOwn() {
+    String call = fixture.generate(3_000, 2_000);
+    fixture.markLeaving(call);
+    fixture.copied(call, 600, CopyOutcome.COPIED, "h1");
+    final int lostRound = fixture.lastCopy(call).round();
+    fixture.failed(call, AttemptFault.LOST, false);
+    fixture.started(call);
+    fixture.markLeaving(call);
+    fixture.copied(call, 600, CopyOutcome.COPIED, "h2");
+    assertThat(fixture.copies(call)).hasSize(4);
+
+    fixture.apply(
+        new DispatchEvent.RunCopied(fixture.nowMs(), call, lostRound, CopyOutcome.COPIED, "h1"));
+
+    assertThat(fixture.copies(call)).hasSize(4);
+  }
+
   /** Moves a run off its engine before its first event. */
   private String moveRun(String route) {
     String call = fixture.generate(route, 3_000, 2_000);
