Cut, and do not refuse, a call of which the caller has a part of the answer

Callers could receive the head and body of a refusal within an answer that had already started.

Cause: a call counts as started once AnswerStarted of its attempt in progress has been seen. A stopped engine may answer for 40 ms after its attempt was replaced by a continuation; that AnswerStarted has another number and was dropped. A plain body longer than its buffer is passed on without AnswerStarted; only AttemptFailed tells that a part was delivered, and the reducer read that for streams alone. In both cases the call was refused, and ProxyExchange.refuse writes a head whether or not one was sent.

The start of an answer is now recorded from any attempt of the call, and from AttemptFailed.

Evidence: MigrationVerdictTest.cutsStreamThatReplacedAttemptHasStarted and both cases of DispatchReducerTest.cutsPlainAnswerThatFailsAfterItsStart failed before (refused, not cut) and pass now. Not shown: the bytes on the connection; read in the code only.

A long plain body that is still being passed on at the deadline is not covered: the reducer has no event that tells of its start.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -107,13 +107,14 @@
   }
 
   void onAnswerStarted(DispatchEvent.AnswerStarted event) {
+    // A replaced attempt may have started the answer before it was aborted.
+    calls.find(event.callId()).ifPresent(call -> call.answerStarted(event.nowMs()));
     Optional<ActiveCall> found = calls.findAttempt(event.callId(), event.attempt());
     if (found.isEmpty()) {
       return;
     }
     ActiveCall call = found.get();
     RoutedTarget target = call.target().orElseThrow();
-    call.answerStarted(event.nowMs());
     context.targetUse().markPromptRead(call.callId(), target.id());
     migrations.onAnswerStarted(event.nowMs(), call, target);
   }
@@ -158,6 +159,9 @@
     }
     calls.logDecision("attempt-failed", call, target.id(), event.fault() + " " + event.detail());
     calls.releaseTarget(call);
+    if (event.started()) {
+      call.answerStarted(event.nowMs());
+    }
     call.attemptFailed(event.fault());
     if (showsTargetHasLeft(event.fault())) {
       targets.markLeaving(event.nowMs(), target.id());
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
@@ -183,6 +183,17 @@
     assertThat(fixture.sends(call)).hasSize(1);
   }
 
+  /** A long body is passed on before its end. */
+  @ParameterizedTest
+  @ValueSource(strings = {"booking", "status"})
+  void cutsPlainAnswerThatFailsAfterItsStart(String route) {
+    String call = fixture.call(route);
+    fixture.failed(call, AttemptFault.BROKEN_ANSWER, true);
+
+    assertThat(fixture.wasCut(call)).isTrue();
+    assertThat(fixture.refusal(call)).isEmpty();
+  }
+
   @Test
   void resumesRepeatableStreamOnAnotherEngineOnce() {
     String call = fixture.generate("check", 2_000, 40);
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
@@ -114,6 +114,17 @@
     assertThat(fixture.copies(call)).hasSize(4);
   }
 
+  /** The caller receives the first event in the 40 ms for which a stopped engine may answer. */
+  @Test
+  void cutsStreamThatReplacedAttemptHasStarted() {
+    String call = moveRun("draft");
+    fixture.apply(new DispatchEvent.AnswerStarted(fixture.nowMs(), call, 1));
+    fixture.tick(40_000);
+
+    assertThat(fixture.wasCut(call)).isTrue();
+    assertThat(fixture.refusal(call)).isEmpty();
+  }
+
   /** Moves a run off its engine before its first event. */
   private String moveRun(String route) {
     String call = fixture.generate(route, 3_000, 2_000);
