End a call that a replaced attempt has answered

Cause: a run may end by itself just before it is stopped, so that its continuation has been decided when AnswerDelivered arrives. That event has the number of the replaced attempt and was dropped. The exchange has ended with the answer and ignores the continuation, so that no later event ends the call.

AnswerDelivered now ends its call whichever attempt it names; the target's outcome and the duration of the run are recorded for the attempt in progress only, as before.

Evidence: MigrationVerdictTest.endsCallThatReplacedAttemptHasAnswered failed before (no stop once the drain notice had passed) and passes now.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -120,22 +120,29 @@
   }
 
   void onAnswerDelivered(DispatchEvent.AnswerDelivered event) {
+    Optional<ActiveCall> current = calls.findAttempt(event.callId(), event.attempt());
+    current.ifPresent(call -> recordOutcome(event, call));
+    // A replaced attempt may have completed the answer before it was aborted.
     calls
-        .findAttempt(event.callId(), event.attempt())
+        .find(event.callId())
         .ifPresent(
             call -> {
-              String targetId = ActiveCalls.targetIdOf(call);
-              if (event.status() < MIN_SERVER_ERROR_STATUS) {
-                health.onSuccess(event.nowMs(), targetId);
-                recordDuration(event.nowMs(), call);
-              } else {
-                health.onFailure(event.nowMs(), targetId);
-              }
+              String targetId = current.map(ActiveCalls::targetIdOf).orElse("");
               calls.logDecision("deliver", call, targetId, "status=" + event.status());
               calls.end(call);
             });
   }
 
+  private void recordOutcome(DispatchEvent.AnswerDelivered event, ActiveCall call) {
+    String targetId = ActiveCalls.targetIdOf(call);
+    if (event.status() < MIN_SERVER_ERROR_STATUS) {
+      health.onSuccess(event.nowMs(), targetId);
+      recordDuration(event.nowMs(), call);
+    } else {
+      health.onFailure(event.nowMs(), targetId);
+    }
+  }
+
   void onCallerLeft(DispatchEvent.CallerLeft event) {
     unrouted.remove(event.callId());
     calls
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
@@ -5,6 +5,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.event.TimeEvent;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.route.RoutedTarget;
 
@@ -125,6 +127,17 @@
     assertThat(fixture.refusal(call)).isEmpty();
   }
 
+  /** The run ends by itself just before it is stopped. */
+  @Test
+  void endsCallThatReplacedAttemptHasAnswered() {
+    String call = moveRun("draft");
+    fixture.apply(new DispatchEvent.AnswerDelivered(fixture.nowMs(), call, 1, 200));
+    fixture.apply(new TimeEvent.DrainRequested(fixture.nowMs(), fixture.nowMs() + 7_600));
+    fixture.tick(3_600);
+
+    assertThat(fixture.all(Effect.Stop.class)).hasSize(1);
+  }
+
   /** Moves a run off its engine before its first event. */
   private String moveRun(String route) {
     String call = fixture.generate(route, 3_000, 2_000);
