--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
@@ -23,6 +23,7 @@
   private int attempt;
   private int run;
   private int reachedAttempts;
+  private int copyRounds;
   private boolean started;
   private long lastSentAtMs;
   private long startedAtMs;
@@ -170,6 +171,12 @@
     possibleRuns.add(run);
   }
 
+  /** Numbers the copies of the call's runs, so that none is taken for one of an earlier run. */
+  int nextCopyRound() {
+    copyRounds++;
+    return copyRounds;
+  }
+
   /** Returns the verdict for ending the call now: an attempt in progress may have run. */
   Verdict verdictIfEnded() {
     return target.isPresent() ? Verdict.MAY_HAVE_RUN : verdict();
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -107,34 +107,42 @@
   }
 
   void onAnswerStarted(DispatchEvent.AnswerStarted event) {
+    // A replaced attempt may have started the answer before it was aborted.
+    calls.find(event.callId()).ifPresent(call -> call.answerStarted(event.nowMs()));
     Optional<ActiveCall> found = calls.findAttempt(event.callId(), event.attempt());
     if (found.isEmpty()) {
       return;
     }
     ActiveCall call = found.get();
     RoutedTarget target = call.target().orElseThrow();
-    call.answerStarted(event.nowMs());
     context.targetUse().markPromptRead(call.callId(), target.id());
     migrations.onAnswerStarted(event.nowMs(), call, target);
   }
 
   void onAnswerDelivered(DispatchEvent.AnswerDelivered event) {
+    Optional<ActiveCall> current = calls.findAttempt(event.callId(), event.attempt());
+    current.ifPresent(call -> recordOutcome(event, call));
+    // A replaced attempt may have completed the answer before it was aborted.
     calls
-        .findAttempt(event.callId(), event.attempt())
+        .find(event.callId())
         .ifPresent(
             call -> {
-              String targetId = ActiveCalls.targetIdOf(call);
-              if (event.status() < MIN_SERVER_ERROR_STATUS) {
-                health.onSuccess(event.nowMs(), targetId);
-                recordDuration(event.nowMs(), call);
-              } else {
-                health.onFailure(event.nowMs(), targetId);
-              }
+              String targetId = current.map(ActiveCalls::targetIdOf).orElse("");
               calls.logDecision("deliver", call, targetId, "status=" + event.status());
               calls.end(call);
             });
   }
 
+  private void recordOutcome(DispatchEvent.AnswerDelivered event, ActiveCall call) {
+    String targetId = ActiveCalls.targetIdOf(call);
+    if (event.status() < MIN_SERVER_ERROR_STATUS) {
+      health.onSuccess(event.nowMs(), targetId);
+      recordDuration(event.nowMs(), call);
+    } else {
+      health.onFailure(event.nowMs(), targetId);
+    }
+  }
+
   void onCallerLeft(DispatchEvent.CallerLeft event) {
     unrouted.remove(event.callId());
     calls
@@ -158,6 +166,9 @@
     }
     calls.logDecision("attempt-failed", call, target.id(), event.fault() + " " + event.detail());
     calls.releaseTarget(call);
+    if (event.started()) {
+      call.answerStarted(event.nowMs());
+    }
     call.attemptFailed(event.fault());
     if (showsTargetHasLeft(event.fault())) {
       targets.markLeaving(event.nowMs(), target.id());
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
@@ -5,6 +5,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.event.TimeEvent;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.route.RoutedTarget;
 
@@ -107,6 +109,46 @@
     assertThat(fixture.lastCopy(call).sourceAddress()).isEqualTo(second.address());
   }
 
+  @Test
+  void doesNotTakeEndOfEarlierMigrationsCopyForItsOwn() {
+    String call = fixture.generate(3_000, 2_000);
+    fixture.markLeaving(call);
+    fixture.copied(call, 600, CopyOutcome.COPIED, "h1");
+    final int lostRound = fixture.lastCopy(call).round();
+    fixture.failed(call, AttemptFault.LOST, false);
+    fixture.started(call);
+    fixture.markLeaving(call);
+    fixture.copied(call, 600, CopyOutcome.COPIED, "h2");
+    assertThat(fixture.copies(call)).hasSize(4);
+
+    fixture.apply(
+        new DispatchEvent.RunCopied(fixture.nowMs(), call, lostRound, CopyOutcome.COPIED, "h1"));
+
+    assertThat(fixture.copies(call)).hasSize(4);
+  }
+
+  /** The caller receives the first event in the 40 ms for which a stopped engine may answer. */
+  @Test
+  void cutsStreamThatReplacedAttemptHasStarted() {
+    String call = moveRun("draft");
+    fixture.apply(new DispatchEvent.AnswerStarted(fixture.nowMs(), call, 1));
+    fixture.tick(40_000);
+
+    assertThat(fixture.wasCut(call)).isTrue();
+    assertThat(fixture.refusal(call)).isEmpty();
+  }
+
+  /** The run ends by itself just before it is stopped. */
+  @Test
+  void endsCallThatReplacedAttemptHasAnswered() {
+    String call = moveRun("draft");
+    fixture.apply(new DispatchEvent.AnswerDelivered(fixture.nowMs(), call, 1, 200));
+    fixture.apply(new TimeEvent.DrainRequested(fixture.nowMs(), fixture.nowMs() + 7_600));
+    fixture.tick(3_600);
+
+    assertThat(fixture.all(Effect.Stop.class)).hasSize(1);
+  }
+
   /** Moves a run off its engine before its first event. */
   private String moveRun(String route) {
     String call = fixture.generate(route, 3_000, 2_000);
