--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeSendTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeSendTest.java
@@ -33,7 +33,6 @@
 import org.sequoiareach.daemon.dialect.AttemptMetadata;
 import org.sequoiareach.daemon.dialect.CallDialect;
 import org.sequoiareach.daemon.front.ResponseWriter;
-import org.sequoiareach.daemon.upstream.RawServer;
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
 import org.sequoiareach.decision.dispatch.AttemptFault;
 import org.sequoiareach.decision.dispatch.CallProfile;
@@ -42,6 +41,7 @@
 import org.sequoiareach.decision.event.Event;
 import org.sequoiareach.model.route.RouteKind;
 import org.sequoiareach.model.route.RoutedTarget;
+import org.sequoiareach.standin.server.RawServer;
 import org.sequoiareach.store.time.MonotonicClock;
 import reactor.netty.resources.LoopResources;
 
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/AbstractTargetConnectionTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/AbstractTargetConnectionTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.sequoiareach.model.route.RoutedTarget;
+import org.sequoiareach.standin.server.RawServer;
 import org.sequoiareach.store.time.MonotonicClock;
 import reactor.netty.resources.LoopResources;
 
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionReuseTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionReuseTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiareach.standin.server.RawServer;
 
 /** Tests which connections are reused and that they carry one request at a time. */
 class TargetConnectionReuseTest extends AbstractTargetConnectionTest {
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiareach.standin.server.RawServer;
 
 /** Tests what a listener is told when connections fail or targets misbehave. */
 class TargetConnectionTest extends AbstractTargetConnectionTest {
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/RawServer.java
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/server/RawServer.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.daemon.upstream;
+package org.sequoiareach.standin.server;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -53,7 +53,7 @@
   public Connection accept() throws InterruptedException {
     Connection next = accepted.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
     if (next == null) {
-      throw new AssertionError("no connection within " + TIMEOUT_MS + " ms");
+      throw new IllegalStateException("no connection within " + TIMEOUT_MS + " ms");
     }
     return next;
   }
@@ -190,7 +190,7 @@
       long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
       while (!condition.getAsBoolean()) {
         if (System.nanoTime() - deadlineNanos > 0) {
-          throw new AssertionError(problem + " after " + TIMEOUT_MS + " ms");
+          throw new IllegalStateException(problem + " after " + TIMEOUT_MS + " ms");
         }
         TimeUnit.MILLISECONDS.sleep(POLL_MS);
       }
