Let slow callers take the last response of their connection

What callers saw: a response cut off about a second after its end, on connections that close behind it, which are all of them during a planned stop.

Cause: a connection was closed one second after its last response was handed to the channel, even if a part of the response was still to be written to a caller that reads slowly.

Evidence: SlowCallerTest.deliversLastResponseOfConnectionCompletely: the caller got 3,932,224 of 33,554,432 bytes and the end of the connection; all of them now.

Why it works: the second counts from when the response is written. Until then the idle timeout applies, as it does on connections that stay open.

A response that is not written when the process ends is still cut.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -247,7 +248,7 @@
     if (!keepAlive) {
       pipelined.forEach(ReferenceCountUtil::release);
       pipelined.clear();
-      linger();
+      enter(Phase.LINGERING, MonotonicClock.nowMs() + limits().idleTimeoutMs());
       return;
     }
     enter(Phase.IDLE, MonotonicClock.nowMs() + limits().idleTimeoutMs());
@@ -324,8 +325,12 @@
         return;
       }
       ended = true;
-      channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+      ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
       onResponseEnded(keepAlive);
+      if (!keepAlive) {
+        // A slow caller may still have to take a part of the response.
+        written.addListener(ignored -> linger());
+      }
     }
 
     @Override
--- /dev/null
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/SlowCallerTest.java
@@ -0,0 +1,127 @@
+package org.sequoiareach.daemon.front;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sequoiareach.daemon.dialect.AnswerHead;
+import org.sequoiareach.daemon.dialect.AttemptMetadata;
+import org.sequoiareach.daemon.dialect.CallDialect;
+import org.sequoiareach.decision.dispatch.CallProfile;
+import reactor.netty.resources.LoopResources;
+
+/** Tests the end of responses that a caller is slow to read. */
+class SlowCallerTest {
+
+  private static final long TIMEOUT_MS = 5_000;
+
+  /** More than the sockets of both sides hold. */
+  private static final int LARGE_BYTES = 32 << 20;
+
+  /** Longer than a connection lingers after its last response. */
+  private static final long SLOW_MS = 1_600;
+
+  private final LoopResources resources = LoopResources.create("test", 1, true);
+  private final EventLoop loop = resources.onServer(false).next();
+  private final BlockingQueue<ResponseWriter> responses = new LinkedBlockingQueue<>();
+  private final GatewayHttpServer server =
+      new GatewayHttpServer(new PlainDialect(), this::handle, new MetricRegistry(), loop);
+  private Channel channel;
+  private Socket caller;
+
+  @BeforeEach
+  void start() throws IOException {
+    channel = server.accept(GatewayHttpServer.bind(new InetSocketAddress("127.0.0.1", 0)));
+    caller = new Socket();
+    caller.connect(channel.localAddress());
+    caller.setSoTimeout((int) TIMEOUT_MS);
+    caller
+        .getOutputStream()
+        .write(
+            "GET /x HTTP/1.1\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    caller.close();
+    channel.close();
+    resources.disposeLater(Duration.ZERO, Duration.ofMillis(TIMEOUT_MS)).block();
+  }
+
+  @Test
+  void deliversLastResponseOfConnectionCompletely() throws Exception {
+    ResponseWriter response = responses.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    onLoop(
+        () -> {
+          response.sendHead(
+              HttpResponseStatus.OK, new DefaultHttpHeaders(), OptionalLong.of(LARGE_BYTES));
+          response.sendContent(Unpooled.wrappedBuffer(new byte[LARGE_BYTES]));
+          response.finish();
+        });
+    TimeUnit.MILLISECONDS.sleep(SLOW_MS);
+
+    assertThat(caller.getInputStream().readAllBytes()).hasSizeGreaterThan(LARGE_BYTES);
+  }
+
+  private Runnable handle(
+      CallProfile profile, HttpRequest request, ByteBuf body, ResponseWriter response) {
+    body.release();
+    responses.add(response);
+    return () -> {};
+  }
+
+  private void onLoop(Runnable task) throws Exception {
+    loop.submit(task).get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Dialect of requests that state nothing. */
+  private static final class PlainDialect implements CallDialect {
+
+    @Override
+    public CallProfile readRequest(HttpRequest request, long nowMs) {
+      return new CallProfile(
+          "a", "host", request.uri(), Optional.empty(), nowMs, nowMs, Optional.empty());
+    }
+
+    @Override
+    public OptionalLong findLastEventId(HttpHeaders headers) {
+      return OptionalLong.empty();
+    }
+
+    @Override
+    public void setAttemptHeaders(HttpHeaders headers, AttemptMetadata attempt) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public AnswerHead readAnswer(HttpResponse answer, long nowMs) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void setRetryAfter(HttpHeaders headers, long delayMs) {
+      throw new UnsupportedOperationException();
+    }
+  }
+}
