Close connections of aborted responses although the caller does not read

What was seen: a connection, and the part of the response that it holds, kept for as long as its caller stops reading.

Cause: an aborted response closes its connection once the bytes before are written, and had no deadline.

Why it works: the deadline of a connection that is about to close applies.

Conclusion: a fault of its own.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
@@ -339,7 +339,7 @@
         return;
       }
       ended = true;
-      phase = Phase.LINGERING;
+      linger();
       channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
     }
 
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/SlowCallerTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/SlowCallerTest.java
@@ -84,6 +84,22 @@
     assertThat(caller.getInputStream().readAllBytes()).hasSizeGreaterThan(LARGE_BYTES);
   }
 
+  @Test
+  void closesConnectionOfAbortedResponseThatCallerDoesNotRead() throws Exception {
+    ResponseWriter response = responses.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    onLoop(
+        () -> {
+          response.sendHead(
+              HttpResponseStatus.OK, new DefaultHttpHeaders(), OptionalLong.of(2L * LARGE_BYTES));
+          response.sendContent(Unpooled.wrappedBuffer(new byte[LARGE_BYTES]));
+          response.abort();
+        });
+    TimeUnit.MILLISECONDS.sleep(SLOW_MS);
+
+    // A closed connection does not send what it had not yet written.
+    assertThat(caller.getInputStream().readAllBytes()).hasSizeLessThan(LARGE_BYTES);
+  }
+
   private Runnable handle(
       CallProfile profile, HttpRequest request, ByteBuf body, ResponseWriter response) {
     body.release();
