Test sends that become late while the connection is opened

Three tests that fail on this commit, for faults in the exchange that its owner mends:

- ProxyExchangeSendTest.sendsNothingIfLoopStallsUntilSendDeadlineWhileConnecting
- ProxyExchangeSendTest.sendsNothingIfSuspendedWhileConnecting
- ProxyExchangeSendTest.reportsFailureIfHeadersOfAttemptAreInvalid

What callers see: a request sent after the time by which it had to be sent, or by a decision from before a suspension, if the pause falls between the start and the end of connecting; and, for an organisation whose name cannot be a header value, a request that hangs until its deadline while its connection is lost to the pool.

Cause: the time and the suspension are checked before the connection is acquired and not once it is there; an exception while the head is built reaches nobody.

Ruled out: a false "not run"; the first two send although they should not, and the third ends as may have run.

--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeSendTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeSendTest.java
@@ -124,6 +124,30 @@
     assertNotSent(AttemptFault.OUTDATED);
   }
 
+  @Test
+  void sendsNothingIfLoopStallsUntilSendDeadlineWhileConnecting() throws Exception {
+    onLoop(
+        run(
+            () -> {
+              exchange.send(sendCall(1, 100, LONG_MS));
+              sleep(200);
+            }));
+
+    assertNotSent(AttemptFault.OUTDATED);
+  }
+
+  @Test
+  void sendsNothingIfSuspendedWhileConnecting() throws Exception {
+    onLoop(
+        run(
+            () -> {
+              exchange.send(sendCall(1, LONG_MS, LONG_MS));
+              wallClockStepMs.set(1_000);
+            }));
+
+    assertNotSent(AttemptFault.OUTDATED);
+  }
+
   @Test
   void sendsNothingIfDeadlinePassesWhileConnecting() throws Exception {
     onLoop(
@@ -181,6 +205,14 @@
     }
   }
 
+  @Test
+  void reportsFailureIfHeadersOfAttemptAreInvalid() throws Exception {
+    onLoop(run(() -> exchange.send(sendCall(1, LONG_MS, LONG_MS, "two\nlines"))));
+
+    assertThat(next()).isInstanceOf(DispatchEvent.AttemptFailed.class);
+    assertThat(server.received()).isEmpty();
+  }
+
   @Test
   void reportsLossIfServerResetsAfterPartOfRequest() throws Exception {
     onLoop(run(() -> exchange.send(sendCall(1, LONG_MS, LONG_MS))));
