Take only the statuses specified as refusals of an engine for not run

What callers saw: a generation that an engine answered by 408, 413, 421, 422, 425 or 429 was reported as `not-run`. With all of them but 429 it was, by the code, not sent elsewhere either, but answered 400 as if the request were at fault.

Cause: EngineClient took 429 like 503 and every other 4xx but 404 and 409 for a refusal before the start. A server may send 408 as it closes a connection, while the request is on its way.

Evidence: TargetFailureVerdictTest, with engines over plain sockets, failed for these six statuses (NOT_RUN in place of MAY_HAVE_RUN) and passes now. In the same class, a connection that is refused is not run, and one that is closed or reset before, in or after the request, or within the head of a refusal, may have run, for engines and services alike; these passed before, too.

Ruled out: 503 itself. No engine but the stand-in has been asked.

Why the fix works: the verdict follows from the two specified statuses alone. 408, 421 and 425 count as failures of the target, so that, by the code, another one is tried.

Conclusion: an engine that refuses by 429 now costs its callers the prompt tokens of that attempt, as any attempt that may have run does.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
@@ -201,16 +201,18 @@
   private static RuntimeException toFailure(String targetId, int status, String text) {
     String message =
         "target " + targetId + " responded with status " + status + ": " + abbreviate(text);
-    if (status == 503 || status == 429) {
-      return TargetFailures.failure(Verdict.NOT_RUN, Reason.NO_CAPACITY, message);
-    }
-    if (status == 404) {
-      return TargetFailures.failure(Verdict.MAY_HAVE_RUN, Reason.NOT_FOUND, message);
-    }
-    if (status / 100 == 4 && status != 409) {
-      return TargetFailures.failure(Verdict.NOT_RUN, Reason.BAD_REQUEST, message);
-    }
-    return TargetFailures.failure(Verdict.MAY_HAVE_RUN, Reason.TARGET_FAILED, message);
+    // Only 400 and 503 are specified to precede the start of a generation.
+    Verdict verdict = status == 400 || status == 503 ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
+    return TargetFailures.failure(verdict, toReason(status), message);
+  }
+
+  private static Reason toReason(int status) {
+    return switch (status) {
+      case 429, 503 -> Reason.NO_CAPACITY;
+      case 404 -> Reason.NOT_FOUND;
+      case 408, 409, 421, 425 -> Reason.TARGET_FAILED;
+      default -> status / 100 == 4 ? Reason.BAD_REQUEST : Reason.TARGET_FAILED;
+    };
   }
 
   private static String abbreviate(String text) {
