State that no status of a plain service means that the call did not run

What callers saw: no fault. A service that runs a call and answers 503, 429, 408 or 421 of its own is passed on with that status and the verdict `ran`, and the idempotency key stays taken.

Cause for the change: the protocol did not say what such a status means, and no test held it.

Evidence: the new test of NonRepeatableCallTest passes for the four statuses without a change of code: one run, status as given, verdict `ran`, and 409 with `may-have-run` for a repetition with the same key through another daemon. TargetFailureVerdictTest shows that for services only a connection that was never made is not run.

Ruled out: a forged verdict. Headers of a service that begin with the prefix of the daemon's own are not passed on.

Conclusion: a caller that goes by the status alone and ignores the verdict may repeat a call with a new key. Replacing the status would falsify the answer of the service, so it stays.

--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/NonRepeatableCallTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/NonRepeatableCallTest.java
@@ -93,6 +93,21 @@
     assertThat(runs(key)).isEqualTo(answer.statusCode() == 200 ? 1 : 0);
   }
 
+  /** Guards against taking the status of a service for a statement that the call did not run. */
+  @ParameterizedTest
+  @ValueSource(ints = {408, 421, 429, 503})
+  void statusOfServiceThatRanTheCallIsNoRefusal(int status) {
+    deployment.service.setFaults(new ServiceFaults(0, 0, 0, 0, status));
+    String key = "ran-" + status;
+    HttpResponse<String> answer = deployment.book(first, LocalDeployment.KEY, key).join();
+    HttpResponse<String> again = deployment.book(second, LocalDeployment.KEY, key).join();
+    assertThat(answer.statusCode()).isEqualTo(status);
+    assertThat(answer.headers().firstValue(VERDICT)).contains("ran");
+    assertThat(again.statusCode()).isEqualTo(409);
+    assertThat(again.headers().firstValue(VERDICT)).contains("may-have-run");
+    assertThat(runs(key)).isEqualTo(1);
+  }
+
   @Test
   void separatesKeysOfDifferentOrganisations() {
     assertThat(deployment.book(first, LocalDeployment.KEY, "shared").join().statusCode())
