Read each generation from a new connection to its engine

What callers saw: a generation that an engine ran was reported as refused, `not-run`, if the engine sent an extra response of status 503 on a connection that had served an earlier generation.

Cause: EngineClient drew connections for generations from a pool. HTTP/1.1 joins responses to requests by their order alone, and the engine's refusal does not name its request, so on a used connection it cannot be told from a late or extra response to an earlier one. Nor can the tokens of a stream: events are counted, but their generation is not compared.

Evidence: TargetFailureVerdictTest.extraRefusalOnUsedConnectionIsNotTakenForNextGeneration failed: the second generation, which the engine over plain sockets had counted as run, ended as `target t1 responded with status 503`. It passes now, with three runs and three complete answers.

Ruled out: a connection that falls behind by the daemon's own doing. An exchange that is given up closes its connection, by the design of the HTTP client; not tested here.

Why the fix works: the first response on a connection that carried one request can belong to no other. Cancellations and load reports still use the pool; they yield no verdict of a generation.

Conclusion: one TCP connect more for each attempt at a generation. The limit of the pool no longer bounds the generations on one engine; the admission control of its owner does.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
@@ -28,6 +28,10 @@
 /**
  * A client for model engines with an OpenAI-compatible API that is extended by priorities,
  * resumption and cancellation. Thread-safe.
+ *
+ * <p>Each generation, and each resumption of one, is read from a new connection. On one that was
+ * used before, a late or extra response of the engine to an earlier request would be taken for the
+ * refusal or the tokens of this one.
  */
 public final class EngineClient {
 
@@ -44,14 +48,15 @@
   private static final String COMPLETIONS_PATH = "/v1/chat/completions";
   private static final String DONE_DATA = "[DONE]";
 
-  private final HttpClient client;
+  private final HttpClient streams;
+  private final HttpClient control;
   private final Duration idleTimeout;
 
   /**
    * Creates a client.
    *
    * @param eventLoops the event loops that serve connections
-   * @param connections the connection pool
+   * @param connections the connection pool for control calls
    */
   public EngineClient(LoopResources eventLoops, ConnectionProvider connections) {
     this(eventLoops, connections, IDLE_TIMEOUT);
@@ -59,12 +64,16 @@
 
   EngineClient(LoopResources eventLoops, ConnectionProvider connections, Duration idleTimeout) {
     this.idleTimeout = idleTimeout;
-    this.client =
-        HttpClient.create(connections)
-            .runOn(eventLoops, false)
-            .disableRetry(true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-            .option(ChannelOption.TCP_NODELAY, true);
+    this.streams = createClient(eventLoops, ConnectionProvider.newConnection()).keepAlive(false);
+    this.control = createClient(eventLoops, connections);
+  }
+
+  private static HttpClient createClient(LoopResources eventLoops, ConnectionProvider connections) {
+    return HttpClient.create(connections)
+        .runOn(eventLoops, false)
+        .disableRetry(true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+        .option(ChannelOption.TCP_NODELAY, true);
   }
 
   /**
@@ -79,7 +88,7 @@
     String attemptId = dispatch.attemptId();
     byte[] body = prepareBody(content.body(), dispatch.enginePriority());
     IdleTimeout timeout = new IdleTimeout(idleTimeout);
-    return client
+    return streams
         .headers(
             headers -> {
               headers.set("Content-Type", "application/json");
@@ -110,7 +119,7 @@
   public Flux<AnswerPart> resume(
       String targetId, String address, String attemptId, long afterSequence) {
     IdleTimeout timeout = new IdleTimeout(idleTimeout);
-    return client
+    return streams
         .headers(headers -> headers.set("Last-Event-ID", Long.toString(afterSequence)))
         .get()
         .uri("http://" + address + COMPLETIONS_PATH + "/chatcmpl-" + attemptId)
@@ -133,7 +142,7 @@
    *     failed
    */
   public Mono<Boolean> cancel(String address, String attemptId) {
-    return client
+    return control
         .responseTimeout(CONTROL_TIMEOUT)
         .delete()
         .uri("http://" + address + COMPLETIONS_PATH + "/chatcmpl-" + attemptId)
@@ -149,7 +158,7 @@
    * @return the load report
    */
   public Mono<EngineLoad> load(String address) {
-    return client
+    return control
         .responseTimeout(CONTROL_TIMEOUT)
         .get()
         .uri("http://" + address + "/load")
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/target/TargetFailureVerdictTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/target/TargetFailureVerdictTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -27,6 +28,7 @@
 class TargetFailureVerdictTest {
 
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
+  private static final String STREAM = "id: 1\ndata: {}\n\ndata: [DONE]\n\n";
 
   private final LoopResources eventLoops = LoopResources.create("test-targets", 1, true);
   private final ConnectionProvider pool = ConnectionProvider.create("test-targets", 10);
@@ -124,11 +126,38 @@
     }
   }
 
+  /** Guards against taking an extra answer on a used connection for the refusal of a request. */
+  @Test
+  void extraRefusalOnUsedConnectionIsNotTakenForNextGeneration() throws Exception {
+    AtomicInteger runs = new AtomicInteger();
+    try (RawTarget engine = new RawTarget(socket -> answerWithExtraRefusals(socket, runs))) {
+      for (int i = 1; i <= 3; i++) {
+        List<AnswerPart> parts = generate(engine.address()).collectList().block(TIMEOUT);
+        assertThat(parts).last().isInstanceOf(AnswerPart.End.class);
+        assertThat(runs).hasValue(i);
+      }
+    }
+  }
+
   private static void answer(Socket socket, int status, String body) throws IOException {
     RawTarget.readRequest(socket);
     RawTarget.respond(socket, status, "application/json", body);
   }
 
+  /** Runs every request, but precedes each answer except the first by one of status 503. */
+  private static void answerWithExtraRefusals(Socket socket, AtomicInteger runs)
+      throws IOException {
+    boolean used = false;
+    while (!RawTarget.readRequest(socket).isEmpty()) {
+      runs.incrementAndGet();
+      if (used) {
+        RawTarget.respond(socket, 503, "application/json", "{}");
+      }
+      RawTarget.respond(socket, 200, "text/event-stream", STREAM);
+      used = true;
+    }
+  }
+
   private Flux<AnswerPart> generate(String address) {
     RequestContent content =
         new RequestContent(
