Report a cancellation without an answer as one that may have run

What callers saw: `DELETE` of a stored completion was answered 404 with the verdict `not-run` when the connection to the engine was lost, when the engine took longer than two seconds, or when it answered by a status of failure, although it may have cancelled the generation.

Cause: EngineClient.cancel turned every failure into "not known", which suits the reducer's own cancellations and was passed on to callers as 404.

Evidence: EngineFailureTest.cancellationWithoutAnswerMayHaveRun, with an engine over plain sockets that closes the connection of a `DELETE` without an answer, failed with status 404. It gets 502 with `may-have-run` now. The cancellations of GenerationFaultTest and DaemonEndToEndTest pass as before.

Ruled out: a failure that hinders the reducer's own cancellations; they ignore it, as before.

Why the fix works: only a 404 of the engine is "not known"; whatever else is not a success fails with the verdict that such a failure has for any call.

Conclusion: timeout and status of failure follow the same path by the code, but only the lost connection is tested.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/AttemptRunner.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/attempt/AttemptRunner.java
@@ -132,7 +132,7 @@
     StopAction stopAction =
         keepGeneration -> {
           if (generation && !keepGeneration) {
-            engines.cancel(dispatch.address(), attemptId).subscribe();
+            cancelGeneration(dispatch.targetId(), dispatch.address(), attemptId);
           }
         };
     start(receiver, attemptId, dispatch.targetId(), stopAction, send(dispatch, found));
@@ -176,12 +176,17 @@
     StopAction stopAction =
         keepGeneration -> {
           if (!keepGeneration) {
-            engines.cancel(resume.address(), resume.attemptId()).subscribe();
+            cancelGeneration(resume.targetId(), resume.address(), resume.attemptId());
           }
         };
     start(request, resume.attemptId(), resume.targetId(), stopAction, parts);
   }
 
+  /** Cancels a generation; a failure is ignored, as the engine ends an abandoned one by itself. */
+  private void cancelGeneration(String targetId, String address, String attemptId) {
+    engines.cancel(targetId, address, attemptId).onErrorComplete().subscribe();
+  }
+
   private Flux<AnswerPart> resumeStream(Effect.Resume resume, PendingRequest request) {
     long after = request.lastSequence(resume.attemptId());
     return engines.resume(resume.targetId(), resume.address(), resume.attemptId(), after);
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/StoredCompletionHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/StoredCompletionHandler.java
@@ -71,13 +71,17 @@
       return ErrorResponses.writeOpenAi(response, notFound());
     }
     logDecision("cancel", organisation.get(), located.get());
+    LocatedCompletion completion = located.get();
     return engines
-        .cancel(located.get().target.address(), located.get().id.attemptId())
+        .cancel(completion.target.id(), completion.target.address(), completion.id.attemptId())
         .flatMap(
             found ->
                 found
                     ? response.status(HttpResponseStatus.NO_CONTENT).send()
-                    : Mono.from(ErrorResponses.writeOpenAi(response, notFound())));
+                    : Mono.from(ErrorResponses.writeOpenAi(response, notFound())))
+        .onErrorResume(
+            thrown ->
+                Mono.from(ErrorResponses.writeOpenAi(response, RequestFailures.classify(thrown))));
   }
 
   private Flux<AnswerPart> resumeWithRetries(LocatedCompletion located, long after) {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
@@ -133,22 +133,22 @@
   }
 
   /**
-   * Cancels a generation. A failure of the call is ignored, because the engine ends an abandoned
-   * generation by itself.
+   * Cancels a generation.
    *
+   * @param targetId the ID of the engine
    * @param address the address of the engine
    * @param attemptId the attempt that identifies the generation
-   * @return true if the engine cancelled the generation; false if it did not know it or the call
-   *     failed
+   * @return true if the engine cancelled the generation; false if it does not know it; fails with
+   *     {@link RequestFailedException} if it gave neither answer
    */
-  public Mono<Boolean> cancel(String address, String attemptId) {
+  public Mono<Boolean> cancel(String targetId, String address, String attemptId) {
     return control
         .responseTimeout(CONTROL_TIMEOUT)
         .delete()
         .uri("http://" + address + COMPLETIONS_PATH + "/chatcmpl-" + attemptId)
         .response()
-        .map(response -> response.status().code() / 100 == 2)
-        .onErrorReturn(false);
+        .map(response -> isCancelled(targetId, response.status().code()))
+        .onErrorMap(thrown -> TargetFailures.classify(targetId, thrown));
   }
 
   /**
@@ -167,6 +167,17 @@
         .map(EngineClient::parseLoad);
   }
 
+  private static boolean isCancelled(String targetId, int status) {
+    boolean cancelled = status / 100 == 2;
+    if (!cancelled && status != 404) {
+      throw TargetFailures.failure(
+          Verdict.MAY_HAVE_RUN,
+          Reason.TARGET_FAILED,
+          "target " + targetId + " responded to the cancellation with status " + status);
+    }
+    return cancelled;
+  }
+
   private static EngineLoad parseLoad(byte[] bytes) {
     if (bytes.length > MAX_LOAD_REPORT_BYTES) {
       throw new IllegalStateException(
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/EngineFailureTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/EngineFailureTest.java
@@ -4,10 +4,14 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiareach.daemon.target.RawTarget;
@@ -19,6 +23,7 @@
 class EngineFailureTest {
 
   private static final String VERDICT_HEADER = "Sequoiareach-Verdict";
+  private static final Pattern COMPLETION_ID = Pattern.compile("\"id\":\"(chatcmpl-[^\"]+)\"");
   private static final EngineLoad LOAD =
       new EngineLoad(20_000, 0, 16, 0, 0, 0, 1, 20, false, List.of("contract-70b"));
 
@@ -28,6 +33,7 @@
 
   private static LocalDeployment deployment;
   private static RawTarget engine;
+  private static volatile String firstEvent;
 
   @BeforeAll
   static void start() throws IOException {
@@ -48,17 +54,36 @@
   @ParameterizedTest
   @ValueSource(ints = {0, 1})
   void answerTooLargeForPeerIsNotReportedAsNotRun(int daemon) {
+    firstEvent = LARGE_EVENT;
     HttpResponse<String> answer = deployment.stream(deployment.daemons.get(daemon), "m", 1).join();
     assertThat(answer.headers().firstValue(VERDICT_HEADER)).isPresent();
     assertThat(answer.headers().firstValue(VERDICT_HEADER).get()).isNotEqualTo("not-run");
   }
 
+  /** Guards against a promise of not run for a cancellation whose answer was lost. */
+  @Test
+  void cancellationWithoutAnswerMayHaveRun() {
+    firstEvent = "id: 1\ndata: {\"id\":\"chatcmpl-x\",\"choices\":[]}\n\n";
+    Daemon daemon = deployment.daemons.get(0);
+    String stream = deployment.stream(daemon, "m", 1).join().body();
+    Matcher id = COMPLETION_ID.matcher(stream);
+    assertThat(id.find()).as(stream).isTrue();
+    HttpRequest cancel =
+        deployment
+            .request(daemon, LocalDeployment.KEY, "/v1/chat/completions/" + id.group(1))
+            .DELETE()
+            .build();
+    HttpResponse<String> answer = deployment.send(cancel).join();
+    assertThat(answer.statusCode()).isEqualTo(502);
+    assertThat(answer.headers().firstValue(VERDICT_HEADER)).contains("may-have-run");
+  }
+
   private static void serve(Socket socket) throws IOException {
     String head = RawTarget.readRequest(socket);
-    while (!head.isEmpty()) {
+    while (!head.isEmpty() && !head.startsWith("DELETE")) {
       if (head.startsWith("POST")) {
         RawTarget.respond(
-            socket, 200, "text/event-stream", LARGE_EVENT + "id: 2\ndata: {}\n\ndata: [DONE]\n\n");
+            socket, 200, "text/event-stream", firstEvent + "id: 2\ndata: {}\n\ndata: [DONE]\n\n");
       } else {
         RawTarget.respond(socket, 200, "application/json", Exchanges.write(LOAD));
       }
