Do not report a completion that is not found as not run

What callers saw: a caller that had received tokens and resumed its stream, or cancelled it, after the engine had gone from the list got 404 with the verdict `not-run`. The load generator takes the verdict of a resumption for that of the request.

Cause: an ID that names no stored completion was refused like a request that was never submitted. The ID was given out with the first token, so the generation had run.

Evidence: DaemonEndToEndTest.completionThatIsNotFoundIsNotReportedAsNotRun failed (`not-run`) and passes now, by an ID that names no completion; an engine that has gone follows the same path by the code.

Ruled out: the answer of an engine that no longer keeps the generation; it was `may-have-run` before.

Why the fix works: all three answers of 404 have the same verdict now, which also no longer tells an unknown ID from one whose generation is forgotten.

Conclusion: `not-run` is left to requests for a generation that were refused before they were sent.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/StoredCompletionHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/StoredCompletionHandler.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -14,6 +15,7 @@
 import org.sequoiareach.model.platform.VmEntry;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.RequestFailedException;
+import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.sheet.OrganisationEntry;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -130,8 +132,13 @@
     }
   }
 
+  /** Returns the failure for an unknown ID; a generation that it once named may have run. */
   private static RequestFailedException notFound() {
-    return Refusals.of(Reason.NOT_FOUND, "the completion does not exist or is no longer stored");
+    return new RequestFailedException(
+        Verdict.MAY_HAVE_RUN,
+        Reason.NOT_FOUND,
+        "the completion does not exist or is no longer stored",
+        OptionalLong.empty());
   }
 
   private static void logDecision(
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/DaemonEndToEndTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/DaemonEndToEndTest.java
@@ -81,6 +81,14 @@
         .isEqualTo(404);
   }
 
+  /** Guards against a promise of not run for a generation of which tokens were received. */
+  @Test
+  void completionThatIsNotFoundIsNotReportedAsNotRun() {
+    HttpResponse<String> none = resume(second, LocalDeployment.KEY, "chatcmpl-e1.x.y", "0");
+    assertThat(none.statusCode()).isEqualTo(404);
+    assertThat(none.headers().firstValue(VERDICT_HEADER)).contains("may-have-run");
+  }
+
   @Test
   void cancelsThroughAnotherDaemon() {
     String stream = deployment.complete(first, LocalDeployment.KEY, 5, true).join().body();
