Check the age of a decision again once its connection is open

A request was sent by a decision that had become too old, or that came from before a suspension of the VM, if the pause fell between the start and the end of connecting: both were checked before a connection was acquired only. They are checked again just before the request is written. The head of the request is now created by a class of its own.

No false not-run: the attempt now ends as not sent, and is not.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -4,13 +4,10 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
@@ -46,6 +43,7 @@
   private static final long SOURCE_END_TIMEOUT_MS = 40;
 
   private final ProxyExchangeContext context;
+  private final AttemptRequestFactory requests;
   private final String callId;
   private final CallProfile profile;
   private final HttpRequest request;
@@ -74,6 +72,7 @@
       Runnable onEnded) {
     this.onEnded = onEnded;
     this.context = context;
+    this.requests = new AttemptRequestFactory(context.dialect());
     this.callId = callId;
     this.profile = profile;
     this.request = request;
@@ -136,12 +135,8 @@
     }
     AttemptResponseHandler next = new AttemptResponseHandler(this, sendCall, lastEventId);
     currentAttempt = Optional.of(next);
-    boolean late = MonotonicClock.nowMs() > sendCall.sendByMs();
-    if (late || context.suspensionDetector().wasSuspendedSince(suspendedMsAtStart)) {
-      next.fail(
-          AttemptFault.OUTDATED,
-          0,
-          "not sent: the daemon was paused or the deadline for sending has passed");
+    if (isOutdated(sendCall)) {
+      failOutdated(next);
       return;
     }
     boolean newRun = sendCall.continuation().isEmpty();
@@ -180,31 +175,40 @@
           "not sent: the attempt was superseded or its deadline has passed");
       return;
     }
-    HttpHeaders headers = new DefaultHttpHeaders().set(request.headers());
-    HopByHopHeaders.removeFrom(headers);
-    headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-    headers.remove(HttpHeaderNames.EXPECT);
-    context
-        .dialect()
-        .setAttemptHeaders(
-            headers,
-            new AttemptMetadata(
-                sendCall.target().id(),
-                leftMs,
-                sendCall.organisation(),
-                sendCall.priority(),
-                sendCall.continuation(),
-                findResumePoint(sendCall)));
-    if (body.isReadable() || !HttpMethod.GET.equals(request.method())) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+    if (isOutdated(sendCall)) {
+      connection.releaseUnused();
+      failOutdated(attempt);
+      return;
     }
-    HttpRequest head =
-        new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(), headers);
+    final HttpRequest head = requests.create(request, body, describe(sendCall, leftMs));
     attempt.onSent(connection);
     unprovenAttempts++;
     connection.send(head, body.retainedDuplicate(), attempt);
   }
 
+  /** Returns whether the decision to send was made too long ago, or before a suspension. */
+  private boolean isOutdated(DispatchEffect.SendCall sendCall) {
+    return MonotonicClock.nowMs() > sendCall.sendByMs()
+        || context.suspensionDetector().wasSuspendedSince(suspendedMsAtStart);
+  }
+
+  private static void failOutdated(AttemptResponseHandler attempt) {
+    attempt.fail(
+        AttemptFault.OUTDATED,
+        0,
+        "not sent: the daemon was paused or the deadline for sending has passed");
+  }
+
+  private AttemptMetadata describe(DispatchEffect.SendCall sendCall, long leftMs) {
+    return new AttemptMetadata(
+        sendCall.target().id(),
+        leftMs,
+        sendCall.organisation(),
+        sendCall.priority(),
+        sendCall.continuation(),
+        findResumePoint(sendCall));
+  }
+
   private OptionalLong findResumePoint(DispatchEffect.SendCall sendCall) {
     boolean resumesStream = sendCall.kind() == RouteKind.RESUMABLE_STREAMING && lastEventId > 0;
     return sendCall.continuation().isPresent() || resumesStream
