Fail an attempt whose request head cannot be created

A request hung until its deadline, and its connection was lost to the pool, if a header of the attempt was invalid, such as an organisation whose name holds a line break: the exception reached nobody. The attempt now fails as not sent, which it is, and the connection goes back.

Evidence: ProxyExchangeSendTest.reportsFailureIfHeadersOfAttemptAreInvalid failed before (no event within 1 s) and passes: 14 of 14 of the class.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -180,7 +180,14 @@
       failOutdated(attempt);
       return;
     }
-    final HttpRequest head = requests.create(request, body, describe(sendCall, leftMs));
+    HttpRequest head;
+    try {
+      head = requests.create(request, body, describe(sendCall, leftMs));
+    } catch (IllegalArgumentException e) {
+      connection.releaseUnused();
+      attempt.fail(AttemptFault.NOT_SENT, 0, "not sent: " + e.getMessage());
+      return;
+    }
     attempt.onSent(connection);
     unprovenAttempts++;
     connection.send(head, body.retainedDuplicate(), attempt);
