Refuse the head of a response that was joined from two

Callers saw 503 and not-run for a request that its target had run and answered with 200: the target sent the start of a rejection, cut off within a header or its reason phrase, and then the response.

That targets of the incident sent such bytes is not shown.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
@@ -16,7 +16,9 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.Map;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
  * A connection to a target that carries one request at a time.
@@ -27,6 +29,8 @@
  */
 public final class TargetConnection extends ChannelDuplexHandler {
 
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
+
   private final TargetConnectionPool pool;
   private final TargetResponseDecoder decoder;
   private Channel channel;
@@ -194,6 +198,11 @@
       return;
     }
     if (message instanceof HttpResponse response) {
+      if (isJoinedHead(response)) {
+        fail("the response is malformed: its head contains a second status line");
+        channel.close();
+        return;
+      }
       interimResponse = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
       if (!interimResponse) {
         reusable = HttpUtil.isKeepAlive(response) && hasDefinedLength(response);
@@ -239,6 +248,22 @@
     failed.ifPresent(responseListener -> responseListener.onFailure(detail));
   }
 
+  /**
+   * Returns whether a head that was cut off was joined with the head that followed it. The result
+   * would have the status of one response and the headers of both.
+   */
+  private static boolean isJoinedHead(HttpResponse response) {
+    if (STATUS_LINE.matcher(response.status().reasonPhrase()).find()) {
+      return true;
+    }
+    for (Map.Entry<String, String> header : response.headers()) {
+      if (STATUS_LINE.matcher(header.getValue()).find()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private static boolean hasDefinedLength(HttpResponse response) {
     return HttpUtil.isTransferEncodingChunked(response)
         || HttpUtil.isContentLengthSet(response)
