Count a run as possible once a copy of it is complete

A caller could see 503 for a stream whose run had been copied and stopped: between the end of the stopped run and its final copy the call has no attempt in progress, and if the engine had ended the run with a rejection, a deadline or a planned stop in that time refused the call as not-run.

A rejection states that nothing ran, but a completed copy says otherwise, and the verdict must not rest on the kinder of two statements. The source is now recorded with the copy, not only with the continuation.

Evidence: MigrationVerdictTest.doesNotRefuseStoppedRunAsNotRunAtDeadlineOrStop failed before in four of six cases (REJECTED and WRONG_TARGET, at the deadline and at the end of a drain) and passes now.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
@@ -223,14 +223,12 @@
             + "ms");
   }
 
-  /** Continues a run from a copy, which shows that it may have begun at its source. */
   private void continueAt(
       long nowMs,
       RunMigration migration,
       RunMigration.CompletedCopy copy,
       RoutedTarget engine,
       String why) {
-    migration.call().recordPossibleRun(migration.source().id());
     Continuation from = new Continuation(migration.source().address(), copy.handle());
     calls.send(
         nowMs, migration.call(), engine, Optional.of(from), "handle=" + copy.handle() + " " + why);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigration.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigration.java
@@ -130,7 +130,9 @@
     stepStartedMs = nowMs;
   }
 
+  /** Records a copy, which shows that the run may have begun at its source. */
   void completeCopy(String handle) {
+    call.recordPossibleRun(source.id());
     latestCopy = Optional.of(new CompletedCopy(destination.orElseThrow(), handle));
   }
 
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
@@ -4,6 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.event.TimeEvent;
@@ -54,6 +55,28 @@
     assertRefusedAfterOneRun(call);
   }
 
+  /** The call has no attempt in progress between the end of a stopped run and its final copy. */
+  @ParameterizedTest
+  @CsvSource({
+    "REJECTED, 39000",
+    "WRONG_TARGET, 39000",
+    "LOST, 39000",
+    "REJECTED, 1000",
+    "WRONG_TARGET, 1000",
+    "LOST, 1000"
+  })
+  void doesNotRefuseStoppedRunAsNotRunAtDeadlineOrStop(AttemptFault fault, long drainMs) {
+    String call = fixture.generate(3_000, 2_000);
+    fixture.markLeaving(call);
+    fixture.copied(call, 180, CopyOutcome.COPIED, "h1");
+    fixture.copied(call, 10, CopyOutcome.COPIED, "h1");
+    fixture.failed(call, fault, false);
+    fixture.apply(new TimeEvent.DrainRequested(fixture.nowMs(), fixture.nowMs() + drainMs));
+    fixture.tick(39_000);
+
+    assertRefusedAfterOneRun(call);
+  }
+
   @Test
   void countsMovedRunTowardsMaxTargetsOfResumableStream() {
     String call = moveRun("check");
