Check verdicts and repeated runs against simulated targets

DispatchFuzzTest told the reducer of random faults and believed them; nothing in it knew which call a target had begun to run, so it could not notice a rejected continuation of a run in progress.

SimulatedTargets plays the targets and copies: it rejects only what has not begun, may begin to run a request whose connection is lost, answers late and for replaced attempts too, and fails any copy. It checks that nothing a target may run is run anew (or beyond the route's targets where that is allowed) or refused as not-run, that a continuation replaces only the run that was copied, that nothing is refused after its head, and that every call ends once.

The older property is unchanged.

--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFuzzTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFuzzTest.java
@@ -13,6 +13,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.event.TimeEvent;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.route.RoutedTarget;
 
@@ -34,6 +35,83 @@
     new RandomSession(seed).execute();
   }
 
+  @Property(tries = 300)
+  void neverRunsAgainOrRefusesAsNotRunWhatTargetsMayRun(@ForAll long seed) {
+    new SimulatedTargetsSession(seed).execute();
+  }
+
+  /** Leaves the outcome of every attempt and copy to simulated targets. */
+  private static final class SimulatedTargetsSession {
+
+    private final SplittableRandom random;
+    private final DispatchFixture fixture = DispatchFixture.ready();
+    private final SimulatedTargets targets;
+    private final Map<String, RoutedTarget> latest = new HashMap<>();
+    private long revision = 100;
+
+    private SimulatedTargetsSession(long seed) {
+      this.random = new SplittableRandom(seed);
+      this.targets = new SimulatedTargets(fixture, random);
+    }
+
+    private void execute() {
+      int drainStep = random.nextInt(2 * STEPS);
+      for (int i = 0; i < STEPS; i++) {
+        fixture.advance(random.nextInt(20));
+        if (i == drainStep) {
+          fixture.apply(new TimeEvent.DrainRequested(fixture.nowMs(), fixture.nowMs() + 4_000));
+        }
+        step();
+        targets.check();
+      }
+      fixture.tick(45_000);
+      targets.check();
+      targets.checkAllEnded();
+    }
+
+    private void step() {
+      switch (random.nextInt(20)) {
+        case 0 -> fixture.call(random.nextBoolean() ? "booking" : "status");
+        case 1, 2 -> generate();
+        case 3, 4, 5 -> targets.begin();
+        case 6 -> targets.answer();
+        case 7 -> targets.complete();
+        case 8, 9, 10 -> targets.fail();
+        case 11, 12, 13, 14, 15 -> targets.endCopy();
+        case 16, 17 -> changeTarget();
+        case 18 -> targets.leaveCaller();
+        default -> fixture.tick(50);
+      }
+    }
+
+    private void generate() {
+      String route = random.nextBoolean() ? "check" : "draft";
+      fixture.generate(route, random.nextInt(5_000), random.nextInt(2_000));
+    }
+
+    /** Announces that a target is leaving, or its next incarnation. */
+    private void changeTarget() {
+      revision++;
+      List<RoutedTarget> all = DispatchFixture.targets();
+      RoutedTarget listed = all.get(random.nextInt(all.size()));
+      RoutedTarget known = latest.getOrDefault(listed.id(), listed);
+      RoutedTarget changed = known.leaving() ? nextIncarnation(known) : known.asLeaving();
+      latest.put(changed.id(), changed);
+      fixture.apply(new DispatchEvent.TargetChanged(fixture.nowMs(), revision, changed));
+    }
+
+    private RoutedTarget nextIncarnation(RoutedTarget target) {
+      return new RoutedTarget(
+          target.id(),
+          revision,
+          target.service(),
+          target.address(),
+          target.zone(),
+          target.slots(),
+          false);
+    }
+  }
+
   private static final class RandomSession {
 
     private final SplittableRandom random;
