Revert the count of runs instead of targets towards the route's maximum

A resumable stream that was moved and then lost at its destination is therefore not resumed a third time.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
@@ -18,10 +18,9 @@
   private final int priority;
   private final long deadlineMs;
   private final Set<String> triedTargets = new HashSet<>();
-  private final Set<Integer> possibleRuns = new HashSet<>();
+  private final Set<String> possibleRunTargets = new HashSet<>();
   private Optional<RoutedTarget> target = Optional.empty();
   private int attempt;
-  private int run;
   private int reachedAttempts;
   private int copyRounds;
   private boolean started;
@@ -99,7 +98,7 @@
 
   /** Returns whether any attempt so far may have run, apart from the one in progress. */
   Verdict verdict() {
-    return possibleRuns.isEmpty() ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
+    return possibleRunTargets.isEmpty() ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN;
   }
 
   /** Returns the number of attempts that reached, or may have reached, their target. */
@@ -107,29 +106,18 @@
     return reachedAttempts;
   }
 
-  /**
-   * Returns the number of runs that may have begun, apart from the attempt in progress. A run that
-   * is continued on another target counts once.
-   */
+  /** Returns the number of targets that may have run the call, before the attempt in progress. */
   int possibleRuns() {
-    return possibleRuns.size();
+    return possibleRunTargets.size();
   }
 
   boolean wasTried(String targetId) {
     return triedTargets.contains(targetId);
   }
 
-  /**
-   * Records that an attempt was sent, which begins a new run or continues the latest one. A
-   * previous attempt that has not failed may have run.
-   */
-  void attemptSent(long nowMs, RoutedTarget to, boolean newRun) {
-    if (target.isPresent()) {
-      recordPossibleRun();
-    }
-    if (newRun) {
-      run++;
-    }
+  /** Records that an attempt was sent. A previous one that has not failed may have run. */
+  void attemptSent(long nowMs, RoutedTarget to) {
+    target.ifPresent(replaced -> recordPossibleRun(replaced.id()));
     lastSentAtMs = nowMs;
     attempt++;
     reachedAttempts++;
@@ -161,14 +149,14 @@
       reachedAttempts--;
     }
     if (fault.mayHaveRun()) {
-      recordPossibleRun();
+      target.ifPresent(failed -> recordPossibleRun(failed.id()));
     }
     target = Optional.empty();
   }
 
-  /** Records that the latest run may have begun; nothing that follows can disprove it. */
-  void recordPossibleRun() {
-    possibleRuns.add(run);
+  /** Records that a target may have run the call; nothing that follows can disprove it. */
+  void recordPossibleRun(String targetId) {
+    possibleRunTargets.add(targetId);
   }
 
   /** Numbers the copies of the call's runs, so that none is taken for one of an earlier run. */
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCalls.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCalls.java
@@ -65,7 +65,7 @@
       Optional<Continuation> continuation,
       String inputs) {
     releaseTarget(call);
-    call.attemptSent(nowMs, target, continuation.isEmpty());
+    call.attemptSent(nowMs, target);
     Optional<GenerationDemand> demand = call.profile().generation();
     long waitingPromptTokens =
         continuation.isPresent() ? 0 : demand.map(GenerationDemand::promptTokens).orElse(0L);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigration.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigration.java
@@ -132,7 +132,7 @@
 
   /** Records a copy, which shows that the run may have begun at its source. */
   void completeCopy(String handle) {
-    call.recordPossibleRun();
+    call.recordPossibleRun(source.id());
     latestCopy = Optional.of(new CompletedCopy(destination.orElseThrow(), handle));
   }
 
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
@@ -88,17 +88,6 @@
     assertThat(fixture.newRuns(call)).hasSize(2);
   }
 
-  @Test
-  void resumesMovedStreamOnceMoreBecauseMoveIsNoNewRun() {
-    String call = moveRun("check");
-    fixture.started(call);
-    fixture.failed(call, AttemptFault.LOST, true);
-    assertThat(fixture.newRuns(call)).hasSize(2);
-    fixture.failed(call, AttemptFault.LOST, true);
-
-    assertThat(fixture.newRuns(call)).hasSize(2);
-  }
-
   /** A dying engine breaks its answer and the copy in progress, in either order. */
   @ParameterizedTest
   @EnumSource(CopyOutcome.class)
