Refuse calls that arrive once the daemon has decided to stop

Callers that keep using their connections until the process is gone lost requests in a planned stop: a call that arrived between the decision to stop and the end of the process was still sent to a target, which ran it, and its answer was lost with the process. Such calls are now refused as not run.

Evidence: StoppedDaemonTest.doesNotSendCallThatArrivesAfterStop failed before and passes.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -51,6 +51,11 @@
   }
 
   void onCallArrived(DispatchEvent.CallArrived event) {
+    if (context.isStopped()) {
+      // An attempt sent now would lose its answer with the process.
+      refuseUnresolved(event, Reason.NOT_READY, "the daemon has stopped");
+      return;
+    }
     if (isRoutingLoaded()) {
       resolve(event);
       return;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
@@ -51,6 +51,7 @@
   private int maxDaemons = 1;
   private int maxZoneDaemons = 1;
   private Optional<DrainAdmission> drain = Optional.empty();
+  private boolean stopped;
 
   DispatchContext(DispatchSettings settings, MembershipReducer membership) {
     this.settings = settings;
@@ -143,6 +144,15 @@
     drain = Optional.of(admission);
   }
 
+  /** Returns whether the process is about to end. */
+  boolean isStopped() {
+    return stopped;
+  }
+
+  void markStopped() {
+    stopped = true;
+  }
+
   /** Records that a target was seen to be leaving, so that other daemons are informed. */
   void recordLeaving(long nowMs, String targetId) {
     leavingSinceMs.put(targetId, nowMs);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LifecycleHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LifecycleHandler.java
@@ -11,7 +11,6 @@
   private final ActiveCalls active;
   private final CallHandler calls;
   private Optional<Boolean> lastReady = Optional.empty();
-  private boolean stopped;
   private long noticeEndMs;
 
   LifecycleHandler(DispatchContext context, ActiveCalls active, CallHandler calls) {
@@ -33,14 +32,14 @@
   void tick(long nowMs) {
     updateReadiness();
     Optional<DrainAdmission> drain = context.drain();
-    if (drain.isEmpty() || stopped) {
+    if (drain.isEmpty() || context.isStopped()) {
       return;
     }
     if (nowMs >= drain.get().endMs()) {
       calls.abortAll("the daemon has reached its drain deadline");
     }
     if (active.count() == 0 && nowMs >= noticeEndMs) {
-      stopped = true;
+      context.markStopped();
       context.effects().add(new Effect.Stop());
     }
   }
