--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeSendTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeSendTest.java
@@ -33,7 +33,6 @@
 import org.sequoiareach.daemon.dialect.AttemptMetadata;
 import org.sequoiareach.daemon.dialect.CallDialect;
 import org.sequoiareach.daemon.front.ResponseWriter;
-import org.sequoiareach.daemon.upstream.RawServer;
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
 import org.sequoiareach.decision.dispatch.AttemptFault;
 import org.sequoiareach.decision.dispatch.CallProfile;
@@ -42,6 +41,7 @@
 import org.sequoiareach.decision.event.Event;
 import org.sequoiareach.model.route.RouteKind;
 import org.sequoiareach.model.route.RoutedTarget;
+import org.sequoiareach.standin.server.RawServer;
 import org.sequoiareach.store.time.MonotonicClock;
 import reactor.netty.resources.LoopResources;
 
@@ -124,6 +124,30 @@
     assertNotSent(AttemptFault.OUTDATED);
   }
 
+  @Test
+  void sendsNothingIfLoopStallsUntilSendDeadlineWhileConnecting() throws Exception {
+    onLoop(
+        run(
+            () -> {
+              exchange.send(sendCall(1, 100, LONG_MS));
+              sleep(200);
+            }));
+
+    assertNotSent(AttemptFault.OUTDATED);
+  }
+
+  @Test
+  void sendsNothingIfSuspendedWhileConnecting() throws Exception {
+    onLoop(
+        run(
+            () -> {
+              exchange.send(sendCall(1, LONG_MS, LONG_MS));
+              wallClockStepMs.set(1_000);
+            }));
+
+    assertNotSent(AttemptFault.OUTDATED);
+  }
+
   @Test
   void sendsNothingIfDeadlinePassesWhileConnecting() throws Exception {
     onLoop(
@@ -181,6 +205,14 @@
     }
   }
 
+  @Test
+  void reportsFailureIfHeadersOfAttemptAreInvalid() throws Exception {
+    onLoop(run(() -> exchange.send(sendCall(1, LONG_MS, LONG_MS, "two\nlines"))));
+
+    assertThat(next()).isInstanceOf(DispatchEvent.AttemptFailed.class);
+    assertThat(server.received()).isEmpty();
+  }
+
   @Test
   void reportsLossIfServerResetsAfterPartOfRequest() throws Exception {
     onLoop(run(() -> exchange.send(sendCall(1, LONG_MS, LONG_MS))));
