Do not reuse a connection whose response was discarded before its head

The caller of a request that may run once leaves, or the request reaches its deadline; the response is then discarded without a look at whose it is. An extra answer was taken for it, and the connection went back to the pool while its target still owed an answer: the daemon itself had put it one answer behind. The next request waited behind the abandoned run and ended with 504.

Such a connection is now closed after its response.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
@@ -40,7 +40,8 @@
   private boolean reusable;
   private boolean discarding;
   private boolean skipping;
-  private boolean skippedResponse;
+  private boolean headReceived;
+  private boolean singleUse;
   private boolean headRequest;
   private long reusableUntilMs;
   private int sentRequests;
@@ -67,6 +68,7 @@
     reusable = false;
     discarding = false;
     skipping = false;
+    headReceived = false;
     headRequest = HttpMethod.HEAD.equals(request.method());
     sentRequests++;
     channel.write(request);
@@ -103,11 +105,16 @@
     channel.close();
   }
 
-  /** Detaches the listener and discards the rest of the response, so that the target can finish. */
+  /**
+   * Detaches the listener and discards the rest of the response, so that the target can finish. If
+   * its head has not been received, the connection is not used again, because nobody is left to
+   * tell that response from another one.
+   */
   public void discardResponse() {
     if (listener.isPresent()) {
       listener = Optional.empty();
       discarding = true;
+      singleUse |= !headReceived;
       channel.config().setAutoRead(true);
     }
   }
@@ -119,7 +126,8 @@
    */
   public void skipResponse() {
     skipping = true;
-    skippedResponse = true;
+    headReceived = false;
+    singleUse = true;
   }
 
   /**
@@ -206,6 +214,7 @@
       interimResponse = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
       if (!interimResponse) {
         reusable = HttpUtil.isKeepAlive(response) && hasDefinedLength(response);
+        headReceived = true;
         listener.ifPresent(responseListener -> responseListener.onHead(response));
       }
     }
@@ -231,7 +240,7 @@
     channel.config().setAutoRead(true);
     boolean requestWritten = written.filter(ChannelFuture::isSuccess).isPresent();
     if (reusable
-        && !skippedResponse
+        && !singleUse
         && requestWritten
         && !decoder.hasUndecodedBytes()
         && channel.isActive()) {
