Limit the wait of repeatable requests for the answer behind an extra one

An extra answer that was cut short swallowed the request's own answer while it was skipped, and the request waited until its deadline; before the attempt had been given up and the request sent to another target. A repeatable request now waits for a third of its time left, then goes to another target. One that may run once waits, as an early 502 would serve its caller no better.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import org.sequoiareach.daemon.dialect.AnswerHead;
 import org.sequoiareach.daemon.upstream.ResponseListener;
 import org.sequoiareach.daemon.upstream.TargetConnection;
@@ -31,6 +32,9 @@
 
   private static final int MAX_EVENT_BYTES = 1 << 20;
 
+  /** The part of the time left for which a repeatable request waits behind an extra answer. */
+  private static final int OWN_ANSWER_WAIT_DIVISOR = 3;
+
   /** How the body of the response is processed. */
   private enum Mode {
     /** The head has not arrived yet. */
@@ -136,6 +140,7 @@
     if (isExtraAnswer(head)) {
       exchange.onExtraAnswer(describeOrigin());
       connection.ifPresent(TargetConnection::skipResponse);
+      limitWaitForOwnAnswer(nowMs);
       return;
     }
     if (assessment.isDiscarded()) {
@@ -154,6 +159,28 @@
     selectMode(head);
   }
 
+  /**
+   * Gives up an attempt at a repeatable request if its own answer does not follow the extra one
+   * early enough for another target. Other requests wait for it until their deadline.
+   */
+  private void limitWaitForOwnAnswer(long nowMs) {
+    if (!kind().isRepeatable()) {
+      return;
+    }
+    long waitMs = (sendCall.deadlineMs() - nowMs) / OWN_ANSWER_WAIT_DIVISOR;
+    exchange
+        .context()
+        .loop()
+        .schedule(
+            () -> {
+              if (mode == Mode.AWAITING_HEAD && !done) {
+                abortWithFault(AttemptFault.BROKEN_ANSWER, "no answer followed the extra answer");
+              }
+            },
+            waitMs,
+            TimeUnit.MILLISECONDS);
+  }
+
   /**
    * Returns whether an answer belongs to an earlier request of the connection, so that the answer
    * to this one is still to come.
