Do not continue a run that has ended while its continuation waited

A run may complete within the 40 ms for which the continuation of a stopped run waits for its source. The end of the attempt started the continuation before it ended the exchange, so a finished run was continued on another target for nobody. The exchange is ended first now.

Evidence: ProxyExchangeTest.doesNotContinueRunThatEndsWhileItsContinuationWaits failed before (a second connection) and passes.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -282,9 +282,10 @@
         + connection.map(TargetConnection::sentRequests).orElse(0);
   }
 
+  /** Ends the exchange first, so that a continuation that waits for this attempt is not sent. */
   private void completeDelivered() {
-    finish();
     exchange.onDelivered(this);
+    finish();
   }
 
   private void abortWithFault(AttemptFault fault, String detail) {
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
@@ -1,6 +1,7 @@
 package org.sequoiareach.daemon.exchange;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.buffer.ByteBuf;
@@ -13,9 +14,12 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
@@ -32,6 +36,7 @@
 import org.sequoiareach.daemon.front.ResponseWriter;
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
 import org.sequoiareach.decision.dispatch.CallProfile;
+import org.sequoiareach.decision.dispatch.Continuation;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.decision.dispatch.DispatchEvent;
 import org.sequoiareach.decision.event.Event;
@@ -139,6 +144,46 @@
     assertThat(response.events).containsExactly("head 200 verdict=null", "content", "abort");
   }
 
+  @Test
+  void doesNotContinueRunThatEndsWhileItsContinuationWaits() throws Exception {
+    onLoop(() -> exchange.send(sendCall(RouteKind.STREAMING)));
+    try (Socket accepted = target.accept()) {
+      assertThat(accepted.getInputStream().read()).isPositive();
+      onLoop(
+          () -> {
+            write(accepted, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nid: 1\n\n");
+            exchange.send(continuation());
+          });
+
+      target.setSoTimeout(300);
+      assertThatThrownBy(() -> target.accept()).isInstanceOf(SocketTimeoutException.class);
+    }
+    assertThat(response.events).containsExactly("head 200 verdict=null", "content", "finish");
+  }
+
+  private DispatchEffect.SendCall continuation() {
+    DispatchEffect.SendCall first = sendCall(RouteKind.STREAMING);
+    return new DispatchEffect.SendCall(
+        first.callId(),
+        2,
+        first.target(),
+        first.kind(),
+        first.organisation(),
+        first.priority(),
+        2,
+        first.sendByMs(),
+        first.deadlineMs(),
+        Optional.of(new Continuation(first.target().address(), "h1")));
+  }
+
+  private static void write(Socket socket, String text) {
+    try {
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   private DispatchEffect.SendCall sendCall(RouteKind kind) {
     long nowMs = MonotonicClock.nowMs();
     RoutedTarget at =
@@ -197,7 +242,7 @@
     public void onWritabilityChanged(Consumer<Boolean> listener) {}
   }
 
-  /** Adds no headers to attempts. */
+  /** Adds no headers to attempts, and takes every answer for a stream of the request. */
   private static final class PlainDialect implements CallDialect {
 
     @Override
@@ -215,7 +260,8 @@
 
     @Override
     public AnswerHead readAnswer(HttpResponse answer, long nowMs) {
-      throw new UnsupportedOperationException("answers are not read in this test");
+      return new AnswerHead(
+          Optional.of("r-1"), false, false, false, false, true, 0, Optional.empty());
     }
 
     @Override
