Log the request rates that targets state in their answers

What was missing: no log line or metric told that a target had stated a rate limit, or to which daemon, so the hypotheses of the incident could not be told apart. Answers of other targets and extra answers are not read. No decision depends on it.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/AnswerHead.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/AnswerHead.java
@@ -1,6 +1,7 @@
 package org.sequoiareach.daemon.dialect;
 
 import java.util.Optional;
+import org.sequoiareach.model.route.StatedRate;
 
 /**
  * The properties of an answer that its status and headers convey.
@@ -15,6 +16,7 @@
  *     if not stated
  * @param idleUntilMs the time until which the idle connection can be reused, in milliseconds of the
  *     monotonic clock; empty if not stated
+ * @param acceptedRate the rate of requests that the target accepts from all daemons together
  */
 public record AnswerHead(
     Optional<String> requestId,
@@ -24,4 +26,5 @@
     boolean encoded,
     boolean stream,
     long retryAfterMs,
-    Optional<Long> idleUntilMs) {}
+    Optional<Long> idleUntilMs,
+    StatedRate acceptedRate) {}
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AnswerAssessment.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AnswerAssessment.java
@@ -57,6 +57,11 @@
     return this == REJECTED || this == WRONG_TARGET;
   }
 
+  /** Returns whether the addressed target itself answers this request. */
+  boolean isFromAddressedTarget() {
+    return this != UNATTRIBUTED && this != WRONG_TARGET;
+  }
+
   /** Returns whether the answer is read to its end but not forwarded. */
   boolean isDiscarded() {
     return provesNotRun() || this == UNCONFIRMED_REJECTION;
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -143,6 +143,9 @@
       limitWaitForOwnAnswer(nowMs);
       return;
     }
+    if (assessment.isFromAddressedTarget() && head.acceptedRate().present()) {
+      exchange.onRateStated(this, head.acceptedRate());
+    }
     if (assessment.isDiscarded()) {
       mode = Mode.DISCARDED;
       return;
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -27,6 +27,7 @@
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.route.RouteKind;
+import org.sequoiareach.model.route.StatedRate;
 import org.sequoiareach.store.time.MonotonicClock;
 
 /**
@@ -278,6 +279,11 @@
     post(new DispatchEvent.AnswerStarted(MonotonicClock.nowMs(), callId, attempt.number()));
   }
 
+  /** Posts what a target states about the rate of requests that it accepts. */
+  void onRateStated(AttemptResponseHandler attempt, StatedRate rate) {
+    post(new DispatchEvent.RateStated(MonotonicClock.nowMs(), callId, attempt.number(), rate));
+  }
+
   void forwardPart(ByteBuf part) {
     response.sendContent(part);
   }
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/AnswerAssessmentTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/AnswerAssessmentTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.sequoiareach.daemon.dialect.AnswerHead;
 import org.sequoiareach.decision.dispatch.AttemptFault;
+import org.sequoiareach.model.route.StatedRate;
 
 class AnswerAssessmentTest {
 
@@ -47,7 +48,8 @@
             encoded,
             false,
             0,
-            Optional.empty());
+            Optional.empty(),
+            StatedRate.NONE);
 
     AnswerAssessment assessment = AnswerAssessment.of(head, REQUEST);
 
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
@@ -44,6 +44,7 @@
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.route.RouteKind;
 import org.sequoiareach.model.route.RoutedTarget;
+import org.sequoiareach.model.route.StatedRate;
 import org.sequoiareach.store.time.MonotonicClock;
 import reactor.netty.resources.LoopResources;
 
@@ -261,7 +262,15 @@
     @Override
     public AnswerHead readAnswer(HttpResponse answer, long nowMs) {
       return new AnswerHead(
-          Optional.of("r-1"), false, false, false, false, true, 0, Optional.empty());
+          Optional.of("r-1"),
+          false,
+          false,
+          false,
+          false,
+          true,
+          0,
+          Optional.empty(),
+          StatedRate.NONE);
     }
 
     @Override
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -6,6 +6,7 @@
 import org.sequoiareach.decision.event.Event;
 import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.model.route.RoutingSheet;
+import org.sequoiareach.model.route.StatedRate;
 import org.sequoiareach.model.route.TargetOutcomes;
 import org.sequoiareach.model.route.TargetUse;
 
@@ -29,6 +30,7 @@
   @JsonSubTypes.Type(DispatchEvent.AnswerDelivered.class),
   @JsonSubTypes.Type(DispatchEvent.AttemptFailed.class),
   @JsonSubTypes.Type(DispatchEvent.CallerLeft.class),
+  @JsonSubTypes.Type(DispatchEvent.RateStated.class),
   @JsonSubTypes.Type(DispatchEvent.RunCopied.class),
   @JsonSubTypes.Type(DispatchEvent.PeerStateTold.class),
   @JsonSubTypes.Type(DispatchEvent.PeerPulled.class)
@@ -171,6 +173,18 @@
       String detail)
       implements DispatchEvent {}
 
+  /**
+   * The head of a target's own answer to an attempt was received and is relevant to the rate of
+   * requests that the target accepts.
+   *
+   * @param nowMs when it was observed
+   * @param callId the identifier of the call
+   * @param attempt the number of the attempt
+   * @param rate the rate that the answer states
+   */
+  record RateStated(long nowMs, String callId, int attempt, StatedRate rate)
+      implements DispatchEvent {}
+
   /**
    * The caller closed its connection before its answer was complete.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -33,6 +33,7 @@
   private final TargetHealthHandler health;
   private final PeerSyncHandler peerSync;
   private final LifecycleHandler lifecycle;
+  private final LimitHandler limits;
   private volatile long sheetRevision;
   private volatile int targetCount;
 
@@ -54,6 +55,7 @@
     this.health = new TargetHealthHandler(context);
     this.calls = new CallHandler(context, active, migrations, durations, targets, health);
     this.peerSync = new PeerSyncHandler(context);
+    this.limits = new LimitHandler(active);
     this.lifecycle = new LifecycleHandler(context, active, calls);
   }
 
@@ -84,6 +86,8 @@
       calls.onCallArrived(arrived);
     } else if (event instanceof DispatchEvent.AnswerStarted started) {
       calls.onAnswerStarted(started);
+    } else if (event instanceof DispatchEvent.RateStated stated) {
+      limits.onRateStated(stated);
     } else if (event instanceof DispatchEvent.AnswerDelivered delivered) {
       calls.onAnswerDelivered(delivered);
     } else if (event instanceof DispatchEvent.AttemptFailed failed) {
