Keep all daemons together within the request rate that a target states

What callers and targets saw: a target that stated a limit of 3.3 requests a second received 37 in 4 s, where 25 are allowed. Callers of it were neither sent elsewhere nor refused.

Cause: no code read the limit. Class: what a target states to all daemons together must be shared, not applied by each alone.

Design: each daemon holds an equal share of the rate and lends it, for a second, to the daemon that owns the target by rendezvous hashing. The owner issues evenly spaced permits at the sum of the shares that it holds. A share is lent to one daemon at a time, so two owners, a cut or a dead owner cannot add up to more than the limit. Calls go to targets without a limit first; else they wait for a permit that comes in time; else they are refused at once with the time at which permits not yet promised begin. A limited target is asked once a second though others are free, so that the end of its limit is noticed. Limits spread between daemons; reports from engines and continued runs count as requests.

Ruled out: a fixed share for each daemon (0.04 a second at 84 daemons: wasted where callers meet few of them), and a lease in the store, which may be away.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -143,8 +143,8 @@
       limitWaitForOwnAnswer(nowMs);
       return;
     }
-    if (assessment.isFromAddressedTarget() && head.acceptedRate().present()) {
-      exchange.onRateStated(this, head.acceptedRate());
+    if (assessment.isFromAddressedTarget()) {
+      exchange.onRateStated(this, sendCall.target(), head.acceptedRate());
     }
     if (assessment.isDiscarded()) {
       mode = Mode.DISCARDED;
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -27,6 +27,7 @@
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.route.RouteKind;
+import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.model.route.StatedRate;
 import org.sequoiareach.store.time.MonotonicClock;
 
@@ -279,9 +280,13 @@
     post(new DispatchEvent.AnswerStarted(MonotonicClock.nowMs(), callId, attempt.number()));
   }
 
-  /** Posts what a target states about the rate of requests that it accepts. */
-  void onRateStated(AttemptResponseHandler attempt, StatedRate rate) {
-    post(new DispatchEvent.RateStated(MonotonicClock.nowMs(), callId, attempt.number(), rate));
+  /**
+   * Posts the rate of requests that a target states, or that it states none if that is relevant.
+   */
+  void onRateStated(AttemptResponseHandler attempt, RoutedTarget target, StatedRate rate) {
+    if (rate.present() || context.rateWatch().contains(target.id())) {
+      post(new DispatchEvent.RateStated(MonotonicClock.nowMs(), callId, attempt.number(), rate));
+    }
   }
 
   void forwardPart(ByteBuf part) {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeContext.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeContext.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
+import java.util.Set;
 import org.sequoiareach.daemon.control.EventSink;
 import org.sequoiareach.daemon.dialect.CallDialect;
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
@@ -15,6 +16,8 @@
  * @param metrics the registry for latencies
  * @param loop the event loop that all exchanges run on
  * @param suspensionDetector detects suspensions of the VM
+ * @param rateWatch the identities of the targets whose answers are reported also if they state no
+ *     rate of requests; changed on the event loop only
  */
 record ProxyExchangeContext(
     CallDialect dialect,
@@ -22,4 +25,5 @@
     EventSink events,
     MetricRegistry metrics,
     EventLoop loop,
-    SuspensionDetector suspensionDetector) {}
+    SuspensionDetector suspensionDetector,
+    Set<String> rateWatch) {}
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -57,7 +58,7 @@
       EventLoop loop) {
     this.context =
         new ProxyExchangeContext(
-            dialect, connections, events, metrics, loop, new SuspensionDetector());
+            dialect, connections, events, metrics, loop, new SuspensionDetector(), new HashSet<>());
     this.engines = engines;
   }
 
@@ -92,6 +93,8 @@
       withExchange(cut.callId(), ProxyExchange::abort);
     } else if (effect instanceof DispatchEffect.DropTarget drop) {
       context.loop().execute(() -> context.connections().retire(drop.target()));
+    } else if (effect instanceof DispatchEffect.WatchRate watch) {
+      context.loop().execute(() -> watchRate(watch));
     } else if (effect instanceof DispatchEffect.CopyRun copy) {
       withExchange(copy.callId(), exchange -> copyRun(exchange, copy));
     } else if (effect instanceof DispatchEffect.AskReport ask) {
@@ -101,6 +104,14 @@
     }
   }
 
+  private void watchRate(DispatchEffect.WatchRate watch) {
+    if (watch.watched()) {
+      context.rateWatch().add(watch.targetId());
+    } else {
+      context.rateWatch().remove(watch.targetId());
+    }
+  }
+
   private void copyRun(ProxyExchange exchange, DispatchEffect.CopyRun copy) {
     engines
         .copyRun(
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
@@ -38,6 +38,7 @@
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.platform.VmEntry;
 import org.sequoiareach.model.platform.VmKind;
+import org.sequoiareach.peer.LimitMessage;
 import org.sequoiareach.peer.MembershipMessage;
 import org.sequoiareach.peer.PeerLimits;
 import org.sequoiareach.peer.PeerListener;
@@ -121,10 +122,13 @@
     CompletableFuture<PeerTransport> started = new CompletableFuture<>();
     MembershipBridge membership = new MembershipBridge(controlLoop, started);
     CompletableFuture<PeerStateBridge> peerState = new CompletableFuture<>();
+    CompletableFuture<PeerLimitBridge> peerLimits = new CompletableFuture<>();
     this.transport =
-        TcpPeerTransport.start(peerSettings(), new PeerMessageDispatcher(membership, peerState));
+        TcpPeerTransport.start(
+            peerSettings(), new PeerMessageDispatcher(membership, peerState, peerLimits));
     started.complete(transport);
     peerState.complete(new PeerStateBridge(controlLoop, transport));
+    peerLimits.complete(new PeerLimitBridge(controlLoop, transport));
     HttpCaller http = new HttpCaller(createClient(), MAX_STORE_RESPONSE_BYTES);
     TargetConnectionManager connections = new TargetConnectionManager(loop, resources);
     ProxyExchangeRegistry exchanges =
@@ -139,6 +143,7 @@
     metrics.registerAll(ProcessGauges.create());
     metrics.register("sheet.revision", (Gauge<Long>) reducer::sheetRevision);
     metrics.register("targets", (Gauge<Integer>) reducer::targetCount);
+    metrics.register("targets.limited", (Gauge<Integer>) reducer::limitCount);
     controlLoop.start(
         reducer,
         List.of(
@@ -147,6 +152,7 @@
             callerServer,
             exchanges,
             peerState.join(),
+            peerLimits.join(),
             effect -> handleLocalEffect(effect, membership)));
     postSeedPeers();
     this.callerChannel = callerServer.accept(callerSocket);
@@ -332,9 +338,12 @@
    * @param membership receives membership messages
    * @param peerState receives state messages; completes after the transport has started, which
    *     itself needs this listener
+   * @param peerLimits receives messages about rate limits; completes at the same time
    */
   private record PeerMessageDispatcher(
-      MembershipBridge membership, CompletableFuture<PeerStateBridge> peerState)
+      MembershipBridge membership,
+      CompletableFuture<PeerStateBridge> peerState,
+      CompletableFuture<PeerLimitBridge> peerLimits)
       implements PeerListener {
 
     @Override
@@ -343,6 +352,8 @@
         membership.onMessage(fromDaemon, member);
       } else if (message instanceof StateMessage state) {
         peerState.thenAccept(bridge -> bridge.onMessage(fromDaemon, state));
+      } else if (message instanceof LimitMessage limit) {
+        peerLimits.thenAccept(bridge -> bridge.onMessage(fromDaemon, limit));
       }
     }
 
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeSendTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeSendTest.java
@@ -16,6 +16,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.BlockingQueue;
@@ -74,7 +75,8 @@
             events::add,
             new MetricRegistry(),
             loop,
-            detector);
+            detector,
+            new HashSet<>());
     HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x");
     exchange =
         onLoop(
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
@@ -21,6 +21,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -71,7 +72,8 @@
             posted::add,
             new MetricRegistry(),
             loop,
-            new SuspensionDetector());
+            new SuspensionDetector(),
+            new HashSet<>());
     long nowMs = MonotonicClock.nowMs();
     CallProfile profile =
         new CallProfile(
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.route.Route;
@@ -19,6 +20,8 @@
   private final long deadlineMs;
   private final Set<String> triedTargets = new HashSet<>();
   private final Set<String> possibleRunTargets = new HashSet<>();
+  private final Set<String> permitDeniedTargets = new HashSet<>();
+  private OptionalLong permitReturnMs = OptionalLong.empty();
   private Optional<RoutedTarget> target = Optional.empty();
   private int attempt;
   private int reachedAttempts;
@@ -118,6 +121,8 @@
   /** Records that an attempt was sent. A previous one that has not failed may have run. */
   void attemptSent(long nowMs, RoutedTarget to) {
     target.ifPresent(replaced -> recordPossibleRun(replaced.id()));
+    permitDeniedTargets.clear();
+    permitReturnMs = OptionalLong.empty();
     lastSentAtMs = nowMs;
     attempt++;
     reachedAttempts++;
@@ -125,6 +130,37 @@
     triedTargets.add(to.id());
   }
 
+  /** Returns when the latest attempt was sent, in milliseconds. */
+  long lastSentAtMs() {
+    return lastSentAtMs;
+  }
+
+  /**
+   * Records that a permit to send the call to a target was denied since the latest attempt.
+   *
+   * @param returnMs when a permit for the target is expected, in milliseconds
+   */
+  void permitDenied(String targetId, long returnMs) {
+    permitDeniedTargets.add(targetId);
+    permitReturnMs = OptionalLong.of(Math.min(permitReturnMs.orElse(Long.MAX_VALUE), returnMs));
+  }
+
+  boolean wasPermitDenied(String targetId) {
+    return permitDeniedTargets.contains(targetId);
+  }
+
+  /** Returns the number of targets whose permits were denied since the latest attempt. */
+  int permitDenials() {
+    return permitDeniedTargets.size();
+  }
+
+  /**
+   * Returns when the first denied permit is expected, in milliseconds; empty if none was denied.
+   */
+  OptionalLong permitReturnMs() {
+    return permitReturnMs;
+  }
+
   /** Records that a part of the answer's body was received. Only the first one is kept. */
   void answerStarted(long nowMs) {
     if (!started) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -4,6 +4,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import org.sequoiareach.decision.limit.PermitStrategy;
+import org.sequoiareach.decision.limit.UrgencyPermitStrategy;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.route.Route;
@@ -13,7 +15,7 @@
 import org.sequoiareach.model.route.TargetUse;
 
 /** Handles the events of calls: admits, places, retries and refuses them. Not thread-safe. */
-final class CallHandler {
+final class CallHandler implements PermitHandler.Listener {
 
   /** The attempts of a call that may reach a target and fail before the call is refused. */
   private static final int MAX_REACHED_ATTEMPTS = 3;
@@ -23,6 +25,12 @@
 
   private static final long MAX_RETRY_AFTER_MS = 900;
 
+  /** The targets with a rate limit that are tried for a call before it is refused. */
+  private static final int MAX_PERMIT_REQUESTS = 2;
+
+  /** The part of its time left that a plain call may need for its answer. */
+  private static final double ANSWER_TIME_SHARE = 0.5;
+
   /** The lowest HTTP status that reports a failure of the target. */
   private static final int MIN_SERVER_ERROR_STATUS = 500;
 
@@ -33,6 +41,9 @@
   private final RunDurationRegistry durations;
   private final TargetHandler targets;
   private final TargetHealthHandler health;
+  private final LimitHandler limits;
+  private final PermitHandler permits;
+  private final PermitStrategy permitStrategy = new UrgencyPermitStrategy();
   private final UnroutedCalls unrouted = new UnroutedCalls();
 
   CallHandler(
@@ -41,7 +52,10 @@
       MigrationHandler migrations,
       RunDurationRegistry durations,
       TargetHandler targets,
-      TargetHealthHandler health) {
+      TargetHealthHandler health,
+      LimitHandler limits) {
+    this.limits = limits;
+    this.permits = new PermitHandler(calls, limits, this);
     this.health = health;
     this.durations = durations;
     this.targets = targets;
@@ -107,7 +121,7 @@
       String message = "the daemon is draining and stops before the stream is expected to end";
       calls.refuse(call, Reason.NOT_READY, message, drainRetryAfterMs.get());
     } else {
-      place(event.nowMs(), call, "arrived");
+      place(event.nowMs(), call, "arrived", Optional.empty());
     }
   }
 
@@ -188,7 +202,27 @@
     retryOrFail(event, call);
   }
 
+  void onPermitAnswered(DispatchEvent.PermitAnswered event) {
+    permits.onPermitAnswered(event);
+  }
+
+  @Override
+  public void onPermitStarted(long nowMs, PermitWait wait) {
+    if (context.targets().isAvailable(wait.target().id(), nowMs)) {
+      String inputs = wait.why() + " " + limits.describe(nowMs, wait.target());
+      calls.send(nowMs, wait.call(), wait.target(), Optional.empty(), inputs);
+      return;
+    }
+    place(nowMs, wait.call(), wait.why(), wait.failure());
+  }
+
+  @Override
+  public void onPermitDenied(long nowMs, PermitWait wait) {
+    place(nowMs, wait.call(), wait.why(), wait.failure());
+  }
+
   void tick(long nowMs) {
+    permits.tick(nowMs);
     boolean mayLoadSoon = !context.targets().isStoreUnreachable();
     List<DispatchEvent.CallArrived> overdue =
         mayLoadSoon ? unrouted.takeExpired(nowMs) : unrouted.takeAll();
@@ -249,17 +283,40 @@
         priority);
   }
 
-  private void place(long nowMs, ActiveCall call, String why) {
+  /**
+   * Places a call on a target, or refuses it. Targets without a rate limit come first, unless none
+   * has a free slot or the latest answer of a limited target is outdated.
+   *
+   * @param failure the failure of the attempt before; empty for the first attempt
+   */
+  private void place(
+      long nowMs, ActiveCall call, String why, Optional<DispatchEvent.AttemptFailed> failure) {
     List<Candidate> all = context.candidates(call.service(), nowMs);
-    List<Candidate> untried = new ArrayList<>(all);
-    untried.removeIf(candidate -> call.wasTried(candidate.target().id()));
+    List<Candidate> unlimited = new ArrayList<>(all);
+    unlimited.removeIf(candidate -> call.wasTried(candidate.target().id()));
+    List<Candidate> limited = new ArrayList<>(unlimited);
+    limited.removeIf(candidate -> !mayRequestPermit(call, candidate.target()));
+    unlimited.removeIf(candidate -> limits.isLimited(candidate.target()));
     PlacementStrategy strategy =
         demandOf(call).isPresent() ? new PrefillPlacement(durationsOf(call)) : serviceStrategy;
-    Optional<Candidate> chosen = strategy.choose(demandOf(call), untried, context.randomLong());
+    Optional<Candidate> chosen = strategy.choose(demandOf(call), unlimited, context.randomLong());
+    Optional<Candidate> scarce =
+        limited.isEmpty()
+            ? Optional.empty()
+            : strategy.choose(demandOf(call), limited, context.randomLong());
+    if (scarce.isPresent() && prefersPermit(nowMs, chosen, scarce.get())) {
+      long latestStartMs = chosen.isPresent() ? nowMs : latestStartMs(nowMs, call);
+      permits.request(nowMs, call, scarce.get().target(), why, failure, latestStartMs);
+      return;
+    }
     if (chosen.isEmpty() && call.isStarted()) {
       calls.abort(call, Reason.NO_CAPACITY, "no other target has capacity to resume the stream");
       return;
     }
+    if (chosen.isEmpty() && call.permitReturnMs().isPresent()) {
+      refuseForLimit(nowMs, call, failure);
+      return;
+    }
     if (chosen.isEmpty()) {
       Reason reason = all.isEmpty() ? Reason.NO_TARGET : Reason.NO_CAPACITY;
       String message = "no target of service " + call.service() + " has capacity";
@@ -284,6 +341,41 @@
     calls.send(nowMs, call, chosen.get().target(), Optional.empty(), inputs);
   }
 
+  private boolean mayRequestPermit(ActiveCall call, RoutedTarget target) {
+    return limits.isLimited(target)
+        && !call.wasPermitDenied(target.id())
+        && call.permitDenials() < MAX_PERMIT_REQUESTS;
+  }
+
+  private boolean prefersPermit(long nowMs, Optional<Candidate> unlimited, Candidate limited) {
+    boolean hasFreeSlot =
+        unlimited
+            .filter(candidate -> candidate.use().calls() < candidate.target().slots())
+            .isPresent();
+    return !hasFreeSlot || limits.isProbeDue(nowMs, limited.target());
+  }
+
+  private long latestStartMs(long nowMs, ActiveCall call) {
+    long leftMs = call.deadlineMs() - nowMs;
+    long answerMs =
+        demandOf(call)
+            .map(durationsOf(call)::estimateMs)
+            .orElse(Math.round(ANSWER_TIME_SHARE * leftMs));
+    return permitStrategy.latestStartMs(nowMs, call.deadlineMs() - answerMs, call.priority());
+  }
+
+  /** Refuses a call because the targets that are left accept no more requests in time. */
+  private void refuseForLimit(
+      long nowMs, ActiveCall call, Optional<DispatchEvent.AttemptFailed> failure) {
+    long returnMs = call.permitReturnMs().getAsLong() - nowMs;
+    if (failure.isPresent()) {
+      giveUp(failure.get(), call, returnMs);
+      return;
+    }
+    String message = "the targets of service " + call.service() + " accept no more requests now";
+    calls.refuse(call, Reason.NO_CAPACITY, message, retryAfterMs(returnMs));
+  }
+
   /** Describes the target with the least memory in use, for the decision log. */
   private static String describeLeastLoaded(ActiveCall call, List<Candidate> candidates) {
     long needed = call.expectedMemoryTokens();
@@ -311,9 +403,14 @@
         && worthwhile
         && hasUntriedTarget(event.nowMs(), call)
         && acquireRetry(event, call)) {
-      place(event.nowMs(), call, "after " + event.fault());
+      place(event.nowMs(), call, "after " + event.fault(), Optional.of(event));
       return;
     }
+    giveUp(event, call, event.retryAfterMs());
+  }
+
+  /** Ends a call whose latest attempt failed and that is not sent again. */
+  private void giveUp(DispatchEvent.AttemptFailed event, ActiveCall call, long returnMs) {
     if (event.started()) {
       calls.abort(call, Reason.TARGET_FAILED, "no other target can resume the stream");
       return;
@@ -325,7 +422,7 @@
       return;
     }
     if (call.verdict() == Verdict.NOT_RUN) {
-      calls.refuse(call, Reason.NO_CAPACITY, event.detail(), retryAfterMs(event.retryAfterMs()));
+      calls.refuse(call, Reason.NO_CAPACITY, event.detail(), retryAfterMs(returnMs));
       return;
     }
     calls.refuse(call, Reason.TARGET_FAILED, event.detail(), 0);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
@@ -11,6 +11,7 @@
 import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.model.route.RoutingSheet;
 import org.sequoiareach.model.route.TargetOutcomes;
+import org.sequoiareach.model.route.TargetRateLimit;
 import org.sequoiareach.model.route.TargetUse;
 
 /**
@@ -28,6 +29,12 @@
   @JsonSubTypes.Type(DispatchEffect.CopyRun.class),
   @JsonSubTypes.Type(DispatchEffect.ReleaseCopy.class),
   @JsonSubTypes.Type(DispatchEffect.AskReport.class),
+  @JsonSubTypes.Type(DispatchEffect.WatchRate.class),
+  @JsonSubTypes.Type(DispatchEffect.TellLimits.class),
+  @JsonSubTypes.Type(DispatchEffect.LendShare.class),
+  @JsonSubTypes.Type(DispatchEffect.AskPermit.class),
+  @JsonSubTypes.Type(DispatchEffect.AnswerPermit.class),
+  @JsonSubTypes.Type(DispatchEffect.ReportSpentPermit.class),
   @JsonSubTypes.Type(DispatchEffect.TellPeer.class),
   @JsonSubTypes.Type(DispatchEffect.PullState.class),
   @JsonSubTypes.Type(DispatchEffect.AnswerPull.class)
@@ -139,6 +146,72 @@
    */
   record AskReport(RoutedTarget target) implements DispatchEffect {}
 
+  /**
+   * Starts or stops reporting the absence of a rate from the answers of a target.
+   *
+   * @param targetId the identity of the target
+   * @param watched whether its absence is reported
+   */
+  record WatchRate(String targetId, boolean watched) implements DispatchEffect {}
+
+  /**
+   * Sends what this daemon knows of the rate limits of targets to another one.
+   *
+   * @param daemonId the identifier of the other daemon
+   * @param address the address of the other daemon
+   * @param limits the limits in force and those that ended recently
+   */
+  record TellLimits(String daemonId, String address, List<TargetRateLimit> limits)
+      implements DispatchEffect {}
+
+  /**
+   * Lends this daemon's share of the rate of a target to its owner.
+   *
+   * @param daemonId the identifier of the owner
+   * @param address the address of the owner
+   * @param limit what this daemon knows of the limit
+   * @param daemons the highest number of daemons that this daemon has seen
+   */
+  record LendShare(String daemonId, String address, TargetRateLimit limit, int daemons)
+      implements DispatchEffect {}
+
+  /**
+   * Asks the owner of a target for a permit to send a call to it.
+   *
+   * @param daemonId the identifier of the owner
+   * @param address the address of the owner
+   * @param limit what this daemon knows of the limit
+   * @param callId the identifier of the call
+   * @param latestStartMs the latest useful start of the permit, in milliseconds
+   */
+  record AskPermit(
+      String daemonId, String address, TargetRateLimit limit, String callId, long latestStartMs)
+      implements DispatchEffect {}
+
+  /**
+   * Answers a daemon that asked for a permit.
+   *
+   * @param daemonId the identifier of the daemon
+   * @param address the address of the daemon
+   * @param callId the identifier of its call
+   * @param targetId the identity of the target
+   * @param granted whether the permit is granted
+   * @param atMs when the call may be sent, or when its caller should return, in milliseconds
+   */
+  record AnswerPermit(
+      String daemonId, String address, String callId, String targetId, boolean granted, long atMs)
+      implements DispatchEffect {}
+
+  /**
+   * Informs the owner of a target of a request that was sent without asking for a permit.
+   *
+   * @param daemonId the identifier of the owner
+   * @param address the address of the owner
+   * @param limit what this daemon knows of the limit
+   */
+  record ReportSpentPermit(String daemonId, String address, TargetRateLimit limit)
+      implements DispatchEffect {}
+
   /**
    * Sends the state of this daemon to another one.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -8,6 +8,7 @@
 import org.sequoiareach.model.route.RoutingSheet;
 import org.sequoiareach.model.route.StatedRate;
 import org.sequoiareach.model.route.TargetOutcomes;
+import org.sequoiareach.model.route.TargetRateLimit;
 import org.sequoiareach.model.route.TargetUse;
 
 /**
@@ -31,6 +32,11 @@
   @JsonSubTypes.Type(DispatchEvent.AttemptFailed.class),
   @JsonSubTypes.Type(DispatchEvent.CallerLeft.class),
   @JsonSubTypes.Type(DispatchEvent.RateStated.class),
+  @JsonSubTypes.Type(DispatchEvent.LimitsTold.class),
+  @JsonSubTypes.Type(DispatchEvent.ShareLent.class),
+  @JsonSubTypes.Type(DispatchEvent.PermitAsked.class),
+  @JsonSubTypes.Type(DispatchEvent.PermitAnswered.class),
+  @JsonSubTypes.Type(DispatchEvent.PermitSpent.class),
   @JsonSubTypes.Type(DispatchEvent.RunCopied.class),
   @JsonSubTypes.Type(DispatchEvent.PeerStateTold.class),
   @JsonSubTypes.Type(DispatchEvent.PeerPulled.class)
@@ -185,6 +191,61 @@
   record RateStated(long nowMs, String callId, int attempt, StatedRate rate)
       implements DispatchEvent {}
 
+  /**
+   * Another daemon sent what it knows of the rate limits of targets.
+   *
+   * @param nowMs when it was observed
+   * @param daemonId the identifier of the other daemon
+   * @param limits the limits, with their times converted to the local clock
+   */
+  record LimitsTold(long nowMs, String daemonId, List<TargetRateLimit> limits)
+      implements DispatchEvent {}
+
+  /**
+   * Another daemon lent its share of the rate of a target to this one.
+   *
+   * @param nowMs when it was observed
+   * @param daemonId the identifier of the other daemon
+   * @param limit what it knows of the limit
+   * @param daemons the highest number of daemons that it has seen
+   */
+  record ShareLent(long nowMs, String daemonId, TargetRateLimit limit, int daemons)
+      implements DispatchEvent {}
+
+  /**
+   * Another daemon asked this one for a permit to send a call to a target.
+   *
+   * @param nowMs when it was observed
+   * @param daemonId the identifier of the other daemon
+   * @param limit what it knows of the target's limit
+   * @param callId its identifier of the call
+   * @param latestStartMs the latest useful start of the permit, in milliseconds
+   */
+  record PermitAsked(
+      long nowMs, String daemonId, TargetRateLimit limit, String callId, long latestStartMs)
+      implements DispatchEvent {}
+
+  /**
+   * The owner of a target decided on a permit that this daemon asked for.
+   *
+   * @param nowMs when it was observed
+   * @param callId the identifier of the call
+   * @param targetId the identity of the target
+   * @param granted whether the permit was granted
+   * @param atMs when the call may be sent, or when its caller should return, in milliseconds
+   */
+  record PermitAnswered(long nowMs, String callId, String targetId, boolean granted, long atMs)
+      implements DispatchEvent {}
+
+  /**
+   * Another daemon sent a request to a target without asking for a permit.
+   *
+   * @param nowMs when it was observed
+   * @param daemonId the identifier of the other daemon
+   * @param limit what it knows of the target's limit
+   */
+  record PermitSpent(long nowMs, String daemonId, TargetRateLimit limit) implements DispatchEvent {}
+
   /**
    * The caller closed its connection before its answer was complete.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -21,7 +21,8 @@
  * delegated to one handler per concern; all of them share a {@link DispatchContext}.
  *
  * <p>Not thread-safe: all events must be applied on the control thread. Only {@link
- * #sheetRevision()} and {@link #targetCount()} may be called from any thread.
+ * #sheetRevision()}, {@link #targetCount()} and {@link #limitCount()} may be called from any
+ * thread.
  */
 public final class DispatchReducer implements Reducer {
 
@@ -36,6 +37,7 @@
   private final LimitHandler limits;
   private volatile long sheetRevision;
   private volatile int targetCount;
+  private volatile int limitCount;
 
   /**
    * Creates a reducer without routing sheet, targets or calls.
@@ -50,12 +52,12 @@
     this.context = new DispatchContext(settings, membership);
     ActiveCalls active = new ActiveCalls(context);
     RunDurationRegistry durations = new RunDurationRegistry();
-    this.migrations = new MigrationHandler(context, active, durations);
-    this.targets = new TargetHandler(context, active, migrations);
+    this.limits = new LimitHandler(context, active);
+    this.migrations = new MigrationHandler(context, active, durations, limits);
+    this.targets = new TargetHandler(context, active, migrations, limits);
     this.health = new TargetHealthHandler(context);
-    this.calls = new CallHandler(context, active, migrations, durations, targets, health);
+    this.calls = new CallHandler(context, active, migrations, durations, targets, health, limits);
     this.peerSync = new PeerSyncHandler(context);
-    this.limits = new LimitHandler(active);
     this.lifecycle = new LifecycleHandler(context, active, calls);
   }
 
@@ -66,6 +68,7 @@
     } else if (event instanceof TimeEvent.Ticked tick) {
       targets.tick(tick.nowMs());
       migrations.startDueCopies(tick.nowMs());
+      limits.tick(tick.nowMs());
       calls.tick(tick.nowMs());
       peerSync.tick(tick.nowMs());
       lifecycle.tick(tick.nowMs());
@@ -78,6 +81,7 @@
     }
     sheetRevision = context.sheetRevision();
     targetCount = context.targets().listedCount();
+    limitCount = limits.inForceCount();
     return context.effects().take();
   }
 
@@ -88,6 +92,16 @@
       calls.onAnswerStarted(started);
     } else if (event instanceof DispatchEvent.RateStated stated) {
       limits.onRateStated(stated);
+    } else if (event instanceof DispatchEvent.LimitsTold told) {
+      limits.onLimitsTold(told);
+    } else if (event instanceof DispatchEvent.ShareLent lent) {
+      limits.onShareLent(lent);
+    } else if (event instanceof DispatchEvent.PermitAsked asked) {
+      limits.onPermitAsked(asked);
+    } else if (event instanceof DispatchEvent.PermitSpent spent) {
+      limits.onPermitSpent(spent);
+    } else if (event instanceof DispatchEvent.PermitAnswered answered) {
+      calls.onPermitAnswered(answered);
     } else if (event instanceof DispatchEvent.AnswerDelivered delivered) {
       calls.onAnswerDelivered(delivered);
     } else if (event instanceof DispatchEvent.AttemptFailed failed) {
@@ -133,6 +147,15 @@
     return targetCount;
   }
 
+  /**
+   * Returns the number of targets that state a rate limit.
+   *
+   * @return the number of limits in force
+   */
+  public int limitCount() {
+    return limitCount;
+  }
+
   /** Collects the effects of one event. */
   static final class EffectList {
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
@@ -23,10 +23,16 @@
   private final DispatchContext context;
   private final ActiveCalls calls;
   private final RunDurationRegistry durations;
+  private final LimitHandler limits;
   private final RunMigrator migrator = new RunMigrator();
   private final Map<String, String> reservedAt = new HashMap<>();
 
-  MigrationHandler(DispatchContext context, ActiveCalls calls, RunDurationRegistry durations) {
+  MigrationHandler(
+      DispatchContext context,
+      ActiveCalls calls,
+      RunDurationRegistry durations,
+      LimitHandler limits) {
+    this.limits = limits;
     this.durations = durations;
     this.context = context;
     this.calls = calls;
@@ -72,13 +78,24 @@
     releaseReservations();
     migrator.startDueCopies(
         nowMs,
-        call -> context.candidates(call.service(), nowMs),
+        call -> findDestinations(nowMs, call),
         copy -> {
           reserveDestination(copy.callId());
           context.effects().add(copy);
         });
   }
 
+  /** Returns the engines that can receive a run: those without a rate limit if there are any. */
+  private List<Candidate> findDestinations(long nowMs, ActiveCall call) {
+    List<Candidate> all = context.candidates(call.service(), nowMs);
+    List<Candidate> unlimited =
+        all.stream()
+            .filter(engine -> !call.isAssignedTo(engine.target().id()))
+            .filter(engine -> !limits.isLimited(engine.target()))
+            .toList();
+    return unlimited.isEmpty() ? all : unlimited;
+  }
+
   /**
    * Counts a copy as use of its destination, so that neither this daemon nor another one, which is
    * told of the use, plans more runs there than its memory and slots hold.
@@ -229,6 +246,7 @@
       RunMigration.CompletedCopy copy,
       RoutedTarget engine,
       String why) {
+    limits.spend(nowMs, engine);
     Continuation from = new Continuation(migration.source().address(), copy.handle());
     calls.send(
         nowMs, migration.call(), engine, Optional.of(from), "handle=" + copy.handle() + " " + why);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
@@ -24,11 +24,17 @@
   private final DispatchContext context;
   private final ActiveCalls calls;
   private final MigrationHandler migrations;
+  private final LimitHandler limits;
   private final OwnershipStrategy ownership = new RendezvousOwnership();
   private long nextReportMs;
   private long nextOwnedReportMs;
 
-  TargetHandler(DispatchContext context, ActiveCalls calls, MigrationHandler migrations) {
+  TargetHandler(
+      DispatchContext context,
+      ActiveCalls calls,
+      MigrationHandler migrations,
+      LimitHandler limits) {
+    this.limits = limits;
     this.context = context;
     this.calls = calls;
     this.migrations = migrations;
@@ -120,6 +126,7 @@
         .filter(service -> service.engine().filter(EngineTraits::canMoveRuns).isPresent())
         .flatMap(service -> context.targets().findAvailable(service.name(), nowMs).stream())
         .filter(target -> ownedAreDue && isOwned(target) || usedAreDue && isUsed(target.id()))
+        .filter(target -> limits.mayReport(nowMs, target))
         .forEach(target -> context.effects().add(new DispatchEffect.AskReport(target)));
   }
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipReducer.java
@@ -140,6 +140,15 @@
     return settings.daemonId().equals(daemonId);
   }
 
+  /**
+   * Returns the identity of the local daemon.
+   *
+   * @return the identity
+   */
+  public String selfId() {
+    return settings.daemonId();
+  }
+
   /**
    * Finds the time at which an unacknowledged probe was sent.
    *
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/fuzz/VirtualClock.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/fuzz/VirtualClock.java
@@ -4,26 +4,48 @@
 import java.util.PriorityQueue;
 
 /** Event queue with a virtual clock that does not advance while a task runs. */
-final class VirtualClock {
+public final class VirtualClock {
 
   private final PriorityQueue<Task> tasks =
       new PriorityQueue<>(Comparator.comparingLong(Task::atMs).thenComparingLong(Task::number));
   private long nowMs = 1_000;
   private long scheduled;
 
-  long nowMs() {
+  /**
+   * Returns the current virtual time.
+   *
+   * @return the time in milliseconds
+   */
+  public long nowMs() {
     return nowMs;
   }
 
-  void after(long delayMs, Runnable action) {
+  /**
+   * Schedules a task.
+   *
+   * @param delayMs the delay in milliseconds
+   * @param action the task
+   */
+  public void after(long delayMs, Runnable action) {
     at(nowMs + delayMs, action);
   }
 
-  void at(long atMs, Runnable action) {
+  /**
+   * Schedules a task.
+   *
+   * @param atMs the time in milliseconds; now if it has passed
+   * @param action the task
+   */
+  public void at(long atMs, Runnable action) {
     tasks.add(new Task(Math.max(atMs, nowMs), scheduled++, action));
   }
 
-  void runUntil(long untilMs) {
+  /**
+   * Runs the tasks up to a time.
+   *
+   * @param untilMs the time in milliseconds
+   */
+  public void runUntil(long untilMs) {
     while (!tasks.isEmpty() && tasks.peek().atMs <= untilMs) {
       Task next = tasks.poll();
       nowMs = next.atMs;
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerCodec.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerCodec.java
@@ -26,6 +26,7 @@
   /** Types of the model that are encoded as arrays of their components instead of maps. */
   private static final List<Class<?>> ARRAY_ENCODED_TYPES =
       List.of(
+          LimitMessage.KnownLimit.class,
           MemberUpdate.class,
           TargetHint.class,
           Outcome.class,
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerMessage.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerMessage.java
@@ -32,6 +32,11 @@
   @JsonSubTypes.Type(value = SheetMessage.SheetStatusAnswered.class, name = "34"),
   @JsonSubTypes.Type(value = StateMessage.StateAnnouncement.class, name = "40"),
   @JsonSubTypes.Type(value = StateMessage.StatePull.class, name = "41"),
-  @JsonSubTypes.Type(value = StateMessage.StateSnapshot.class, name = "42")
+  @JsonSubTypes.Type(value = StateMessage.StateSnapshot.class, name = "42"),
+  @JsonSubTypes.Type(value = LimitMessage.LimitsAnnouncement.class, name = "50"),
+  @JsonSubTypes.Type(value = LimitMessage.ShareLoan.class, name = "51"),
+  @JsonSubTypes.Type(value = LimitMessage.PermitRequest.class, name = "52"),
+  @JsonSubTypes.Type(value = LimitMessage.PermitResponse.class, name = "53"),
+  @JsonSubTypes.Type(value = LimitMessage.SpentPermit.class, name = "54")
 })
 public interface PeerMessage {}
--- a/sequoiareach-peer/src/test/java/org/sequoiareach/peer/PeerCodecTest.java
+++ b/sequoiareach-peer/src/test/java/org/sequoiareach/peer/PeerCodecTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -65,7 +66,7 @@
 
   @Provide
   Arbitrary<PeerMessage> messages() {
-    return Arbitraries.oneOf(attempts(), answers(), membership(), sheets());
+    return Arbitraries.oneOf(attempts(), answers(), membership(), sheets(), limits());
   }
 
   private static Arbitrary<PeerMessage> attempts() {
@@ -142,6 +143,25 @@
     return Arbitraries.oneOf(announced, pull, sections, asked, answered);
   }
 
+  private static Arbitrary<PeerMessage> limits() {
+    Arbitrary<OptionalDouble> rates =
+        Arbitraries.of(OptionalDouble.empty(), OptionalDouble.of(0), OptionalDouble.of(3.3));
+    Arbitrary<LimitMessage.KnownLimit> known =
+        Combinators.combine(text(), millis(), rates, millis()).as(LimitMessage.KnownLimit::new);
+    Arbitrary<PeerMessage> announced =
+        known.list().ofMaxSize(3).map(LimitMessage.LimitsAnnouncement::new);
+    Arbitrary<PeerMessage> loan =
+        Combinators.combine(known, Arbitraries.integers().greaterOrEqual(1))
+            .as(LimitMessage.ShareLoan::new);
+    Arbitrary<PeerMessage> request =
+        Combinators.combine(known, text(), millis()).as(LimitMessage.PermitRequest::new);
+    Arbitrary<PeerMessage> response =
+        Combinators.combine(text(), text(), Arbitraries.of(true, false), millis())
+            .as(LimitMessage.PermitResponse::new);
+    Arbitrary<PeerMessage> spent = known.map(LimitMessage.SpentPermit::new);
+    return Arbitraries.oneOf(announced, loan, request, response, spent);
+  }
+
   private static PeerMessage sections(Sheet sheet) {
     return new SheetMessage.SheetSections(
         SheetManifest.of(sheet), Optional.of(SheetCatalogue.of(sheet)), sheet.organisations());
