Bound what the gateway reads of a response that never ends

What callers and targets saw: a caller got its answer in time, but the connection to a target that sends bytes without end stayed open and was read on: interim responses, the body of a rejection, of an answer whose caller had left or was cut, and event streams that continue with comments, repeated events or events without ids. Such a stream was neither ended nor resumed on another engine before the route's time limit.

Cause: a deadline ended the call, not the connection: a discarded response had neither a deadline nor a bound, interim responses were not counted, and bytes of a stream counted as progress.

Change: at most 32 interim responses a request; a discarded or skipped response ends with its attempt's deadline and 500 ms, or after 1 MB; a rejection of more than 64 KB is a broken answer, which promises nothing; a stream that brings 256 KB without its next event fails its attempt, so that it can be resumed elsewhere. Silence and slowness alone end nothing.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -32,6 +32,12 @@
 
   private static final int MAX_EVENT_BYTES = 1 << 20;
 
+  /** A rejection has a body of a few words; a longer one is not read to its end. */
+  private static final int MAX_REJECTION_BYTES = 64 << 10;
+
+  /** The time that a target may take to stop after the deadline that it was given. */
+  private static final long DISCARD_GRACE_MS = 500;
+
   /** The part of the time left for which a repeatable request waits behind an extra answer. */
   private static final int OWN_ANSWER_WAIT_DIVISOR = 3;
 
@@ -63,6 +69,7 @@
   private AnswerAssessment assessment = AnswerAssessment.OWN_ANSWER;
   private String answeredRequestId = "";
   private long retryAfterMs;
+  private long discardedBytes;
   private boolean done;
   private boolean startReported;
   private Runnable onEnded = () -> {};
@@ -121,7 +128,8 @@
   }
 
   void discardResponse() {
-    connection().ifPresent(TargetConnection::discardResponse);
+    long deadlineMs = sendCall.deadlineMs() + DISCARD_GRACE_MS;
+    connection().ifPresent(used -> used.discardResponse(deadlineMs));
     finish();
   }
 
@@ -221,6 +229,7 @@
       case EVENT_STREAM -> forwardEvents(part);
       case PASS_THROUGH -> exchange.forwardPart(part.retain());
       case BUFFERED, SERVER_ERROR -> appendToBuffer(part);
+      case DISCARDED -> countDiscarded(part);
       default -> {}
     }
   }
@@ -314,10 +323,13 @@
       for (ServerSentEventSplitter.Event event : splitter.orElseThrow().split(part)) {
         if (done) {
           event.bytes().release();
-        } else if (!exchange.forwardEvent(this, event.id(), event.bytes())) {
+        } else if (!exchange.forwardEvent(this, event)) {
           abortWithFault(
               AttemptFault.BROKEN_ANSWER,
               "the event stream that follows event " + resumedAfterEventId + " has a gap");
+        } else if (exchange.isFlooded()) {
+          abortWithFault(
+              AttemptFault.BROKEN_ANSWER, "the event stream continues without new events");
         }
       }
     } catch (IllegalStateException e) {
@@ -339,6 +351,15 @@
             });
   }
 
+  private void countDiscarded(ByteBuf part) {
+    discardedBytes += part.readableBytes();
+    if (discardedBytes > MAX_REJECTION_BYTES) {
+      abortWithFault(
+          AttemptFault.BROKEN_ANSWER,
+          "a rejection is longer than " + MAX_REJECTION_BYTES + " bytes: " + describeOrigin());
+    }
+  }
+
   private void appendToBuffer(ByteBuf part) {
     buffered.writeBytes(part);
     if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -41,6 +41,9 @@
 
   private static final Logger LOGGER = LogManager.getLogger(ProxyExchange.class);
 
+  /** The bytes of comments and repeated events that a sound stream contains between two events. */
+  private static final long MAX_BYTES_WITHOUT_PROGRESS = 256 << 10;
+
   /** Time for a stopped engine to end its response before another engine resumes the run. */
   private static final long SOURCE_END_TIMEOUT_MS = 40;
 
@@ -57,6 +60,7 @@
   private Optional<HeldErrorResponse> heldResponse = Optional.empty();
   private boolean headSent;
   private long lastEventId;
+  private long bytesWithoutProgress;
   private boolean allEventsNumbered = true;
   private long lastEventMs;
   private boolean ended;
@@ -237,7 +241,10 @@
    *
    * @return false if ids are missing between the last forwarded event and this one
    */
-  boolean forwardEvent(AttemptResponseHandler attempt, OptionalLong id, ByteBuf bytes) {
+  boolean forwardEvent(AttemptResponseHandler attempt, ServerSentEventSplitter.Event event) {
+    OptionalLong id = event.id();
+    ByteBuf bytes = event.bytes();
+    bytesWithoutProgress = isProgress(event) ? 0 : bytesWithoutProgress + bytes.readableBytes();
     if (ended || id.isPresent() && id.getAsLong() <= lastEventId) {
       bytes.release();
       return true;
@@ -255,6 +262,21 @@
     return true;
   }
 
+  /**
+   * Returns whether an event is the next part of the stream. In a stream of numbered events that is
+   * one with a new number; in others, one with data.
+   */
+  private boolean isProgress(ServerSentEventSplitter.Event event) {
+    return event.id().isPresent()
+        ? event.id().getAsLong() > lastEventId
+        : lastEventId == 0 && event.hasContent();
+  }
+
+  /** Returns whether more bytes were received without progress than a sound stream contains. */
+  boolean isFlooded() {
+    return bytesWithoutProgress > MAX_BYTES_WITHOUT_PROGRESS;
+  }
+
   /** Forwards a complete body whose length is known. */
   void forwardBody(AttemptResponseHandler attempt, ByteBuf content) {
     sendHeadOnce(attempt, OptionalLong.of(content.readableBytes()));
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ServerSentEventSplitter.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ServerSentEventSplitter.java
@@ -15,6 +15,7 @@
 final class ServerSentEventSplitter {
 
   private static final String ID_FIELD = "id:";
+  private static final String DATA_FIELD = "data";
 
   private final ByteBuf buffer;
   private final int maxEventBytes;
@@ -24,9 +25,10 @@
    * A complete event.
    *
    * @param id the numeric event id; empty if the event has none
+   * @param hasContent whether the event has an id or data, unlike one that consists of comments
    * @param bytes the raw bytes including the terminating blank line; the receiver releases them
    */
-  record Event(OptionalLong id, ByteBuf bytes) {}
+  record Event(OptionalLong id, boolean hasContent, ByteBuf bytes) {}
 
   ServerSentEventSplitter(ByteBufAllocator allocator, int maxEventBytes) {
     this.buffer = Check.notNull(allocator, "allocator").buffer();
@@ -86,7 +88,10 @@
   private Event readEvent(int length) {
     String text = buffer.toString(buffer.readerIndex(), length, StandardCharsets.UTF_8);
     scanned = 0;
-    return new Event(findId(text), buffer.readBytes(length));
+    OptionalLong id = findId(text);
+    boolean hasContent =
+        id.isPresent() || text.lines().anyMatch(line -> line.startsWith(DATA_FIELD));
+    return new Event(id, hasContent, buffer.readBytes(length));
   }
 
   private static OptionalLong findId(String text) {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
@@ -18,7 +18,9 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
+import org.sequoiareach.store.time.MonotonicClock;
 
 /**
  * A connection to a target that carries one request at a time.
@@ -29,6 +31,12 @@
  */
 public final class TargetConnection extends ChannelDuplexHandler {
 
+  /** The interim responses to one request, which only announce that its response will follow. */
+  private static final int MAX_INTERIM_RESPONSES = 32;
+
+  /** The bytes of a response that are read without being used, so that the target can finish. */
+  private static final long MAX_UNUSED_BYTES = 1 << 20;
+
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
 
   private final TargetConnectionPool pool;
@@ -45,6 +53,8 @@
   private boolean headRequest;
   private long reusableUntilMs;
   private int sentRequests;
+  private int interimResponses;
+  private long unusedBytes;
 
   TargetConnection(TargetConnectionPool pool, HttpDecoderConfig config) {
     this.pool = pool;
@@ -69,6 +79,8 @@
     discarding = false;
     skipping = false;
     headReceived = false;
+    interimResponses = 0;
+    unusedBytes = 0;
     headRequest = HttpMethod.HEAD.equals(request.method());
     sentRequests++;
     channel.write(request);
@@ -108,15 +120,30 @@
   /**
    * Detaches the listener and discards the rest of the response, so that the target can finish. If
    * its head has not been received, the connection is not used again, because nobody is left to
-   * tell that response from another one.
+   * tell that response from another one. A response that is longer than {@value #MAX_UNUSED_BYTES}
+   * bytes or has not ended by the deadline closes the connection.
+   *
+   * @param deadlineMs the deadline, in milliseconds of the monotonic clock
    */
-  public void discardResponse() {
-    if (listener.isPresent()) {
-      listener = Optional.empty();
-      discarding = true;
-      singleUse |= !headReceived;
-      channel.config().setAutoRead(true);
+  public void discardResponse(long deadlineMs) {
+    if (listener.isEmpty()) {
+      return;
     }
+    listener = Optional.empty();
+    discarding = true;
+    singleUse |= !headReceived;
+    channel.config().setAutoRead(true);
+    int discardedRequest = sentRequests;
+    channel
+        .eventLoop()
+        .schedule(
+            () -> {
+              if (discarding && sentRequests == discardedRequest) {
+                channel.close();
+              }
+            },
+            Math.max(0, deadlineMs - MonotonicClock.nowMs()),
+            TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -212,6 +239,11 @@
         return;
       }
       interimResponse = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+      if (interimResponse && ++interimResponses > MAX_INTERIM_RESPONSES) {
+        fail("more than " + MAX_INTERIM_RESPONSES + " interim responses were received");
+        channel.close();
+        return;
+      }
       if (!interimResponse) {
         reusable = HttpUtil.isKeepAlive(response) && hasDefinedLength(response);
         headReceived = true;
@@ -221,6 +253,14 @@
     if (interimResponse) {
       return;
     }
+    if (message instanceof HttpContent part && (skipping || discarding)) {
+      unusedBytes += part.content().readableBytes();
+      if (unusedBytes > MAX_UNUSED_BYTES) {
+        fail("a response that is not used is longer than " + MAX_UNUSED_BYTES + " bytes");
+        channel.close();
+        return;
+      }
+    }
     if (skipping) {
       skipping = !(message instanceof LastHttpContent);
       return;
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
@@ -140,7 +140,8 @@
           AttemptResponseHandler attempt =
               new AttemptResponseHandler(exchange, sendCall(RouteKind.STREAMING), 0);
           ByteBuf event = Unpooled.copiedBuffer("id: 1\n\n", StandardCharsets.UTF_8);
-          exchange.forwardEvent(attempt, OptionalLong.of(1), event);
+          exchange.forwardEvent(
+              attempt, new ServerSentEventSplitter.Event(OptionalLong.of(1), true, event));
           exchange.refuse(Verdict.MAY_HAVE_RUN, Reason.DEADLINE, "too late", 0);
         });
 
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionReuseTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionReuseTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiareach.standin.server.RawServer;
+import org.sequoiareach.store.time.MonotonicClock;
 
 /** Tests which connections are reused and that they carry one request at a time. */
 class TargetConnectionReuseTest extends AbstractTargetConnectionTest {
@@ -90,7 +91,7 @@
     accepted.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no");
     listener.awaitHead();
 
-    onLoop(run(connection::discardResponse));
+    onLoop(run(() -> connection.discardResponse(MonotonicClock.nowMs() + TIMEOUT_MS)));
     accepted.send("k");
 
     awaitReusable(connection);
@@ -117,7 +118,7 @@
     listener.awaitHead();
 
     onLoop(run(() -> connection.setReadEnabled(false)));
-    onLoop(run(connection::discardResponse));
+    onLoop(run(() -> connection.discardResponse(MonotonicClock.nowMs() + TIMEOUT_MS)));
     accepted.send("k");
 
     awaitReusable(connection);
