Bound what the product's own clients read of a response that never ends

What was seen: in EndlessTargetResponseTest on the code before, 6 of 15 calls did not close their connection within 4 s: generations answered with an error body, comments, data lines or events without ids, a load report and a store call answered with interim responses. Error bodies and the data of an event were collected without a bound, so an engine could exhaust the daemon's memory.

Cause: bytes counted as progress; bodies of errors and load reports were aggregated whole; Reactor Netty takes 102 for the response and reads on; and cancelling a stream by its idle timeout does not close the connection while the engine goes on sending (a trial that printed the signals showed no cancellation at the connection).

Change: parts, not bytes, extend the idle timeout, which closes the connection itself; error bodies and load reports end at 64 KB, a stream at 1 MB without a numbered event; interim responses are skipped, at most 32 a request, also on the calls to the store, which the gateway shares.

Tests: EndlessTargetResponseTest passes (16 cases; the trickle of comments was added and failed first), with the other tests of the engine client.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
@@ -3,8 +3,10 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -17,9 +19,9 @@
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.RequestFailedException;
 import org.sequoiareach.model.request.Verdict;
+import org.sequoiareach.store.http.InterimResponseLimit;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
-import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
@@ -39,6 +41,7 @@
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(10);
   private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(2);
   private static final int MAX_LOAD_REPORT_BYTES = 1 << 16;
+  private static final int MAX_ERROR_BYTES = 1 << 16;
 
   /** The number of decoded buffers and events that may wait for a slow caller. */
   private static final int BUFFER_PREFETCH = 1;
@@ -69,7 +72,7 @@
   }
 
   private static HttpClient createClient(LoopResources eventLoops, ConnectionProvider connections) {
-    return HttpClient.create(connections)
+    return InterimResponseLimit.applyTo(HttpClient.create(connections))
         .runOn(eventLoops, false)
         .disableRetry(true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -89,6 +92,7 @@
     byte[] body = prepareBody(content.body(), dispatch.enginePriority());
     IdleTimeout timeout = new IdleTimeout(idleTimeout);
     return streams
+        .doOnRequest((request, connection) -> timeout.setConnection(connection))
         .headers(
             headers -> {
               headers.set("Content-Type", "application/json");
@@ -98,11 +102,7 @@
         .post()
         .uri("http://" + dispatch.address() + COMPLETIONS_PATH)
         .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
-        .response(
-            (response, bytes) -> {
-              Flux<ByteBuf> observed = bytes.doOnNext(buffer -> timeout.onBytesReceived());
-              return read(dispatch.targetId(), attemptId, 0, response, observed);
-            })
+        .response((response, bytes) -> read(dispatch.targetId(), attemptId, 0, response, bytes))
         .transform(timeout::applyTo)
         .onErrorMap(thrown -> TargetFailures.classify(dispatch.targetId(), thrown));
   }
@@ -120,14 +120,11 @@
       String targetId, String address, String attemptId, long afterSequence) {
     IdleTimeout timeout = new IdleTimeout(idleTimeout);
     return streams
+        .doOnRequest((request, connection) -> timeout.setConnection(connection))
         .headers(headers -> headers.set("Last-Event-ID", Long.toString(afterSequence)))
         .get()
         .uri("http://" + address + COMPLETIONS_PATH + "/chatcmpl-" + attemptId)
-        .response(
-            (response, bytes) -> {
-              Flux<ByteBuf> observed = bytes.doOnNext(buffer -> timeout.onBytesReceived());
-              return read(targetId, attemptId, afterSequence, response, observed);
-            })
+        .response((response, bytes) -> read(targetId, attemptId, afterSequence, response, bytes))
         .transform(timeout::applyTo)
         .onErrorMap(thrown -> toResumeFailure(targetId, thrown));
   }
@@ -147,6 +144,7 @@
         .delete()
         .uri("http://" + address + COMPLETIONS_PATH + "/chatcmpl-" + attemptId)
         .response()
+        .timeout(CONTROL_TIMEOUT)
         .map(response -> isCancelled(targetId, response.status().code()))
         .onErrorMap(thrown -> TargetFailures.classify(targetId, thrown));
   }
@@ -162,7 +160,8 @@
         .responseTimeout(CONTROL_TIMEOUT)
         .get()
         .uri("http://" + address + "/load")
-        .responseSingle((response, bytes) -> bytes.asByteArray())
+        .response((response, bytes) -> collect(bytes, MAX_LOAD_REPORT_BYTES))
+        .single()
         .timeout(CONTROL_TIMEOUT)
         .map(EngineClient::parseLoad);
   }
@@ -179,14 +178,6 @@
   }
 
   private static EngineLoad parseLoad(byte[] bytes) {
-    if (bytes.length > MAX_LOAD_REPORT_BYTES) {
-      throw new IllegalStateException(
-          "a load report of "
-              + bytes.length
-              + " bytes exceeds "
-              + MAX_LOAD_REPORT_BYTES
-              + " bytes");
-    }
     try {
       return Json.mapper().readValue(bytes, EngineLoad.class);
     } catch (IOException e) {
@@ -202,10 +193,8 @@
       Flux<ByteBuf> bytes) {
     int status = response.status().code();
     if (status != 200) {
-      return ByteBufFlux.fromInbound(bytes)
-          .aggregate()
-          .asString(StandardCharsets.UTF_8)
-          .defaultIfEmpty("")
+      return collect(bytes, MAX_ERROR_BYTES)
+          .map(body -> new String(body, StandardCharsets.UTF_8))
           .flatMapMany(text -> Flux.error(toFailure(targetId, status, text)));
     }
     // A buffer is released after its onNext signal, so it must be decoded within the signal.
@@ -218,6 +207,21 @@
         .concatWith(Flux.defer(reader::failIfIncomplete));
   }
 
+  /** Collects a body; fails as soon as it is longer than the given number of bytes. */
+  private static Mono<byte[]> collect(Flux<ByteBuf> bytes, int maxBytes) {
+    return bytes
+        .collect(
+            ByteArrayOutputStream::new,
+            (body, part) -> {
+              if (body.size() + part.readableBytes() > maxBytes) {
+                throw new IllegalStateException(
+                    "the response body is longer than " + maxBytes + " bytes");
+              }
+              body.writeBytes(ByteBufUtil.getBytes(part));
+            })
+        .map(ByteArrayOutputStream::toByteArray);
+  }
+
   private static RuntimeException toFailure(String targetId, int status, String text) {
     String message =
         "target " + targetId + " responded with status " + status + ": " + abbreviate(text);
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineSseDecoder.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineSseDecoder.java
@@ -12,13 +12,18 @@
   /** The maximum length of a line; a longer line fails the stream. */
   static final int MAX_LINE_BYTES = 1 << 20;
 
+  /** The bytes without a numbered event after which the stream fails. */
+  static final int MAX_BYTES_WITHOUT_EVENT = 1 << 20;
+
   private final ByteArrayOutputStream line = new ByteArrayOutputStream();
   private final StringBuilder data = new StringBuilder();
   private String id = "";
+  private long bytesWithoutEvent;
 
   /** Decodes bytes and returns the events that they complete. */
   List<EngineSseEvent> decode(ByteBuf bytes) {
     List<EngineSseEvent> events = new ArrayList<>();
+    bytesWithoutEvent += bytes.readableBytes();
     while (bytes.isReadable()) {
       byte next = bytes.readByte();
       if (next == '\n') {
@@ -27,6 +32,15 @@
         append(next);
       }
     }
+    if (events.stream().anyMatch(event -> !event.id().isEmpty())) {
+      bytesWithoutEvent = 0;
+    }
+    if (bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT) {
+      throw new IllegalStateException(
+          "the event stream brings more than "
+              + MAX_BYTES_WITHOUT_EVENT
+              + " bytes without a numbered event");
+    }
     return events;
   }
 
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/IdleTimeout.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/IdleTimeout.java
@@ -2,13 +2,16 @@
 
 import io.netty.handler.timeout.ReadTimeoutException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import org.sequoiareach.store.time.MonotonicClock;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Operators;
+import reactor.netty.Connection;
 
 /**
- * Fails a stream if the target sends nothing for a given time although there is demand.
+ * Fails a stream if it brings no part for a given time although there is demand. Bytes that make up
+ * no part, such as comments, do not extend the time.
  *
  * <p>A read timeout of the connection would also count the time in which a slow caller has no
  * demand and would attribute it to the target. An instance serves one stream. Thread-safe.
@@ -20,14 +23,18 @@
   private final long timeoutMs;
   private final AtomicLong demand = new AtomicLong();
   private volatile long lastActivityMs = MonotonicClock.nowMs();
+  private volatile Optional<Connection> connection = Optional.empty();
 
   IdleTimeout(Duration timeout) {
     this.timeoutMs = timeout.toMillis();
   }
 
-  /** Records that bytes were received from the target. */
-  void onBytesReceived() {
-    lastActivityMs = MonotonicClock.nowMs();
+  /**
+   * Sets the connection to close when the timeout expires. Cancelling the stream does not close it
+   * while the target goes on sending.
+   */
+  void setConnection(Connection used) {
+    connection = Optional.of(used);
   }
 
   /** Returns the stream with the timeout applied; it fails with {@link ReadTimeoutException}. */
@@ -36,19 +43,25 @@
         Flux.interval(Duration.ofMillis(Math.max(1, timeoutMs / CHECKS_PER_TIMEOUT)))
             .onBackpressureDrop()
             .filter(tick -> isIdle())
+            .doOnNext(tick -> connection.ifPresent(used -> used.channel().close()))
             .flatMap(tick -> Flux.error(ReadTimeoutException.INSTANCE));
     return stream
         .doOnRequest(this::addDemand)
-        .doOnNext(part -> demand.updateAndGet(IdleTimeout::decrement))
+        .doOnNext(part -> onPart())
         .takeUntilOther(timeoutSignal);
   }
 
   private void addDemand(long requested) {
     if (demand.getAndAccumulate(requested, Operators::addCap) == 0) {
-      onBytesReceived();
+      lastActivityMs = MonotonicClock.nowMs();
     }
   }
 
+  private void onPart() {
+    lastActivityMs = MonotonicClock.nowMs();
+    demand.updateAndGet(IdleTimeout::decrement);
+  }
+
   private boolean isIdle() {
     return demand.get() > 0 && MonotonicClock.nowMs() - lastActivityMs > timeoutMs;
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/ServiceClient.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/ServiceClient.java
@@ -15,6 +15,7 @@
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.peer.Header;
+import org.sequoiareach.store.http.InterimResponseLimit;
 import org.sequoiareach.store.time.MonotonicClock;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -57,7 +58,7 @@
    */
   public ServiceClient(LoopResources eventLoops) {
     this.client =
-        HttpClient.create(ConnectionProvider.newConnection())
+        InterimResponseLimit.applyTo(HttpClient.create(ConnectionProvider.newConnection()))
             .runOn(eventLoops, false)
             .disableRetry(true)
             .keepAlive(false)
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/http/HttpCaller.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/http/HttpCaller.java
@@ -46,7 +46,7 @@
    */
   public HttpCaller(HttpClient http, int maxBodyBytes) {
     Check.inRange(maxBodyBytes, 1, Integer.MAX_VALUE, "maxBodyBytes");
-    this.http = Check.notNull(http, "http").disableRetry(true);
+    this.http = InterimResponseLimit.applyTo(Check.notNull(http, "http")).disableRetry(true);
     this.maxBodyBytes = maxBodyBytes;
   }
 
