Test the rate limits of targets in parts: statements, permits, leases, placement

Each row that could only be read in the code before has a test: which answers state or end a limit, at the dialect, at the exchange and in the table; permits at the sum of the shares; a share lent to one daemon at a time; placement on limited targets, second sends, reports and moved runs.

--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFixture.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFixture.java
@@ -18,6 +18,7 @@
 import org.sequoiareach.model.route.RoutedService;
 import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.model.route.RoutingSheet;
+import org.sequoiareach.model.route.StatedRate;
 import org.sequoiareach.model.route.WeightedService;
 
 /**
@@ -143,6 +144,11 @@
     apply(new DispatchEvent.AnswerStarted(nowMs, callId, lastSend(callId).attempt()));
   }
 
+  /** Lets the target of a call state the rate of requests that it accepts. */
+  void state(String callId, StatedRate rate) {
+    apply(new DispatchEvent.RateStated(nowMs, callId, lastSend(callId).attempt(), rate));
+  }
+
   void delivered(String callId) {
     delivered(callId, 200);
   }
