--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/LimitedFleet.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/LimitedFleet.java
@@ -51,6 +51,9 @@
   private final long startMs;
   private BiPredicate<Integer, Integer> cut = (from, to) -> false;
   private long maxMessageDelayMs = 5;
+  private final List<Long> secondSendsMs = new ArrayList<>();
+  private String route = "booking";
+  private boolean failing;
   private int calls;
   private int served;
   private int refused;
@@ -88,6 +91,34 @@
     }
   }
 
+  /** Selects the route of the calls that callers send from now on. */
+  void useRoute(String name) {
+    route = name;
+  }
+
+  /** Lets all targets answer with an error from now on. */
+  void failAnswers() {
+    failing = true;
+  }
+
+  /** Returns the sum of the connections that the daemons may open to one target. */
+  int totalConnectionShares() {
+    return daemons.stream().mapToInt(daemon -> daemon.connectionShare).sum();
+  }
+
+  /** Returns the most second sends of calls in any window. */
+  int mostSecondSends(long windowMs) {
+    return secondSendsMs.stream()
+        .mapToInt(
+            fromMs ->
+                (int)
+                    secondSendsMs.stream()
+                        .filter(at -> at >= fromMs && at < fromMs + windowMs)
+                        .count())
+        .max()
+        .orElse(0);
+  }
+
   void setLimit(int target, double perSecond) {
     limits.put(SERVICE + target, OptionalDouble.of(perSecond));
   }
@@ -173,6 +204,7 @@
     private final long clockOffsetMs = random.nextLong(100_000);
     private final DispatchReducer reducer;
     private boolean alive = true;
+    private int connectionShare;
     private long frozenUntilMs;
 
     private Daemon(int number) {
@@ -214,7 +246,7 @@
                   new CallProfile(
                       callId,
                       DispatchFixture.HOST,
-                      "/booking/1",
+                      "/" + route + "/1",
                       Optional.of(KEY),
                       nowMs,
                       nowMs + CALLER_DEADLINE_MS,
@@ -235,6 +267,7 @@
     private void perform(Effect effect) {
       long nowMs = clock.nowMs() + clockOffsetMs;
       if (effect instanceof DispatchEffect.SendCall send) {
+        connectionShare = Math.max(connectionShare, send.maxConnections());
         clock.after(messageDelayMs(), () -> receiveAtTarget(send));
       } else if (effect instanceof DispatchEffect.RefuseCall refusal) {
         refused++;
@@ -321,18 +354,28 @@
 
     private void receiveAtTarget(DispatchEffect.SendCall send) {
       arrivalsMs.get(send.target().id()).add(clock.nowMs());
+      if (send.attempt() > 1) {
+        secondSendsMs.add(clock.nowMs());
+      }
       OptionalDouble limit = limits.get(send.target().id());
       StatedRate rate = limit.isPresent() ? StatedRate.of(limit.getAsDouble()) : StatedRate.NONE;
       clock.after(
           ANSWER_MS,
           () -> {
             apply(at -> new DispatchEvent.RateStated(at, send.callId(), send.attempt(), rate));
-            apply(at -> new DispatchEvent.AnswerDelivered(at, send.callId(), send.attempt(), 200));
-            served++;
+            apply(at -> endOf(at, send));
+            served += failing ? 0 : 1;
           });
     }
   }
 
+  private Event endOf(long atMs, DispatchEffect.SendCall send) {
+    return failing
+        ? new DispatchEvent.AttemptFailed(
+            atMs, send.callId(), send.attempt(), AttemptFault.SERVER_ERROR, 0, false, "failing")
+        : new DispatchEvent.AnswerDelivered(atMs, send.callId(), send.attempt(), 200);
+  }
+
   private static TargetRateLimit aged(long atMs, TargetRateLimit limit, long ageMs) {
     return new TargetRateLimit(
         limit.targetId(), limit.incarnation(), limit.perSecond(), atMs - ageMs);
