Move the choice of a call's target out of the call handler

CallPlacement chooses the target, and whether a permit is requested for a limited one; the handler acts on the choice.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -1,18 +1,13 @@
 package org.sequoiareach.decision.dispatch;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import org.sequoiareach.decision.limit.PermitStrategy;
-import org.sequoiareach.decision.limit.UrgencyPermitStrategy;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.route.Route;
 import org.sequoiareach.model.route.RouteKind;
 import org.sequoiareach.model.route.RoutedOrganisation;
 import org.sequoiareach.model.route.RoutedTarget;
-import org.sequoiareach.model.route.TargetUse;
 
 /** Handles the events of calls: admits, places, retries and refuses them. Not thread-safe. */
 final class CallHandler implements PermitHandler.Listener {
@@ -25,25 +20,18 @@
 
   private static final long MAX_RETRY_AFTER_MS = 900;
 
-  /** The targets with a rate limit that are tried for a call before it is refused. */
-  private static final int MAX_PERMIT_REQUESTS = 2;
-
-  /** The part of its time left that a plain call may need for its answer. */
-  private static final double ANSWER_TIME_SHARE = 0.5;
-
   /** The lowest HTTP status that reports a failure of the target. */
   private static final int MIN_SERVER_ERROR_STATUS = 500;
 
   private final DispatchContext context;
   private final ActiveCalls calls;
   private final MigrationHandler migrations;
-  private final PlacementStrategy serviceStrategy = new LeastOutstandingPlacement();
   private final RunDurationRegistry durations;
   private final TargetHandler targets;
   private final TargetHealthHandler health;
   private final LimitHandler limits;
   private final PermitHandler permits;
-  private final PermitStrategy permitStrategy = new UrgencyPermitStrategy();
+  private final CallPlacement placement;
   private final UnroutedCalls unrouted = new UnroutedCalls();
 
   CallHandler(
@@ -56,6 +44,7 @@
       LimitHandler limits) {
     this.limits = limits;
     this.permits = new PermitHandler(calls, limits, this);
+    this.placement = new CallPlacement(context, limits, durations);
     this.health = health;
     this.durations = durations;
     this.targets = targets;
@@ -284,84 +273,37 @@
   }
 
   /**
-   * Places a call on a target, or refuses it. Targets without a rate limit come first, unless none
-   * has a free slot or the latest answer of a limited target is outdated.
+   * Places a call on a target, or refuses it.
    *
    * @param failure the failure of the attempt before; empty for the first attempt
    */
   private void place(
       long nowMs, ActiveCall call, String why, Optional<DispatchEvent.AttemptFailed> failure) {
-    List<Candidate> all = context.candidates(call.service(), nowMs);
-    List<Candidate> unlimited = new ArrayList<>(all);
-    unlimited.removeIf(candidate -> call.wasTried(candidate.target().id()));
-    List<Candidate> limited = new ArrayList<>(unlimited);
-    limited.removeIf(candidate -> !mayRequestPermit(call, candidate.target()));
-    unlimited.removeIf(candidate -> limits.isLimited(candidate.target()));
-    PlacementStrategy strategy =
-        demandOf(call).isPresent() ? new PrefillPlacement(durationsOf(call)) : serviceStrategy;
-    Optional<Candidate> chosen = strategy.choose(demandOf(call), unlimited, context.randomLong());
-    Optional<Candidate> scarce =
-        limited.isEmpty()
-            ? Optional.empty()
-            : strategy.choose(demandOf(call), limited, context.randomLong());
-    if (scarce.isPresent() && prefersPermit(nowMs, chosen, scarce.get())) {
-      long latestStartMs = chosen.isPresent() ? nowMs : latestStartMs(nowMs, call);
-      permits.request(nowMs, call, scarce.get().target(), why, failure, latestStartMs);
+    CallPlacement.Choice choice = placement.choose(nowMs, call);
+    if (choice.permitTarget().isPresent()) {
+      RoutedTarget limited = choice.permitTarget().get();
+      permits.request(nowMs, call, limited, why, failure, choice.latestStartMs());
       return;
     }
-    if (chosen.isEmpty() && call.isStarted()) {
-      calls.abort(call, Reason.NO_CAPACITY, "no other target has capacity to resume the stream");
+    if (choice.target().isPresent()) {
+      String inputs = why + " " + choice.describe();
+      calls.send(nowMs, call, choice.target().get().target(), Optional.empty(), inputs);
       return;
     }
-    if (chosen.isEmpty() && call.permitReturnMs().isPresent()) {
-      refuseForLimit(nowMs, call, failure);
+    if (call.isStarted()) {
+      calls.abort(call, Reason.NO_CAPACITY, "no other target has capacity to resume the stream");
       return;
     }
-    if (chosen.isEmpty()) {
-      Reason reason = all.isEmpty() ? Reason.NO_TARGET : Reason.NO_CAPACITY;
-      String message = "no target of service " + call.service() + " has capacity";
-      calls.refuse(
-          call,
-          reason,
-          message,
-          retryAfterMs(drawCapacityRetryMs(call)),
-          describeLeastLoaded(call, all));
+    if (call.permitReturnMs().isPresent()) {
+      refuseForLimit(nowMs, call, failure);
       return;
     }
-    String inputs =
-        why
-            + " waiting="
-            + chosen.get().use().waitingPromptTokens()
-            + " calls="
-            + chosen.get().use().calls()
-            + " memory="
-            + chosen.get().use().memoryTokens()
-            + " candidates="
-            + all.size();
-    calls.send(nowMs, call, chosen.get().target(), Optional.empty(), inputs);
-  }
-
-  private boolean mayRequestPermit(ActiveCall call, RoutedTarget target) {
-    return limits.isLimited(target)
-        && !call.wasPermitDenied(target.id())
-        && call.permitDenials() < MAX_PERMIT_REQUESTS;
-  }
-
-  private boolean prefersPermit(long nowMs, Optional<Candidate> unlimited, Candidate limited) {
-    boolean hasFreeSlot =
-        unlimited
-            .filter(candidate -> candidate.use().calls() < candidate.target().slots())
-            .isPresent();
-    return !hasFreeSlot || limits.isProbeDue(nowMs, limited.target());
-  }
-
-  private long latestStartMs(long nowMs, ActiveCall call) {
-    long leftMs = call.deadlineMs() - nowMs;
-    long answerMs =
-        demandOf(call)
-            .map(durationsOf(call)::estimateMs)
-            .orElse(Math.round(ANSWER_TIME_SHARE * leftMs));
-    return permitStrategy.latestStartMs(nowMs, call.deadlineMs() - answerMs, call.priority());
+    calls.refuse(
+        call,
+        choice.all().isEmpty() ? Reason.NO_TARGET : Reason.NO_CAPACITY,
+        "no target of service " + call.service() + " has capacity",
+        retryAfterMs(drawCapacityRetryMs(call)),
+        choice.describeLeastLoaded(call));
   }
 
   /** Refuses a call because the targets that are left accept no more requests in time. */
@@ -376,25 +318,6 @@
     calls.refuse(call, Reason.NO_CAPACITY, message, retryAfterMs(returnMs));
   }
 
-  /** Describes the target with the least memory in use, for the decision log. */
-  private static String describeLeastLoaded(ActiveCall call, List<Candidate> candidates) {
-    long needed = call.expectedMemoryTokens();
-    return candidates.stream()
-        .map(Candidate::use)
-        .min(Comparator.comparingLong(TargetUse::memoryTokens))
-        .map(
-            use ->
-                "needed="
-                    + needed
-                    + " least loaded: calls="
-                    + use.calls()
-                    + " memory="
-                    + use.memoryTokens()
-                    + " candidates="
-                    + candidates.size())
-        .orElse("candidates=0");
-  }
-
   private void retryOrFail(DispatchEvent.AttemptFailed event, ActiveCall call) {
     boolean repeatable = call.verdict() == Verdict.NOT_RUN || mayRepeat(call);
     boolean worthwhile =
--- /dev/null
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallPlacement.java
@@ -0,0 +1,131 @@
+package org.sequoiareach.decision.dispatch;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.sequoiareach.decision.limit.PermitStrategy;
+import org.sequoiareach.decision.limit.UrgencyPermitStrategy;
+import org.sequoiareach.model.route.RoutedTarget;
+import org.sequoiareach.model.route.TargetUse;
+
+/**
+ * Chooses the target of a call. Targets without a rate limit come first, unless none has a free
+ * slot or the latest answer of a limited target is outdated. Not thread-safe.
+ */
+final class CallPlacement {
+
+  /** The targets with a rate limit that are tried for a call before it is refused. */
+  private static final int MAX_PERMIT_REQUESTS = 2;
+
+  /** The part of its time left that a plain call may need for its answer. */
+  private static final double ANSWER_TIME_SHARE = 0.5;
+
+  private final DispatchContext context;
+  private final LimitHandler limits;
+  private final RunDurationRegistry durations;
+  private final PlacementStrategy serviceStrategy = new LeastOutstandingPlacement();
+  private final PermitStrategy permitStrategy = new UrgencyPermitStrategy();
+
+  CallPlacement(DispatchContext context, LimitHandler limits, RunDurationRegistry durations) {
+    this.context = context;
+    this.limits = limits;
+    this.durations = durations;
+  }
+
+  /**
+   * The choice of a target.
+   *
+   * @param all the available targets
+   * @param target the chosen target without a rate limit; empty if none has capacity
+   * @param permitTarget the limited target to request a permit for instead; empty for none
+   * @param latestStartMs the latest useful start of that permit, in milliseconds
+   */
+  record Choice(
+      List<Candidate> all,
+      Optional<Candidate> target,
+      Optional<RoutedTarget> permitTarget,
+      long latestStartMs) {
+
+    /** Describes the chosen target, for the decision log. */
+    String describe() {
+      TargetUse use = target.orElseThrow().use();
+      return "waiting="
+          + use.waitingPromptTokens()
+          + " calls="
+          + use.calls()
+          + " memory="
+          + use.memoryTokens()
+          + " candidates="
+          + all.size();
+    }
+
+    /** Describes the target with the least memory in use, for the decision log. */
+    String describeLeastLoaded(ActiveCall call) {
+      long needed = call.expectedMemoryTokens();
+      return all.stream()
+          .map(Candidate::use)
+          .min(Comparator.comparingLong(TargetUse::memoryTokens))
+          .map(
+              use ->
+                  "needed="
+                      + needed
+                      + " least loaded: calls="
+                      + use.calls()
+                      + " memory="
+                      + use.memoryTokens()
+                      + " candidates="
+                      + all.size())
+          .orElse("candidates=0");
+    }
+  }
+
+  Choice choose(long nowMs, ActiveCall call) {
+    List<Candidate> all = context.candidates(call.service(), nowMs);
+    List<Candidate> untried =
+        all.stream().filter(candidate -> !call.wasTried(candidate.target().id())).toList();
+    List<Candidate> unlimited =
+        untried.stream().filter(candidate -> !limits.isLimited(candidate.target())).toList();
+    Optional<Candidate> target = choose(call, unlimited);
+    List<Candidate> limited =
+        untried.stream().filter(candidate -> mayRequestPermit(call, candidate.target())).toList();
+    Optional<RoutedTarget> permitTarget =
+        (limited.isEmpty() ? Optional.<Candidate>empty() : choose(call, limited))
+            .map(Candidate::target)
+            .filter(scarce -> prefersPermit(nowMs, target, scarce));
+    long latestStartMs = target.isPresent() ? nowMs : latestStartMs(nowMs, call);
+    return new Choice(all, target, permitTarget, latestStartMs);
+  }
+
+  private Optional<Candidate> choose(ActiveCall call, List<Candidate> candidates) {
+    Optional<GenerationDemand> demand = call.profile().generation();
+    PlacementStrategy strategy =
+        demand.isPresent()
+            ? new PrefillPlacement(durations.getEstimator(call.service()))
+            : serviceStrategy;
+    return strategy.choose(demand, candidates, context.randomLong());
+  }
+
+  private boolean mayRequestPermit(ActiveCall call, RoutedTarget target) {
+    return limits.isLimited(target)
+        && !call.wasPermitDenied(target.id())
+        && call.permitDenials() < MAX_PERMIT_REQUESTS;
+  }
+
+  private boolean prefersPermit(long nowMs, Optional<Candidate> unlimited, RoutedTarget limited) {
+    boolean hasFreeSlot =
+        unlimited
+            .filter(candidate -> candidate.use().calls() < candidate.target().slots())
+            .isPresent();
+    return !hasFreeSlot || limits.isProbeDue(nowMs, limited);
+  }
+
+  private long latestStartMs(long nowMs, ActiveCall call) {
+    long leftMs = call.deadlineMs() - nowMs;
+    long answerMs =
+        call.profile()
+            .generation()
+            .map(durations.getEstimator(call.service())::estimateMs)
+            .orElse(Math.round(ANSWER_TIME_SHARE * leftMs));
+    return permitStrategy.latestStartMs(nowMs, call.deadlineMs() - answerMs, call.priority());
+  }
+}
