--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
@@ -127,8 +127,9 @@
         TcpPeerTransport.start(
             peerSettings(), new PeerMessageDispatcher(membership, peerState, peerLimits));
     started.complete(transport);
-    peerState.complete(new PeerStateBridge(controlLoop, transport));
-    peerLimits.complete(new PeerLimitBridge(controlLoop, transport));
+    PeerMessageSender sender = new PeerMessageSender(transport);
+    peerState.complete(new PeerStateBridge(controlLoop, sender));
+    peerLimits.complete(new PeerLimitBridge(controlLoop, sender));
     HttpCaller http = new HttpCaller(createClient(), MAX_STORE_RESPONSE_BYTES);
     TargetConnectionManager connections = new TargetConnectionManager(loop, resources);
     ProxyExchangeRegistry exchanges =
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/PeerLimitBridge.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/PeerLimitBridge.java
@@ -1,7 +1,5 @@
 package org.sequoiareach.daemon.gateway;
 
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.sequoiareach.daemon.control.EffectHandler;
 import org.sequoiareach.daemon.control.EventSink;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
@@ -9,7 +7,6 @@
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.model.route.TargetRateLimit;
 import org.sequoiareach.peer.LimitMessage;
-import org.sequoiareach.peer.PeerTransport;
 import org.sequoiareach.store.time.MonotonicClock;
 
 /**
@@ -18,32 +15,30 @@
  */
 final class PeerLimitBridge implements EffectHandler {
 
-  private static final Logger LOGGER = LogManager.getLogger(PeerLimitBridge.class);
-
   private final EventSink events;
-  private final PeerTransport transport;
+  private final PeerMessageSender sender;
 
-  PeerLimitBridge(EventSink events, PeerTransport transport) {
+  PeerLimitBridge(EventSink events, PeerMessageSender sender) {
     this.events = events;
-    this.transport = transport;
+    this.sender = sender;
   }
 
   @Override
   public void handle(Effect effect) {
     long nowMs = MonotonicClock.nowMs();
     if (effect instanceof DispatchEffect.TellLimits tell) {
-      send(
+      sender.send(
           tell.daemonId(),
           tell.address(),
           new LimitMessage.LimitsAnnouncement(
               tell.limits().stream().map(limit -> toMessage(nowMs, limit)).toList()));
     } else if (effect instanceof DispatchEffect.LendShare lend) {
-      send(
+      sender.send(
           lend.daemonId(),
           lend.address(),
           new LimitMessage.ShareLoan(toMessage(nowMs, lend.limit()), lend.daemons()));
     } else if (effect instanceof DispatchEffect.AskPermit ask) {
-      send(
+      sender.send(
           ask.daemonId(),
           ask.address(),
           new LimitMessage.PermitRequest(
@@ -51,7 +46,7 @@
               ask.callId(),
               Math.max(0, ask.latestStartMs() - nowMs)));
     } else if (effect instanceof DispatchEffect.AnswerPermit answer) {
-      send(
+      sender.send(
           answer.daemonId(),
           answer.address(),
           new LimitMessage.PermitResponse(
@@ -60,7 +55,7 @@
               answer.granted(),
               Math.max(0, answer.atMs() - nowMs)));
     } else if (effect instanceof DispatchEffect.ReportSpentPermit spent) {
-      send(
+      sender.send(
           spent.daemonId(),
           spent.address(),
           new LimitMessage.SpentPermit(toMessage(nowMs, spent.limit())));
@@ -112,19 +107,4 @@
     return new TargetRateLimit(
         limit.targetId(), limit.incarnation(), limit.perSecond(), nowMs - limit.ageMs());
   }
-
-  private void send(String daemonId, String address, LimitMessage message) {
-    transport
-        .send(daemonId, address, message)
-        .exceptionally(
-            thrown -> {
-              // Not retried: limits and shares are sent again, and a lost request times out.
-              LOGGER.debug(
-                  "Could not send {} to daemon {}: {}",
-                  message.getClass().getSimpleName(),
-                  daemonId,
-                  thrown.getMessage());
-              return null;
-            });
-  }
 }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/PeerStateBridge.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/PeerStateBridge.java
@@ -1,14 +1,10 @@
 package org.sequoiareach.daemon.gateway;
 
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.sequoiareach.daemon.control.EffectHandler;
 import org.sequoiareach.daemon.control.EventSink;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.decision.dispatch.DispatchEvent;
 import org.sequoiareach.decision.effect.Effect;
-import org.sequoiareach.peer.PeerMessage;
-import org.sequoiareach.peer.PeerTransport;
 import org.sequoiareach.peer.StateMessage;
 import org.sequoiareach.store.time.MonotonicClock;
 
@@ -20,20 +16,18 @@
  */
 final class PeerStateBridge implements EffectHandler {
 
-  private static final Logger LOGGER = LogManager.getLogger(PeerStateBridge.class);
-
   private final EventSink events;
-  private final PeerTransport transport;
+  private final PeerMessageSender sender;
 
-  PeerStateBridge(EventSink events, PeerTransport transport) {
+  PeerStateBridge(EventSink events, PeerMessageSender sender) {
     this.events = events;
-    this.transport = transport;
+    this.sender = sender;
   }
 
   @Override
   public void handle(Effect effect) {
     if (effect instanceof DispatchEffect.TellPeer tell) {
-      send(
+      sender.send(
           tell.daemonId(),
           tell.address(),
           new StateMessage.StateAnnouncement(
@@ -43,12 +37,12 @@
               tell.leaving(),
               tell.outcomes()));
     } else if (effect instanceof DispatchEffect.PullState pull) {
-      send(
+      sender.send(
           pull.daemonId(),
           pull.address(),
           new StateMessage.StatePull(pull.sheet(), pull.targets()));
     } else if (effect instanceof DispatchEffect.AnswerPull reply) {
-      send(
+      sender.send(
           reply.daemonId(),
           reply.address(),
           new StateMessage.StateSnapshot(
@@ -85,20 +79,4 @@
                           nowMs, list.revision(), list.targets(), fromDaemon)));
     }
   }
-
-  private void send(String daemonId, String address, PeerMessage message) {
-    transport
-        .send(daemonId, address, message)
-        .exceptionally(
-            thrown -> {
-              // Not retried: the state is sent again within a second, and membership probes detect
-              // whether the peer is alive.
-              LOGGER.debug(
-                  "Could not send {} to daemon {}: {}",
-                  message.getClass().getSimpleName(),
-                  daemonId,
-                  thrown.getMessage());
-              return null;
-            });
-  }
 }
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/target/EndlessTargetResponseTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/target/EndlessTargetResponseTest.java
@@ -4,7 +4,6 @@
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -108,26 +107,12 @@
     RawServer.Connection accepted = server.accept();
     accepted.awaitReceived("\r\n\r\n");
     accepted.send(Endless.COMMENTS.start);
-    CompletableFuture<Void> trickle =
-        CompletableFuture.runAsync(() -> sendNowAndThen(accepted, Endless.COMMENTS.repeated));
-
-    accepted.awaitClosed();
-
-    trickle.get(CLOSED_WITHIN_MS, TimeUnit.MILLISECONDS);
-    assertThat(result).isCompletedExceptionally();
-  }
-
-  private static void sendNowAndThen(RawServer.Connection connection, String part) {
-    try {
-      while (true) {
-        connection.send(part);
-        TimeUnit.MILLISECONDS.sleep(TRICKLE_PERIOD_MS);
-      }
-    } catch (UncheckedIOException e) {
-      // The client has closed the connection.
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    assertThat(
+            accepted.sendUntilClosed(
+                Endless.COMMENTS.repeated, TRICKLE_PERIOD_MS, 2 * CLOSED_WITHIN_MS))
+        .isLessThan(CLOSED_WITHIN_MS);
+    assertThatExceptionOfType(ExecutionException.class)
+        .isThrownBy(() -> result.get(CLOSED_WITHIN_MS, TimeUnit.MILLISECONDS));
   }
 
   private void awaitEnd(Call call, Endless response) throws Exception {
@@ -136,7 +121,7 @@
     accepted.awaitReceived("\r\n\r\n");
     accepted.send(response.start);
 
-    assertThat(sendUntilClosed(accepted, response.repeated)).isLessThan(CLOSED_WITHIN_MS);
+    assertThat(sendWithoutEnd(accepted, response.repeated)).isLessThan(CLOSED_WITHIN_MS);
 
     if (call != Call.CANCEL) {
       assertThatExceptionOfType(ExecutionException.class)
@@ -153,25 +138,10 @@
     };
   }
 
-  /** Returns how long a client accepts repeated bytes, in milliseconds. */
-  private static long sendUntilClosed(RawServer.Connection connection, String repeated)
-      throws Exception {
-    String block = repeated.repeat(REPETITIONS_PER_WRITE);
-    long startNanos = System.nanoTime();
-    CompletableFuture<Void> closed =
-        CompletableFuture.runAsync(
-            () -> {
-              try {
-                while (true) {
-                  connection.send(block);
-                }
-              } catch (UncheckedIOException e) {
-                // The client has closed the connection.
-              }
-            });
-    closed
-        .completeOnTimeout(null, 2 * CLOSED_WITHIN_MS, TimeUnit.MILLISECONDS)
-        .get(3 * CLOSED_WITHIN_MS, TimeUnit.MILLISECONDS);
-    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+  /** Returns how long the client accepts repeated bytes, in milliseconds. */
+  private static long sendWithoutEnd(RawServer.Connection connection, String repeated)
+      throws InterruptedException {
+    return connection.sendUntilClosed(
+        repeated.repeat(REPETITIONS_PER_WRITE), 0, 2 * CLOSED_WITHIN_MS);
   }
 }
--- a/sequoiareach-standin/src/main/java/org/sequoiareach/standin/server/RawServer.java
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/server/RawServer.java
@@ -10,9 +10,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 
 /** TCP server that records the bytes of each connection and sends what a test tells it to. */
@@ -120,6 +123,41 @@
       }
     }
 
+    /**
+     * Sends bytes again and again until the client closes the connection or a time has passed.
+     *
+     * @param text the bytes in ISO 8859-1
+     * @param periodMs the time between two sends, in milliseconds; 0 to send without a pause
+     * @param maxMs the maximum time, in milliseconds
+     * @return how long the client accepted the bytes, in milliseconds
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public long sendUntilClosed(String text, long periodMs, long maxMs)
+        throws InterruptedException {
+      long startNanos = System.nanoTime();
+      CompletableFuture<Void> closed =
+          CompletableFuture.runAsync(() -> sendRepeatedly(text, periodMs));
+      try {
+        closed.get(maxMs, TimeUnit.MILLISECONDS);
+      } catch (TimeoutException | ExecutionException e) {
+        close();
+      }
+      return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    }
+
+    private void sendRepeatedly(String text, long periodMs) {
+      try {
+        while (!socket.isClosed()) {
+          send(text);
+          TimeUnit.MILLISECONDS.sleep(periodMs);
+        }
+      } catch (UncheckedIOException e) {
+        // The client has closed the connection.
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+
     /** Closes the connection after the bytes sent. */
     public void close() {
       try {
