Log how the response to an attempt ended

The log could not tell whether the streams that reached callers as complete had ended with their connection, and whether inside an event or between two. The decision deliver now has what marked the end of the response (chunks, length, connection), and for a stream the events received and the bytes behind the last complete one; a failed attempt that had begun to answer says the same.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -12,6 +12,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.sequoiareach.daemon.dialect.AnswerHead;
+import org.sequoiareach.daemon.upstream.ResponseFraming;
 import org.sequoiareach.daemon.upstream.ResponseListener;
 import org.sequoiareach.daemon.upstream.TargetConnection;
 import org.sequoiareach.decision.dispatch.AttemptFault;
@@ -70,6 +71,7 @@
   private String answeredRequestId = "";
   private long retryAfterMs;
   private long discardedBytes;
+  private int receivedEvents;
   private boolean done;
   private boolean startReported;
   private Runnable onEnded = () -> {};
@@ -235,10 +237,11 @@
   }
 
   @Override
-  public void onComplete() {
+  public void onComplete(ResponseFraming framing) {
     if (done) {
       return;
     }
+    final String progress = describeProgress(framing.label());
     switch (mode) {
       case DISCARDED -> {
         if (assessment.provesNotRun()) {
@@ -255,19 +258,23 @@
       }
       case EVENT_STREAM -> {
         forwardRemainder();
-        completeDelivered();
+        completeDelivered(progress);
       }
       case BUFFERED -> {
         exchange.forwardBody(this, buffered.retain());
-        completeDelivered();
+        completeDelivered(progress);
       }
-      default -> completeDelivered();
+      default -> completeDelivered(progress);
     }
   }
 
   @Override
   public void onFailure(String detail) {
-    fail(mode == Mode.AWAITING_HEAD ? AttemptFault.LOST : AttemptFault.BROKEN_ANSWER, 0, detail);
+    if (mode == Mode.AWAITING_HEAD) {
+      fail(AttemptFault.LOST, 0, detail);
+      return;
+    }
+    fail(AttemptFault.BROKEN_ANSWER, 0, detail + " " + describeProgress("incomplete"));
   }
 
   /**
@@ -294,9 +301,22 @@
         + connection.map(TargetConnection::sentRequests).orElse(0);
   }
 
+  /**
+   * Describes how the response ended and how much of it had arrived.
+   *
+   * @param endedBy what marked the end of the response
+   */
+  private String describeProgress(String endedBy) {
+    return "end="
+        + endedBy
+        + splitter
+            .map(events -> " events=" + receivedEvents + " rest=" + events.remainderBytes() + "B")
+            .orElse("");
+  }
+
   /** Ends the exchange first, so that a continuation that waits for this attempt is not sent. */
-  private void completeDelivered() {
-    exchange.onDelivered(this);
+  private void completeDelivered(String progress) {
+    exchange.onDelivered(this, progress);
     finish();
   }
 
@@ -330,6 +350,8 @@
         } else if (exchange.isFlooded()) {
           abortWithFault(
               AttemptFault.BROKEN_ANSWER, "the event stream continues without new events");
+        } else {
+          receivedEvents++;
         }
       }
     } catch (IllegalStateException e) {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -315,7 +315,7 @@
     response.sendContent(part);
   }
 
-  void onDelivered(AttemptResponseHandler attempt) {
+  void onDelivered(AttemptResponseHandler attempt, String progress) {
     if (ended) {
       return;
     }
@@ -327,7 +327,7 @@
         .update(nowMs - profile.arrivedMs(), TimeUnit.MILLISECONDS);
     post(
         new DispatchEvent.AnswerDelivered(
-            nowMs, callId, attempt.number(), attempt.status().code()));
+            nowMs, callId, attempt.number(), attempt.status().code(), progress));
     end();
   }
 
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ServerSentEventSplitter.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ServerSentEventSplitter.java
@@ -58,6 +58,11 @@
     return events;
   }
 
+  /** Returns the number of bytes after the last complete event. */
+  int remainderBytes() {
+    return buffer.readableBytes();
+  }
+
   /** Returns the bytes after the last complete event; the caller releases them. */
   ByteBuf takeRemainder() {
     scanned = 0;
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/ResponseListener.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/ResponseListener.java
@@ -23,8 +23,12 @@
    */
   void onContent(ByteBuf part);
 
-  /** Called when the response is complete. */
-  void onComplete();
+  /**
+   * Called when the response is complete as far as its framing tells.
+   *
+   * @param framing how the end of its body was marked
+   */
+  void onComplete(ResponseFraming framing);
 
   /**
    * Called when the connection was lost or the response is malformed.
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
@@ -44,6 +44,7 @@
   private Channel channel;
   private Optional<ResponseListener> listener = Optional.empty();
   private Optional<ChannelFuture> written = Optional.empty();
+  private ResponseFraming framing = ResponseFraming.CONNECTION;
   private boolean interimResponse;
   private boolean reusable;
   private boolean discarding;
@@ -245,7 +246,8 @@
         return;
       }
       if (!interimResponse) {
-        reusable = HttpUtil.isKeepAlive(response) && hasDefinedLength(response);
+        framing = ResponseFraming.of(response);
+        reusable = HttpUtil.isKeepAlive(response) && framing != ResponseFraming.CONNECTION;
         headReceived = true;
         listener.ifPresent(responseListener -> responseListener.onHead(response));
       }
@@ -288,7 +290,7 @@
     } else {
       channel.close();
     }
-    ended.ifPresent(ResponseListener::onComplete);
+    ended.ifPresent(responseListener -> responseListener.onComplete(framing));
   }
 
   private void fail(String detail) {
@@ -312,11 +314,4 @@
     }
     return false;
   }
-
-  private static boolean hasDefinedLength(HttpResponse response) {
-    return HttpUtil.isTransferEncodingChunked(response)
-        || HttpUtil.isContentLengthSet(response)
-        || response.status().code() == 204
-        || response.status().code() == 304;
-  }
 }
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/AbstractTargetConnectionTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/AbstractTargetConnectionTest.java
@@ -212,7 +212,7 @@
     }
 
     @Override
-    public void onComplete() {
+    public void onComplete(ResponseFraming framing) {
       onComplete.run();
       end("complete");
     }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -136,7 +136,8 @@
         .ifPresent(
             call -> {
               String targetId = current.map(ActiveCalls::targetIdOf).orElse("");
-              calls.logDecision("deliver", call, targetId, "status=" + event.status());
+              String outcome = "status=" + event.status() + " " + event.detail();
+              calls.logDecision("deliver", call, targetId, outcome.stripTrailing());
               calls.end(call);
             });
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -153,9 +153,16 @@
    * @param callId the identifier of the call
    * @param attempt the number of the attempt
    * @param status the HTTP status of the answer
+   * @param detail how the answer ended, for the log; empty if unknown
    */
-  record AnswerDelivered(long nowMs, String callId, int attempt, int status)
-      implements DispatchEvent {}
+  record AnswerDelivered(long nowMs, String callId, int attempt, int status, String detail)
+      implements DispatchEvent {
+
+    /** Recorded sessions may lack the detail. */
+    public AnswerDelivered {
+      detail = detail == null ? "" : detail;
+    }
+  }
 
   /**
    * An attempt failed.
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFixture.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFixture.java
@@ -154,7 +154,7 @@
   }
 
   void delivered(String callId, int status) {
-    apply(new DispatchEvent.AnswerDelivered(nowMs, callId, lastSend(callId).attempt(), status));
+    apply(new DispatchEvent.AnswerDelivered(nowMs, callId, lastSend(callId).attempt(), status, ""));
   }
 
   List<Effect> failed(String callId, AttemptFault fault, boolean started) {
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/LimitedFleet.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/LimitedFleet.java
@@ -373,7 +373,7 @@
     return failing
         ? new DispatchEvent.AttemptFailed(
             atMs, send.callId(), send.attempt(), AttemptFault.SERVER_ERROR, 0, false, "failing")
-        : new DispatchEvent.AnswerDelivered(atMs, send.callId(), send.attempt(), 200);
+        : new DispatchEvent.AnswerDelivered(atMs, send.callId(), send.attempt(), 200, "");
   }
 
   private static TargetRateLimit aged(long atMs, TargetRateLimit limit, long ageMs) {
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
@@ -154,7 +154,7 @@
   @Test
   void endsCallThatReplacedAttemptHasAnswered() {
     String call = moveRun("draft");
-    fixture.apply(new DispatchEvent.AnswerDelivered(fixture.nowMs(), call, 1, 200));
+    fixture.apply(new DispatchEvent.AnswerDelivered(fixture.nowMs(), call, 1, 200, ""));
     fixture.apply(new TimeEvent.DrainRequested(fixture.nowMs(), fixture.nowMs() + 7_600));
     fixture.tick(3_600);
 
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/SimulatedTargets.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/SimulatedTargets.java
@@ -103,7 +103,7 @@
               callOf(attempt).ended = true;
               fixture.apply(
                   new DispatchEvent.AnswerDelivered(
-                      fixture.nowMs(), attempt.send.callId(), attempt.send.attempt(), 200));
+                      fixture.nowMs(), attempt.send.callId(), attempt.send.attempt(), 200, ""));
             });
   }
 
