Do not deliver a stream that ends inside an event as complete

Cause: the end of a response's transport was taken for the end of the answer. AttemptResponseHandler forwarded the bytes behind the last complete event and delivered, whether the target's last chunk, its length or the end of its connection had ended the body.

Evidence: BrokenOffStreamTest cuts a stream after each of its bytes, in three framings.

Now a stream that ends inside an event is a failed attempt: a stream that may be resumed goes on at another engine after its last complete event, a caller that has received nothing gets 502, any other caller's connection is cut. No part of an event is forwarded, and the target's connection is closed. Blank and comment lines behind the last event still count as complete.

A CR without its LF behind the last event counts as an incomplete line.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -256,10 +256,7 @@
         exchange.holdResponse(new HeldErrorResponse(status, headers, buffered.retain()));
         fail(AttemptFault.SERVER_ERROR, 0, describeOrigin());
       }
-      case EVENT_STREAM -> {
-        forwardRemainder();
-        completeDelivered(progress);
-      }
+      case EVENT_STREAM -> completeStream(progress);
       case BUFFERED -> {
         exchange.forwardBody(this, buffered.retain());
         completeDelivered(progress);
@@ -301,6 +298,15 @@
         + connection.map(TargetConnection::sentRequests).orElse(0);
   }
 
+  private void completeStream(String progress) {
+    if (splitter.orElseThrow().isInsideEvent()) {
+      abortWithFault(AttemptFault.BROKEN_ANSWER, "the stream ended inside an event: " + progress);
+      return;
+    }
+    forwardRemainder();
+    completeDelivered(progress);
+  }
+
   /**
    * Describes how the response ended and how much of it had arrived.
    *
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ServerSentEventSplitter.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ServerSentEventSplitter.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import org.sequoiareach.daemon.sse.EventBoundaryTracker;
 import org.sequoiareach.model.Check;
 
 /**
@@ -58,6 +59,17 @@
     return events;
   }
 
+  /** Returns whether the bytes after the last complete event are a part of another one. */
+  boolean isInsideEvent() {
+    EventBoundaryTracker tracker = new EventBoundaryTracker();
+    buffer.forEachByte(
+        next -> {
+          tracker.read(next);
+          return true;
+        });
+    return tracker.isInsideEvent();
+  }
+
   /** Returns the number of bytes after the last complete event. */
   int remainderBytes() {
     return buffer.readableBytes();
