Continue a stopped run whose stream ends with its connection

Callers of a run that was moved off a leaving engine could get 200 and a body framed as complete without the events that the run had yet to make.

An engine that carries out the order to stop a run closes its stream between two events, without its end. In chunks that is no end; for a stream without length and chunks it looks like one, and only the sender of the order knows better. The dispatch did, the exchange did not.

Now an end of the connection while the order is under way waits for its outcome. If the engine refused it (no such run, another copy in progress) the run has ended by itself and is delivered; else the attempt counts as failed, which continues the run from its copy. Ends that chunks or a length mark are believed as before.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -16,6 +16,7 @@
 import org.sequoiareach.daemon.upstream.ResponseListener;
 import org.sequoiareach.daemon.upstream.TargetConnection;
 import org.sequoiareach.decision.dispatch.AttemptFault;
+import org.sequoiareach.decision.dispatch.CopyOutcome;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.model.route.RouteKind;
 import org.sequoiareach.store.time.MonotonicClock;
@@ -58,6 +59,16 @@
     SERVER_ERROR
   }
 
+  /** What is known of an order to stop the run. */
+  private enum StopOrder {
+    /** None was sent, or the engine has refused it. */
+    NONE,
+    /** Its outcome is not known yet. */
+    SENT,
+    /** The run was stopped, or the outcome will stay unknown. */
+    MAY_BE_CARRIED_OUT
+  }
+
   private final ProxyExchange exchange;
   private final DispatchEffect.SendCall sendCall;
   private final long resumedAfterEventId;
@@ -74,6 +85,8 @@
   private int receivedEvents;
   private boolean done;
   private boolean startReported;
+  private StopOrder stopOrder = StopOrder.NONE;
+  private Optional<String> undecidedEnd = Optional.empty();
   private Runnable onEnded = () -> {};
 
   AttemptResponseHandler(
@@ -256,7 +269,7 @@
         exchange.holdResponse(new HeldErrorResponse(status, headers, buffered.retain()));
         fail(AttemptFault.SERVER_ERROR, 0, describeOrigin());
       }
-      case EVENT_STREAM -> completeStream(progress);
+      case EVENT_STREAM -> completeStream(framing, progress);
       case BUFFERED -> {
         exchange.forwardBody(this, buffered.retain());
         completeDelivered(progress);
@@ -298,15 +311,42 @@
         + connection.map(TargetConnection::sentRequests).orElse(0);
   }
 
-  private void completeStream(String progress) {
+  /**
+   * Delivers a stream if its end is that of its run. An engine that carries out an order to stop a
+   * run ends its stream between two events; the end of the connection then says nothing more.
+   */
+  private void completeStream(ResponseFraming framing, String progress) {
     if (splitter.orElseThrow().isInsideEvent()) {
       abortWithFault(AttemptFault.BROKEN_ANSWER, "the stream ended inside an event: " + progress);
       return;
     }
+    if (framing == ResponseFraming.CONNECTION && stopOrder == StopOrder.SENT) {
+      undecidedEnd = Optional.of(progress);
+      return;
+    }
+    if (framing == ResponseFraming.CONNECTION && stopOrder == StopOrder.MAY_BE_CARRIED_OUT) {
+      fail(AttemptFault.BROKEN_ANSWER, 0, "the stream ended after an order to stop: " + progress);
+      return;
+    }
     forwardRemainder();
     completeDelivered(progress);
   }
 
+  /** Records that the engine is ordered to stop the run. */
+  void onStopOrdered() {
+    stopOrder = StopOrder.SENT;
+  }
+
+  /** Records the outcome of the order to stop, and decides on an end that waited for it. */
+  void onStopAnswered(CopyOutcome outcome) {
+    boolean refused = outcome == CopyOutcome.NO_RUN || outcome == CopyOutcome.BUSY;
+    stopOrder = refused ? StopOrder.NONE : StopOrder.MAY_BE_CARRIED_OUT;
+    if (done) {
+      return;
+    }
+    undecidedEnd.ifPresent(progress -> completeStream(ResponseFraming.CONNECTION, progress));
+  }
+
   /**
    * Describes how the response ended and how much of it had arrived.
    *
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.sequoiareach.daemon.dialect.AttemptMetadata;
@@ -22,6 +23,7 @@
 import org.sequoiareach.daemon.upstream.TargetConnection;
 import org.sequoiareach.decision.dispatch.AttemptFault;
 import org.sequoiareach.decision.dispatch.CallProfile;
+import org.sequoiareach.decision.dispatch.CopyOutcome;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.decision.dispatch.DispatchEvent;
 import org.sequoiareach.model.request.Reason;
@@ -331,6 +333,17 @@
     end();
   }
 
+  /**
+   * Records that the engine of the current attempt is ordered to stop its run.
+   *
+   * @return receives the outcome of the order
+   */
+  Consumer<CopyOutcome> onStopOrdered() {
+    Optional<AttemptResponseHandler> stopped = currentAttempt;
+    stopped.ifPresent(AttemptResponseHandler::onStopOrdered);
+    return outcome -> stopped.ifPresent(attempt -> attempt.onStopAnswered(outcome));
+  }
+
   /** Records that a target answered an earlier request once more instead of this one. */
   void onExtraAnswer(String origin) {
     context.metrics().meter("answers.extra").mark();
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
@@ -17,6 +17,7 @@
 import org.sequoiareach.daemon.front.ResponseWriter;
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
 import org.sequoiareach.decision.dispatch.CallProfile;
+import org.sequoiareach.decision.dispatch.CopyOutcome;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.decision.dispatch.DispatchEvent;
 import org.sequoiareach.decision.effect.Effect;
@@ -113,6 +114,7 @@
   }
 
   private void copyRun(ProxyExchange exchange, DispatchEffect.CopyRun copy) {
+    Consumer<CopyOutcome> stopListener = copy.stop() ? exchange.onStopOrdered() : outcome -> {};
     engines
         .copyRun(
             copy.sourceAddress(),
@@ -120,17 +122,24 @@
             copy.destinationAddress(),
             copy.stop(),
             copy.deadlineMs())
-        .thenAccept(
-            result ->
-                context
-                    .events()
-                    .post(
-                        new DispatchEvent.RunCopied(
-                            MonotonicClock.nowMs(),
-                            copy.callId(),
-                            copy.round(),
-                            result.outcome(),
-                            result.handle())));
+        .thenAcceptAsync(result -> onRunCopied(copy, result, stopListener), context.loop());
+  }
+
+  private void onRunCopied(
+      DispatchEffect.CopyRun copy,
+      EngineControl.CopyResult result,
+      Consumer<CopyOutcome> stopListener) {
+    // A stream that ended while the order was under way is decided on before the copy is used.
+    stopListener.accept(result.outcome());
+    context
+        .events()
+        .post(
+            new DispatchEvent.RunCopied(
+                MonotonicClock.nowMs(),
+                copy.callId(),
+                copy.round(),
+                result.outcome(),
+                result.handle()));
   }
 
   private void queryState(RoutedTarget target) {
