Do not take the end of the own event loop for the end of a response

When the event loop of the gateway shuts down, it closes the connections to targets. For a response without length and chunks the decoder reports the end of its body then, so a caller could be told that a response was complete which the gateway itself had broken off.

Evidence: UnframedResponseTest.reportsFailureIfEventLoopShutsDownBeforeTargetCloses failed before (complete) and passes now. The gateway's program ends at once after it has closed its parts, so callers are not known to have met this.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
@@ -270,9 +270,14 @@
     if (message instanceof HttpContent part && part.content().isReadable()) {
       listener.ifPresent(responseListener -> responseListener.onContent(part.content()));
     }
-    if (message instanceof LastHttpContent) {
-      complete();
+    if (!(message instanceof LastHttpContent)) {
+      return;
+    }
+    if (framing == ResponseFraming.CONNECTION && channel.eventLoop().isShuttingDown()) {
+      fail("this process closed the connection before the target did");
+      return;
     }
+    complete();
   }
 
   private void complete() {
