Fail a response whose transfer coding is not decoded

A response with a transfer coding other than chunked, such as gzip, was passed on in its coded form without the header that names the coding, and as complete.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -16,8 +17,11 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.Arrays;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
 import org.sequoiareach.store.time.MonotonicClock;
@@ -37,6 +41,8 @@
   /** The bytes of a response that are read without being used, so that the target can finish. */
   private static final long MAX_UNUSED_BYTES = 1 << 20;
 
+  private static final Set<String> DECODED_CODINGS = Set.of("chunked", "identity");
+
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
 
   private final TargetConnectionPool pool;
@@ -239,6 +245,12 @@
         channel.close();
         return;
       }
+      Optional<String> coding = findUnsupportedCoding(response);
+      if (coding.isPresent()) {
+        fail("the transfer coding '" + coding.get() + "' of the response is not supported");
+        channel.close();
+        return;
+      }
       interimResponse = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
       if (interimResponse && ++interimResponses > MAX_INTERIM_RESPONSES) {
         fail("more than " + MAX_INTERIM_RESPONSES + " interim responses were received");
@@ -319,4 +331,13 @@
     }
     return false;
   }
+
+  /** Returns the first transfer coding that is not decoded, so that the body would be passed on. */
+  private static Optional<String> findUnsupportedCoding(HttpResponse response) {
+    return response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
+        .flatMap(codings -> Arrays.stream(codings.split(",")))
+        .map(coding -> coding.trim().toLowerCase(Locale.ROOT))
+        .filter(coding -> !DECODED_CODINGS.contains(coding))
+        .findFirst();
+  }
 }
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionTest.java
@@ -122,6 +122,22 @@
     assertThat(acquire()).isNotSameAs(connection);
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"gzip", "gzip, chunked", "x-other"})
+  void reportsFailureIfTransferCodingIsNotDecoded(String coding) throws Exception {
+    RecordingListener listener = new RecordingListener();
+    TargetConnection connection = acquire();
+    final RawServer.Connection accepted = server.accept();
+    send(connection, "GET", "", listener);
+    accepted.awaitReceived("GET");
+
+    accepted.send(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n4\r\npart\r\n0\r\n\r\n");
+    accepted.close();
+
+    assertThat(listener.await()).startsWith("failure");
+  }
+
   @ParameterizedTest
   @CsvSource({"false, complete", "true, failure"})
   void takesResponseWithoutLengthAsCompleteOnlyIfTargetClosed(boolean reset, String end)
