Do not end a service's event stream as complete inside an event

The product's own daemon passes streams of services on without splitting them into events, so one that broke off inside an event reached its caller as complete.

Looked at as well: generations of the product's own path end with [DONE] only, answers relayed between daemons with a message of their own, and answers of the key-value service that are cut cannot be parsed.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/sse/EventBoundaryTracker.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/sse/EventBoundaryTracker.java
@@ -28,6 +28,17 @@
     lineStarted = true;
   }
 
+  /**
+   * Reads the next bytes.
+   *
+   * @param bytes the bytes
+   */
+  public void read(byte[] bytes) {
+    for (byte next : bytes) {
+      read(next);
+    }
+  }
+
   /**
    * Returns whether the stream would be cut inside an event if it ended here.
    *
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/ServiceClient.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/ServiceClient.java
@@ -2,15 +2,18 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import org.sequoiareach.daemon.answer.AnswerPart;
 import org.sequoiareach.daemon.answer.RequestContent;
+import org.sequoiareach.daemon.sse.EventBoundaryTracker;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
@@ -33,6 +36,7 @@
 
   private static final int CONNECT_TIMEOUT_MS = 1_000;
   private static final int MAX_ANSWER_BYTES = 16 << 20;
+  private static final String EVENT_STREAM = "text/event-stream";
 
   /** Headers that belong to one connection rather than to the message and are not forwarded. */
   private static final Set<String> UNFORWARDED_HEADERS =
@@ -111,10 +115,13 @@
     AnswerPart head = new AnswerPart.Head(response.status().code(), headers);
     AtomicLong sequence = new AtomicLong();
     AtomicLong size = new AtomicLong();
+    Optional<EventBoundaryTracker> events =
+        isEventStream(response) ? Optional.of(new EventBoundaryTracker()) : Optional.empty();
     Flux<AnswerPart> body =
         bytes
             .asByteArray()
             .doOnNext(chunk -> verifySize(dispatch.targetId(), size.addAndGet(chunk.length)))
+            .doOnNext(chunk -> events.ifPresent(tracker -> tracker.read(chunk)))
             .map(
                 chunk ->
                     new AnswerPart.Data(
@@ -122,7 +129,24 @@
                         dispatch.attemptId(),
                         sequence.incrementAndGet(),
                         chunk));
-    return Flux.concat(Flux.just(head), body, Flux.just(new AnswerPart.End(0)));
+    Mono<AnswerPart> end = Mono.fromSupplier(() -> endOf(dispatch.targetId(), events));
+    return Flux.concat(Flux.just(head), body, end);
+  }
+
+  private static boolean isEventStream(HttpClientResponse response) {
+    String type = response.responseHeaders().get(HttpHeaderNames.CONTENT_TYPE, "");
+    return type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
+  }
+
+  /** Ends an answer; fails if it is a stream that was cut inside an event. */
+  private static AnswerPart endOf(String targetId, Optional<EventBoundaryTracker> events) {
+    if (events.filter(EventBoundaryTracker::isInsideEvent).isPresent()) {
+      throw TargetFailures.failure(
+          Verdict.MAY_HAVE_RUN,
+          Reason.TARGET_FAILED,
+          "the stream of target " + targetId + " ended inside an event");
+    }
+    return new AnswerPart.End(0);
   }
 
   private static void verifySize(String targetId, long bytes) {
