Name what the end of an event stream says of its run, apart from the response handler

StreamEnd and StopOrder hold the rule that stood in AttemptResponseHandler, so that it can be tested by itself. No decision changes; BrokenOffStreamTest, StoppedRunTest and ProxyExchangeTest pass unedited.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -59,16 +59,6 @@
     SERVER_ERROR
   }
 
-  /** What is known of an order to stop the run. */
-  private enum StopOrder {
-    /** None was sent, or the engine has refused it. */
-    NONE,
-    /** Its outcome is not known yet. */
-    SENT,
-    /** The run was stopped, or the outcome will stay unknown. */
-    MAY_BE_CARRIED_OUT
-  }
-
   private final ProxyExchange exchange;
   private final DispatchEffect.SendCall sendCall;
   private final long resumedAfterEventId;
@@ -311,25 +301,23 @@
         + connection.map(TargetConnection::sentRequests).orElse(0);
   }
 
-  /**
-   * Delivers a stream if its end is that of its run. An engine that carries out an order to stop a
-   * run ends its stream between two events; the end of the connection then says nothing more.
-   */
   private void completeStream(ResponseFraming framing, String progress) {
-    if (splitter.orElseThrow().isInsideEvent()) {
-      abortWithFault(AttemptFault.BROKEN_ANSWER, "the stream ended inside an event: " + progress);
-      return;
-    }
-    if (framing == ResponseFraming.CONNECTION && stopOrder == StopOrder.SENT) {
-      undecidedEnd = Optional.of(progress);
-      return;
-    }
-    if (framing == ResponseFraming.CONNECTION && stopOrder == StopOrder.MAY_BE_CARRIED_OUT) {
-      fail(AttemptFault.BROKEN_ANSWER, 0, "the stream ended after an order to stop: " + progress);
-      return;
+    boolean insideEvent = splitter.orElseThrow().isInsideEvent();
+    switch (StreamEnd.of(framing, insideEvent, stopOrder)) {
+      case COMPLETE -> {
+        forwardRemainder();
+        completeDelivered(progress);
+      }
+      case INSIDE_EVENT ->
+          abortWithFault(
+              AttemptFault.BROKEN_ANSWER, "the stream ended inside an event: " + progress);
+      case STOPPED ->
+          fail(
+              AttemptFault.BROKEN_ANSWER,
+              0,
+              "the stream ended after an order to stop: " + progress);
+      default -> undecidedEnd = Optional.of(progress);
     }
-    forwardRemainder();
-    completeDelivered(progress);
   }
 
   /** Records that the engine is ordered to stop the run. */
@@ -339,12 +327,10 @@
 
   /** Records the outcome of the order to stop, and decides on an end that waited for it. */
   void onStopAnswered(CopyOutcome outcome) {
-    boolean refused = outcome == CopyOutcome.NO_RUN || outcome == CopyOutcome.BUSY;
-    stopOrder = refused ? StopOrder.NONE : StopOrder.MAY_BE_CARRIED_OUT;
-    if (done) {
-      return;
-    }
-    undecidedEnd.ifPresent(progress -> completeStream(ResponseFraming.CONNECTION, progress));
+    stopOrder = StopOrder.of(outcome);
+    undecidedEnd
+        .filter(progress -> !done)
+        .ifPresent(progress -> completeStream(ResponseFraming.CONNECTION, progress));
   }
 
   /**
--- /dev/null
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/StreamEndTest.java
@@ -0,0 +1,41 @@
+package org.sequoiareach.daemon.exchange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiareach.daemon.upstream.ResponseFraming;
+import org.sequoiareach.decision.dispatch.CopyOutcome;
+
+/** Tests when the end of an event stream counts as that of its run. */
+class StreamEndTest {
+
+  @ParameterizedTest
+  @CsvSource({
+    "CHUNKS, false, NONE, COMPLETE",
+    "LENGTH, false, MAY_BE_CARRIED_OUT, COMPLETE",
+    "CHUNKS, false, SENT, COMPLETE",
+    "CONNECTION, false, NONE, COMPLETE",
+    "CONNECTION, false, SENT, UNDECIDED",
+    "CONNECTION, false, MAY_BE_CARRIED_OUT, STOPPED",
+    "CHUNKS, true, NONE, INSIDE_EVENT",
+    "LENGTH, true, SENT, INSIDE_EVENT",
+    "CONNECTION, true, MAY_BE_CARRIED_OUT, INSIDE_EVENT"
+  })
+  void assessesEnd(
+      ResponseFraming framing, boolean insideEvent, StopOrder stopOrder, StreamEnd end) {
+    assertThat(StreamEnd.of(framing, insideEvent, stopOrder)).isEqualTo(end);
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "COPIED, MAY_BE_CARRIED_OUT",
+    "NO_ROOM, MAY_BE_CARRIED_OUT",
+    "UNKNOWN, MAY_BE_CARRIED_OUT",
+    "NO_RUN, NONE",
+    "BUSY, NONE"
+  })
+  void takesOrderAsRefusedOnlyIfEngineSaysSo(CopyOutcome outcome, StopOrder stopOrder) {
+    assertThat(StopOrder.of(outcome)).isEqualTo(stopOrder);
+  }
+}
