Do not deliver an empty stream that ends with its connection as complete

A stream without length and chunks whose engine closed the connection in order before the first event reached its caller as a complete answer without events. Each run makes an event, so such a stream has broken off: it is sent to another engine where the route allows it, else its caller gets 502. A stream that is resumed after its last event may still end at once.

The response to a HEAD request counts as framed by its length.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -303,21 +303,18 @@
 
   private void completeStream(ResponseFraming framing, String progress) {
     boolean insideEvent = splitter.orElseThrow().isInsideEvent();
-    switch (StreamEnd.of(framing, insideEvent, stopOrder)) {
-      case COMPLETE -> {
-        forwardRemainder();
-        completeDelivered(progress);
-      }
-      case INSIDE_EVENT ->
-          abortWithFault(
-              AttemptFault.BROKEN_ANSWER, "the stream ended inside an event: " + progress);
-      case STOPPED ->
-          fail(
-              AttemptFault.BROKEN_ANSWER,
-              0,
-              "the stream ended after an order to stop: " + progress);
-      default -> undecidedEnd = Optional.of(progress);
+    boolean hasEvents = receivedEvents > 0 || resumedAfterEventId > 0;
+    StreamEnd end = StreamEnd.of(framing, insideEvent, hasEvents, stopOrder);
+    if (end == StreamEnd.UNDECIDED) {
+      undecidedEnd = Optional.of(progress);
+      return;
+    }
+    if (end != StreamEnd.COMPLETE) {
+      abortWithFault(AttemptFault.BROKEN_ANSWER, end.description() + ": " + progress);
+      return;
     }
+    forwardRemainder();
+    completeDelivered(progress);
   }
 
   /** Records that the engine is ordered to stop the run. */
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/StreamEnd.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/StreamEnd.java
@@ -5,19 +5,33 @@
 /** What the end of an event stream says of the run that produced it. */
 enum StreamEnd {
   /** The run has ended. */
-  COMPLETE,
+  COMPLETE("the stream is complete"),
   /** The stream broke off. */
-  INSIDE_EVENT,
+  INSIDE_EVENT("the stream ended inside an event"),
+  /** The stream broke off, because each run has an event. */
+  WITHOUT_EVENT("the stream ended with its connection before the first event"),
   /** The engine has, or may have, stopped the run on order. */
-  STOPPED,
+  STOPPED("the stream ended with its connection after an order to stop"),
   /** An order to stop is in progress, and its outcome will tell. */
-  UNDECIDED;
+  UNDECIDED("the stream ended with its connection during an order to stop");
+
+  private final String description;
+
+  StreamEnd(String description) {
+    this.description = description;
+  }
 
   /**
    * Assesses the end of a stream. An engine that carries out an order to stop ends the stream
    * between two events, which only chunks or a length distinguish from the end of the run.
+   *
+   * @param framing how the end was marked
+   * @param insideEvent whether bytes of an incomplete event precede the end
+   * @param hasEvents whether an event of the run was received, from this engine or from another
+   * @param stopOrder what is known of an order to stop the run
    */
-  static StreamEnd of(ResponseFraming framing, boolean insideEvent, StopOrder stopOrder) {
+  static StreamEnd of(
+      ResponseFraming framing, boolean insideEvent, boolean hasEvents, StopOrder stopOrder) {
     if (insideEvent) {
       return INSIDE_EVENT;
     }
@@ -25,9 +39,14 @@
       return COMPLETE;
     }
     return switch (stopOrder) {
-      case NONE -> COMPLETE;
+      case NONE -> hasEvents ? COMPLETE : WITHOUT_EVENT;
       case SENT -> UNDECIDED;
       case MAY_BE_CARRIED_OUT -> STOPPED;
     };
   }
+
+  /** Returns a description for the log. */
+  String description() {
+    return description;
+  }
 }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/ResponseFraming.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/ResponseFraming.java
@@ -8,7 +8,7 @@
 public enum ResponseFraming {
   /** The body is sent in chunks, of which the last is marked. */
   CHUNKS,
-  /** The length of the body is stated, or the status does not allow a body. */
+  /** The length of the body is stated, or the response has none by its status or its request. */
   LENGTH,
   /**
    * The body extends to the end of the connection, so an end that came too early looks the same.
@@ -18,6 +18,7 @@
   private static final int NO_CONTENT = 204;
   private static final int NOT_MODIFIED = 304;
 
+  /** Returns the framing of the response to a request whose method is not HEAD. */
   static ResponseFraming of(HttpResponse response) {
     if (HttpUtil.isTransferEncodingChunked(response)) {
       return CHUNKS;
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
@@ -258,7 +258,7 @@
         return;
       }
       if (!interimResponse) {
-        framing = ResponseFraming.of(response);
+        framing = headRequest ? ResponseFraming.LENGTH : ResponseFraming.of(response);
         reusable = HttpUtil.isKeepAlive(response) && framing != ResponseFraming.CONNECTION;
         headReceived = true;
         listener.ifPresent(responseListener -> responseListener.onHead(response));
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/StreamEndTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/StreamEndTest.java
@@ -12,19 +12,25 @@
 
   @ParameterizedTest
   @CsvSource({
-    "CHUNKS, false, NONE, COMPLETE",
-    "LENGTH, false, MAY_BE_CARRIED_OUT, COMPLETE",
-    "CHUNKS, false, SENT, COMPLETE",
-    "CONNECTION, false, NONE, COMPLETE",
-    "CONNECTION, false, SENT, UNDECIDED",
-    "CONNECTION, false, MAY_BE_CARRIED_OUT, STOPPED",
-    "CHUNKS, true, NONE, INSIDE_EVENT",
-    "LENGTH, true, SENT, INSIDE_EVENT",
-    "CONNECTION, true, MAY_BE_CARRIED_OUT, INSIDE_EVENT"
+    "CHUNKS, false, true, NONE, COMPLETE",
+    "CHUNKS, false, false, NONE, COMPLETE",
+    "LENGTH, false, true, MAY_BE_CARRIED_OUT, COMPLETE",
+    "LENGTH, false, false, SENT, COMPLETE",
+    "CONNECTION, false, true, NONE, COMPLETE",
+    "CONNECTION, false, false, NONE, WITHOUT_EVENT",
+    "CONNECTION, false, true, SENT, UNDECIDED",
+    "CONNECTION, false, true, MAY_BE_CARRIED_OUT, STOPPED",
+    "CHUNKS, true, true, NONE, INSIDE_EVENT",
+    "LENGTH, true, false, SENT, INSIDE_EVENT",
+    "CONNECTION, true, true, MAY_BE_CARRIED_OUT, INSIDE_EVENT"
   })
   void assessesEnd(
-      ResponseFraming framing, boolean insideEvent, StopOrder stopOrder, StreamEnd end) {
-    assertThat(StreamEnd.of(framing, insideEvent, stopOrder)).isEqualTo(end);
+      ResponseFraming framing,
+      boolean insideEvent,
+      boolean hasEvents,
+      StopOrder stopOrder,
+      StreamEnd end) {
+    assertThat(StreamEnd.of(framing, insideEvent, hasEvents, stopOrder)).isEqualTo(end);
   }
 
   @ParameterizedTest
