Do not count comments as events of a stream

A stream of comments alone that ends with its connection counted as one with events, so it was delivered as complete. BrokenOffStreamTest's case for it failed before and passes now. The log's events= counts events with data or an id accordingly.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -379,7 +379,7 @@
         } else if (exchange.isFlooded()) {
           abortWithFault(
               AttemptFault.BROKEN_ANSWER, "the event stream continues without new events");
-        } else {
+        } else if (event.hasContent()) {
           receivedEvents++;
         }
       }
