Let a run that ended by itself end instead of continuing it elsewhere

An engine that is ordered to stop a run which has just ended answers that it has no such run. The dispatch then continued the run from its last copy at another engine; the exchange waited 40 ms for the end of the first stream and else dropped it, so a complete answer could be thrown away and made again.

Found while looking at where the end of a run is decided. Evidence: RunMigratorTest.doesNotContinueRunThatEndedByItselfBeforeItWasStopped failed before and passes now.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigrator.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigrator.java
@@ -146,7 +146,11 @@
   }
 
   private CopyFollowUp onFinalCopyEnded(DispatchEvent.RunCopied event, RunMigration migration) {
-    if (event.outcome() == CopyOutcome.BUSY) {
+    boolean endedByItself =
+        event.outcome() == CopyOutcome.NO_RUN
+            && migration.call().isAssignedTo(migration.source().id());
+    if (event.outcome() == CopyOutcome.BUSY || endedByItself) {
+      // The end of a run that ended by itself is still on its way to this daemon.
       return scheduleRetry(event.nowMs(), migration, false);
     }
     if (migration.latestCopy().isEmpty()) {
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMigratorTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMigratorTest.java
@@ -104,6 +104,32 @@
     assertContinues(call, holder, "h1");
   }
 
+  @Test
+  void doesNotContinueRunThatEndedByItselfBeforeItWasStopped() {
+    String call = startRun();
+    markLeaving(call);
+    copied(call, 30, CopyOutcome.COPIED, "h1");
+    assertThat(lastCopy(call).stop()).isTrue();
+    copied(call, 10, CopyOutcome.NO_RUN, "");
+
+    assertThat(fixture.lastSend(call).continuation()).isEmpty();
+
+    fixture.delivered(call, 200);
+    assertThat(fixture.wasCut(call)).isFalse();
+  }
+
+  @Test
+  void continuesFromEarlierCopyWhenSourceFailsAfterItNoLongerKnewRun() {
+    String call = startRun();
+    markLeaving(call);
+    final String holder = lastCopy(call).destinationAddress();
+    copied(call, 30, CopyOutcome.COPIED, "h1");
+    copied(call, 10, CopyOutcome.NO_RUN, "");
+    fixture.failed(call, AttemptFault.BROKEN_ANSWER, true);
+
+    assertContinues(call, holder, "h1");
+  }
+
   @Test
   void keepsEarlierCopyUntilAnotherEngineHoldsOne() {
     String call = startRun();
