Share the delivery of membership messages between two simulations

LimitedFleet and SimulatedDaemon translated the same three messages line by line. No assertion changes; JoinedReducersTest, SharedRateLimitTest and SharedLimitsTest pass.

--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/LimitedFleet.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/LimitedFleet.java
@@ -16,8 +16,7 @@
 import org.sequoiareach.decision.event.TimeEvent;
 import org.sequoiareach.decision.fuzz.VirtualClock;
 import org.sequoiareach.decision.membership.Member;
-import org.sequoiareach.decision.membership.MembershipEffect;
-import org.sequoiareach.decision.membership.MembershipEvent;
+import org.sequoiareach.decision.membership.MembershipDelivery;
 import org.sequoiareach.decision.membership.MembershipSettings;
 import org.sequoiareach.decision.membership.MembershipView;
 import org.sequoiareach.decision.membership.RendezvousOwnership;
@@ -319,29 +318,8 @@
             at ->
                 new DispatchEvent.PermitAnswered(
                     at, answer.callId(), answer.targetId(), answer.granted(), at + afterMs));
-      } else if (effect instanceof MembershipEffect.SendProbe probe) {
-        deliver(
-            probe.daemonId(),
-            at ->
-                new MembershipEvent.ProbeReceived(
-                    at, id, probe.sequence(), probe.updates(), probe.sheet()));
-      } else if (effect instanceof MembershipEffect.SendProbeAck ack) {
-        deliver(
-            ack.daemonId(),
-            at ->
-                new MembershipEvent.ProbeAcked(
-                    at, id, ack.sequence(), ack.memberId(), ack.updates(), ack.sheet()));
-      } else if (effect instanceof MembershipEffect.SendIndirectProbe probe) {
-        deliver(
-            probe.daemonId(),
-            at ->
-                new MembershipEvent.IndirectProbeRequested(
-                    at,
-                    id,
-                    probe.sequence(),
-                    probe.memberId(),
-                    probe.memberAddress(),
-                    probe.updates()));
+      } else {
+        MembershipDelivery.deliver(effect, id, this::deliver);
       }
     }
 
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/fuzz/SimulatedDaemon.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/fuzz/SimulatedDaemon.java
@@ -17,6 +17,7 @@
 import org.sequoiareach.decision.event.TimeEvent;
 import org.sequoiareach.decision.group.GroupReducer;
 import org.sequoiareach.decision.group.GroupSettings;
+import org.sequoiareach.decision.membership.MembershipDelivery;
 import org.sequoiareach.decision.membership.MembershipEffect;
 import org.sequoiareach.decision.membership.MembershipEvent;
 import org.sequoiareach.decision.membership.MembershipSettings;
@@ -175,7 +176,7 @@
     } else if (effect instanceof Effect.FailRequest failure) {
       fail(failure);
     } else if (effect instanceof MembershipEffect membership) {
-      performMembership(membership);
+      MembershipDelivery.deliver(membership, id, this::send);
     } else if (effect instanceof SheetEffect sheet) {
       performSheet(sheet);
     } else {
@@ -392,33 +393,6 @@
     }
   }
 
-  private void performMembership(MembershipEffect effect) {
-    if (effect instanceof MembershipEffect.SendProbe probe) {
-      send(
-          probe.daemonId(),
-          at ->
-              new MembershipEvent.ProbeReceived(
-                  at, id, probe.sequence(), probe.updates(), probe.sheet()));
-    } else if (effect instanceof MembershipEffect.SendProbeAck ack) {
-      send(
-          ack.daemonId(),
-          at ->
-              new MembershipEvent.ProbeAcked(
-                  at, id, ack.sequence(), ack.memberId(), ack.updates(), ack.sheet()));
-    } else if (effect instanceof MembershipEffect.SendIndirectProbe probe) {
-      send(
-          probe.daemonId(),
-          at ->
-              new MembershipEvent.IndirectProbeRequested(
-                  at,
-                  id,
-                  probe.sequence(),
-                  probe.memberId(),
-                  probe.memberAddress(),
-                  probe.updates()));
-    }
-  }
-
   private void performSheet(SheetEffect effect) {
     if (effect instanceof SheetEffect.AskSheetStatus ask) {
       send(ask.daemonId(), at -> new SheetEvent.SheetStatusAsked(at, id, ask.sequence()));
