Recognise event streams in one place

ServiceClient and PlatformDialect each compared the media type. Behaviour is unchanged; PlatformDialectTest and ServiceFailureTest pass unedited.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/ServiceClient.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/ServiceClient.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -14,6 +13,7 @@
 import org.sequoiareach.daemon.answer.AnswerPart;
 import org.sequoiareach.daemon.answer.RequestContent;
 import org.sequoiareach.daemon.sse.EventBoundaryTracker;
+import org.sequoiareach.daemon.sse.EventStreams;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
@@ -36,7 +36,6 @@
 
   private static final int CONNECT_TIMEOUT_MS = 1_000;
   private static final int MAX_ANSWER_BYTES = 16 << 20;
-  private static final String EVENT_STREAM = "text/event-stream";
 
   /** Headers that belong to one connection rather than to the message and are not forwarded. */
   private static final Set<String> UNFORWARDED_HEADERS =
@@ -116,7 +115,9 @@
     AtomicLong sequence = new AtomicLong();
     AtomicLong size = new AtomicLong();
     Optional<EventBoundaryTracker> events =
-        isEventStream(response) ? Optional.of(new EventBoundaryTracker()) : Optional.empty();
+        EventStreams.isAnnouncedBy(response.responseHeaders())
+            ? Optional.of(new EventBoundaryTracker())
+            : Optional.empty();
     Flux<AnswerPart> body =
         bytes
             .asByteArray()
@@ -133,11 +134,6 @@
     return Flux.concat(Flux.just(head), body, end);
   }
 
-  private static boolean isEventStream(HttpClientResponse response) {
-    String type = response.responseHeaders().get(HttpHeaderNames.CONTENT_TYPE, "");
-    return type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
-  }
-
   /** Ends an answer; fails if it is a stream that was cut inside an event. */
   private static AnswerPart endOf(String targetId, Optional<EventBoundaryTracker> events) {
     if (events.filter(EventBoundaryTracker::isInsideEvent).isPresent()) {
