Deliver received tokens before the failure of their stream

Callers saw: a stream whose engine died ended with its error event, but without the last one or two tokens that the daemon had received and counted as delivered (KNOWN-RED: GenerationFaultTest#endsStreamWithErrorWhenGenerationDies, once 19 of 20 tokens). A caller that resumed by its last event was right; one that kept the text had a hole that the daemon did not know of.

Cause: concatMap with a prefetch holds a part back until there is demand, and passes a failure on at once, ahead of what it holds. Three places did that: CompletionWriter (generations), ServiceCallHandler (calls of services) and ForwardedAnswerRelay (answers to the daemon that serves the caller; up to eight parts, and the one being written).

Why this works: the writers convert each part in place and hold nothing back. The relay must wait for each write, so it takes the failure as an element of the sequence, behind the parts.

Not yet removed from KNOWN-RED.txt: EngineClient has the same cause, and another one is in its way.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/CompletionWriter.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/CompletionWriter.java
@@ -45,15 +45,19 @@
               response.header("Content-Type", "text/event-stream; charset=utf-8");
               response.header("Cache-Control", "no-cache");
               response.header(ErrorResponses.VERDICT_HEADER, Verdict.RAN.label());
-              Flux<ByteBuf> events =
-                  parts
-                      .concatMap(part -> Mono.justOrEmpty(toEvent(part)), 1)
-                      .onErrorResume(thrown -> Mono.just(toErrorEvent(thrown)));
-              return response.send(events, buffer -> true);
+              return response.send(toEvents(parts), buffer -> true);
             })
         .cast(Void.class);
   }
 
+  /** Converts parts to server-sent events; a failure becomes the last event. */
+  Flux<ByteBuf> toEvents(Flux<AnswerPart> parts) {
+    return parts
+        // Holds nothing back: a failure would overtake tokens that wait for demand.
+        .<ByteBuf>handle((part, sink) -> toEvent(part).ifPresent(sink::next))
+        .onErrorResume(thrown -> Mono.just(toErrorEvent(thrown)));
+  }
+
   /** Writes the answer as a single body once its last part has been received. */
   Publisher<Void> writeWhole(HttpServerResponse response, Flux<AnswerPart> answer) {
     return answer
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/ServiceCallHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/ServiceCallHandler.java
@@ -20,6 +20,7 @@
 import org.sequoiareach.peer.Header;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.SynchronousSink;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
@@ -87,7 +88,7 @@
             (first, parts) -> {
               if (first.get() instanceof AnswerPart.Head head) {
                 writeHead(response, head);
-                return response.sendByteArray(parts.concatMap(ServiceCallHandler::payload, 1));
+                return response.sendByteArray(parts.handle(ServiceCallHandler::passPayload));
               }
               return ErrorResponses.writeProblem(
                   response, RequestFailures.classify(first.getThrowable()));
@@ -161,8 +162,10 @@
     response.header(ErrorResponses.VERDICT_HEADER, Verdict.RAN.label());
   }
 
-  private static Mono<byte[]> payload(AnswerPart part) {
-    return part instanceof AnswerPart.Data data ? Mono.just(data.payload()) : Mono.empty();
+  private static void passPayload(AnswerPart part, SynchronousSink<byte[]> sink) {
+    if (part instanceof AnswerPart.Data data) {
+      sink.next(data.payload());
+    }
   }
 
   private static RuntimeException unknownOperation(String method, String service, String path) {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/ForwardedAnswerRelay.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/peer/ForwardedAnswerRelay.java
@@ -11,6 +11,7 @@
 import org.sequoiareach.peer.AttemptMessage;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Signal;
 
 /**
  * Relays the answer of an attempt to the daemon that forwarded it. Each part is written before the
@@ -73,12 +74,21 @@
   @Override
   public void addAttempt(Flux<AnswerPart> attempt) {
     attempt
+        // Keeps a failure behind the parts that wait to be written.
+        .materialize()
         .concatMap(this::relay, PREFETCH)
         .subscribe(
             nothing -> {},
             thrown -> sender.end(RequestFailures.toOutcome(RequestFailures.classify(thrown))));
   }
 
+  private Mono<Void> relay(Signal<AnswerPart> signal) {
+    if (signal.isOnError()) {
+      return Mono.error(signal.getThrowable());
+    }
+    return signal.hasValue() ? relay(signal.get()) : Mono.empty();
+  }
+
   private Mono<Void> relay(AnswerPart part) {
     String attemptId = opened.attemptId();
     if (part instanceof AnswerPart.Data data) {
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/peer/ForwardedAnswerRelayTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/peer/ForwardedAnswerRelayTest.java
@@ -6,8 +6,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Function;
+import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiareach.daemon.answer.AnswerPart;
 import org.sequoiareach.model.request.Outcome;
 import org.sequoiareach.model.request.Reason;
@@ -18,6 +21,7 @@
 import org.sequoiareach.peer.AttemptMessage;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 
 class ForwardedAnswerRelayTest {
 
@@ -46,12 +50,38 @@
     assertThat(ended).extracting(Outcome::verdict).containsExactly(Verdict.NOT_RUN);
   }
 
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 8, 9, 30})
+  void relaysReceivedPartsBeforeFailureOfTheirStream(int parts) {
+    List<Long> sent = new ArrayList<>();
+    Sinks.Empty<Void> written = Sinks.empty();
+    Flux<AnswerPart> answer =
+        Flux.range(1, parts).map(n -> new AnswerPart.Data("e1", "r1-1", n, new byte[1]));
+    relay(
+            message -> {
+              sent.add(((AttemptMessage.AttemptData) message).sequence());
+              return written.asMono();
+            })
+        .addAttempt(answer.concatWith(Flux.error(failure(Reason.TARGET_FAILED))));
+
+    written.tryEmitEmpty();
+
+    assertThat(sent).containsExactlyElementsOf(LongStream.rangeClosed(1, parts).boxed().toList());
+    assertThat(ended)
+        .extracting(Outcome::reason)
+        .containsExactly(Optional.of(Reason.TARGET_FAILED));
+  }
+
   private ForwardedAnswerRelay relay(RequestFailedException sendFailure) {
+    return relay(message -> Mono.error(sendFailure));
+  }
+
+  private ForwardedAnswerRelay relay(Function<AttemptMessage, Mono<Void>> send) {
     ForwardedAnswerRelay.MessageSender sender =
         new ForwardedAnswerRelay.MessageSender() {
           @Override
           public Mono<Void> send(AttemptMessage message) {
-            return Mono.error(sendFailure);
+            return send.apply(message);
           }
 
           @Override
