End calls of services at their deadline although their answer trickles

Callers saw: in the product's own composition a call of a service whose answer brought a byte now and then never ended, whatever the deadline of the request.

Cause: ServiceClient gave the remaining time to Reactor Netty's responseTimeout, which is a read timeout and starts anew with each byte.

Why this works: AnswerDeadline ends the answer by the clock, whatever arrives.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/ServiceClient.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/ServiceClient.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpMethod;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -19,7 +18,6 @@
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.peer.Header;
 import org.sequoiareach.store.http.InterimResponseLimit;
-import org.sequoiareach.store.time.MonotonicClock;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
@@ -88,17 +86,21 @@
    *     org.sequoiareach.model.request.RequestFailedException}
    */
   public Flux<AnswerPart> call(Effect.Dispatch dispatch, RequestContent content) {
-    long remainingMs = Math.max(1, dispatch.deadlineMs() - MonotonicClock.nowMs());
+    AnswerDeadline deadline = new AnswerDeadline(dispatch.deadlineMs());
     ReadAheadLimit readAhead = new ReadAheadLimit();
     return client
-        .doOnRequest((request, connection) -> readAhead.setConnection(connection))
-        .responseTimeout(Duration.ofMillis(remainingMs))
+        .doOnRequest(
+            (request, connection) -> {
+              deadline.setConnection(connection);
+              readAhead.setConnection(connection);
+            })
         .headers(
             headers -> content.headers().forEach(field -> headers.add(field.name(), field.value())))
         .request(HttpMethod.valueOf(content.method()))
         .uri("http://" + dispatch.address() + content.path())
         .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(content.body())))
         .response((response, bytes) -> read(dispatch, response, bytes, readAhead))
+        .transform(deadline::applyTo)
         .onErrorMap(thrown -> TargetFailures.classify(dispatch.targetId(), thrown));
   }
 
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/target/ServiceClientTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/target/ServiceClientTest.java
@@ -7,13 +7,19 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiareach.daemon.answer.AnswerPart;
 import org.sequoiareach.daemon.answer.RequestContent;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.model.request.RequestFailedException;
+import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.store.time.MonotonicClock;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -21,7 +27,12 @@
 
 class ServiceClientTest {
 
+  private static final String CHUNKED_HEAD =
+      "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n";
+  private static final String CHUNK = "1\r\nx\r\n";
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
+  private static final long SHORT_CALL_MS = 1_500;
+  private static final int TRICKLE_PERIOD_MS = 50;
 
   @ParameterizedTest
   @ValueSource(ints = {1, 20, 300})
@@ -31,7 +42,9 @@
     try (RawTarget service = new RawTarget(socket -> breakOff(socket, chunks))) {
       Flux<AnswerPart> slowlyRead =
           new ServiceClient(traffic)
-              .call(dispatch(service.address()), content())
+              .call(
+                  dispatch(service.address(), MonotonicClock.nowMs() + TIMEOUT.toMillis()),
+                  content())
               .limitRate(1)
               .concatMapDelayError(part -> Mono.just(part).delayElement(Duration.ofMillis(2)), 1)
               .doOnNext(
@@ -47,17 +60,56 @@
     }
   }
 
+  static Stream<Arguments> trickles() {
+    return Stream.of(
+        Arguments.of("HTTP/1.1 200 OK\r\nX-Padding: ", "x"), Arguments.of(CHUNKED_HEAD, CHUNK));
+  }
+
+  @ParameterizedTest
+  @MethodSource("trickles")
+  void endsCallAtDeadlineAlthoughAnswerTrickles(String start, String repeated) throws IOException {
+    LoopResources traffic = LoopResources.create("test-traffic", 1, true);
+    CompletableFuture<Void> closed = new CompletableFuture<>();
+    try (RawTarget service = new RawTarget(socket -> trickle(socket, start, repeated, closed))) {
+      long startMs = MonotonicClock.nowMs();
+      Flux<AnswerPart> answer =
+          new ServiceClient(traffic)
+              .call(dispatch(service.address(), startMs + SHORT_CALL_MS), content());
+
+      assertThatThrownBy(() -> answer.blockLast(TIMEOUT))
+          .isInstanceOfSatisfying(
+              RequestFailedException.class,
+              failure -> assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN));
+      assertThat(MonotonicClock.nowMs() - startMs).isBetween(SHORT_CALL_MS, 4 * SHORT_CALL_MS);
+      assertThat(closed).succeedsWithin(TIMEOUT);
+    } finally {
+      traffic.dispose();
+    }
+  }
+
+  /** Sends a piece now and then until the connection is closed. */
+  private static void trickle(
+      Socket socket, String start, String repeated, CompletableFuture<Void> closed)
+      throws IOException {
+    RawTarget.readRequest(socket);
+    RawTarget.write(socket, start);
+    try {
+      while (true) {
+        RawTarget.write(socket, repeated);
+        TimeUnit.MILLISECONDS.sleep(TRICKLE_PERIOD_MS);
+      }
+    } catch (IOException | InterruptedException e) {
+      closed.complete(null);
+    }
+  }
+
   /** Sends chunks of one byte and ends the connection before the last chunk. */
   private static void breakOff(Socket socket, int chunks) throws IOException {
     RawTarget.readRequest(socket);
-    RawTarget.write(
-        socket,
-        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n"
-            + "1\r\nx\r\n".repeat(chunks));
+    RawTarget.write(socket, CHUNKED_HEAD + CHUNK.repeat(chunks));
   }
 
-  private static Effect.Dispatch dispatch(String address) {
-    long deadlineMs = MonotonicClock.nowMs() + TIMEOUT.toMillis();
+  private static Effect.Dispatch dispatch(String address, long deadlineMs) {
     return new Effect.Dispatch("r1-1", "r1", "t1", address, 5, deadlineMs, deadlineMs);
   }
 
