Show that an engine is closed once a caller that paused it has gone

The read-ahead limit pauses the reads of a connection; a paused connection whose reader has gone must not stay open. The two calls that read a generation share the code that hands the connection over.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
@@ -70,6 +70,14 @@
     this.control = createClient(eventLoops, connections);
   }
 
+  private HttpClient streamsWith(IdleTimeout timeout, ReadAheadLimit readAhead) {
+    return streams.doOnRequest(
+        (request, connection) -> {
+          timeout.setConnection(connection);
+          readAhead.setConnection(connection);
+        });
+  }
+
   private static HttpClient createClient(LoopResources eventLoops, ConnectionProvider connections) {
     return InterimResponseLimit.applyTo(HttpClient.create(connections))
         .runOn(eventLoops, false)
@@ -91,12 +99,7 @@
     byte[] body = prepareBody(content.body(), dispatch.enginePriority());
     IdleTimeout timeout = new IdleTimeout(idleTimeout);
     ReadAheadLimit readAhead = new ReadAheadLimit();
-    return streams
-        .doOnRequest(
-            (request, connection) -> {
-              timeout.setConnection(connection);
-              readAhead.setConnection(connection);
-            })
+    return streamsWith(timeout, readAhead)
         .headers(
             headers -> {
               headers.set("Content-Type", "application/json");
@@ -126,12 +129,7 @@
       String targetId, String address, String attemptId, long afterSequence) {
     IdleTimeout timeout = new IdleTimeout(idleTimeout);
     ReadAheadLimit readAhead = new ReadAheadLimit();
-    return streams
-        .doOnRequest(
-            (request, connection) -> {
-              timeout.setConnection(connection);
-              readAhead.setConnection(connection);
-            })
+    return streamsWith(timeout, readAhead)
         .headers(headers -> headers.set("Last-Event-ID", Long.toString(afterSequence)))
         .get()
         .uri("http://" + address + COMPLETIONS_PATH + "/chatcmpl-" + attemptId)
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/target/EngineClientTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/target/EngineClientTest.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.LongStream;
@@ -91,11 +92,12 @@
   }
 
   @Test
-  void pausesEngineWhileConsumerHasNoDemand() throws Exception {
+  void pausesEngineWhileConsumerHasNoDemandAndClosesOnceItHasGone() throws Exception {
     LoopResources traffic = LoopResources.create("test-traffic", 1, true);
     ConnectionProvider connections = ConnectionProvider.create("test-traffic", 10);
     AtomicLong sentBytes = new AtomicLong();
-    try (RawTarget engine = new RawTarget(socket -> sendWithoutEnd(socket, sentBytes))) {
+    CompletableFuture<Void> closed = new CompletableFuture<>();
+    try (RawTarget engine = new RawTarget(socket -> sendWithoutEnd(socket, sentBytes, closed))) {
       Disposable stream =
           new EngineClient(traffic, connections)
               .resume("e1", engine.address(), "r1", 0)
@@ -109,19 +111,25 @@
 
       assertThat(sentBytes).hasValueBetween(1L, MAX_READ_AHEAD_BYTES);
       stream.dispose();
+      assertThat(closed).succeedsWithin(TIMEOUT);
     } finally {
       connections.dispose();
       traffic.dispose();
     }
   }
 
-  private static void sendWithoutEnd(Socket socket, AtomicLong sentBytes) throws IOException {
+  private static void sendWithoutEnd(
+      Socket socket, AtomicLong sentBytes, CompletableFuture<Void> closed) throws IOException {
     RawTarget.readRequest(socket);
-    RawTarget.write(socket, STREAM_HEAD);
-    for (int i = 1; true; i++) {
-      String event = "id: " + i + "\ndata: " + "x".repeat(10_000) + "\n\n";
-      RawTarget.write(socket, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
-      sentBytes.addAndGet(event.length());
+    try {
+      RawTarget.write(socket, STREAM_HEAD);
+      for (int i = 1; true; i++) {
+        String event = "id: " + i + "\ndata: " + "x".repeat(10_000) + "\n\n";
+        RawTarget.write(socket, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+        sentBytes.addAndGet(event.length());
+      }
+    } catch (IOException e) {
+      closed.complete(null);
     }
   }
 
