Log why an answer of a service was cut instead of a failed second head

Seen: in the product's own composition, each answer of a service that broke off after its head was logged with "IllegalStateException: Status and headers already sent"; the cause stood under "Suppressed", further down.

Cause: ServiceCallHandler tried to write a problem document into an answer that had begun, and relied on that failing to cut the connection.

The connection is cut with the failure itself. Callers see the same.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/ServiceCallHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/ServiceCallHandler.java
@@ -63,9 +63,15 @@
     return bodies
         .read(request)
         .flatMap(body -> submit(request, response, organisation.get(), body))
-        .onErrorResume(
-            thrown ->
-                Mono.from(ErrorResponses.writeProblem(response, RequestFailures.classify(thrown))));
+        .onErrorResume(thrown -> fail(response, thrown));
+  }
+
+  /** Reports a failure to the caller, or cuts the connection if the answer has begun. */
+  private static Mono<Void> fail(HttpServerResponse response, Throwable thrown) {
+    if (response.hasSentHeaders()) {
+      return Mono.error(thrown);
+    }
+    return Mono.from(ErrorResponses.writeProblem(response, RequestFailures.classify(thrown)));
   }
 
   private Mono<Void> submit(
