Record the connection of a response once for all that act on it

IdleTimeout, AnswerDeadline and ReadAheadLimit each kept the connection in a field of their own, set by a method of their own, and the first two each closed it and failed their stream in the same way. ResponseConnection records it once and closes it on a timeout; the clients of engines and services hand it to what they use.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
@@ -70,14 +70,6 @@
     this.control = createClient(eventLoops, connections);
   }
 
-  private HttpClient streamsWith(IdleTimeout timeout, ReadAheadLimit readAhead) {
-    return streams.doOnRequest(
-        (request, connection) -> {
-          timeout.setConnection(connection);
-          readAhead.setConnection(connection);
-        });
-  }
-
   private static HttpClient createClient(LoopResources eventLoops, ConnectionProvider connections) {
     return InterimResponseLimit.applyTo(HttpClient.create(connections))
         .runOn(eventLoops, false)
@@ -97,9 +89,11 @@
   public Flux<AnswerPart> generate(Effect.Dispatch dispatch, RequestContent content) {
     String attemptId = dispatch.attemptId();
     byte[] body = prepareBody(content.body(), dispatch.enginePriority());
-    IdleTimeout timeout = new IdleTimeout(idleTimeout);
-    ReadAheadLimit readAhead = new ReadAheadLimit();
-    return streamsWith(timeout, readAhead)
+    ResponseConnection connection = new ResponseConnection();
+    IdleTimeout timeout = new IdleTimeout(idleTimeout, connection);
+    ReadAheadLimit readAhead = new ReadAheadLimit(connection);
+    return connection
+        .recordFrom(streams)
         .headers(
             headers -> {
               headers.set("Content-Type", "application/json");
@@ -127,9 +121,11 @@
    */
   public Flux<AnswerPart> resume(
       String targetId, String address, String attemptId, long afterSequence) {
-    IdleTimeout timeout = new IdleTimeout(idleTimeout);
-    ReadAheadLimit readAhead = new ReadAheadLimit();
-    return streamsWith(timeout, readAhead)
+    ResponseConnection connection = new ResponseConnection();
+    IdleTimeout timeout = new IdleTimeout(idleTimeout, connection);
+    ReadAheadLimit readAhead = new ReadAheadLimit(connection);
+    return connection
+        .recordFrom(streams)
         .headers(headers -> headers.set("Last-Event-ID", Long.toString(afterSequence)))
         .get()
         .uri("http://" + address + COMPLETIONS_PATH + "/chatcmpl-" + attemptId)
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/IdleTimeout.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/IdleTimeout.java
@@ -2,12 +2,11 @@
 
 import io.netty.handler.timeout.ReadTimeoutException;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import org.sequoiareach.store.time.MonotonicClock;
 import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
 import reactor.core.publisher.Operators;
-import reactor.netty.Connection;
 
 /**
  * Fails a stream if it brings no part for a given time although there is demand. Bytes that make up
@@ -21,34 +20,24 @@
   private static final int CHECKS_PER_TIMEOUT = 5;
 
   private final long timeoutMs;
+  private final ResponseConnection connection;
   private final AtomicLong demand = new AtomicLong();
   private volatile long lastActivityMs = MonotonicClock.nowMs();
-  private volatile Optional<Connection> connection = Optional.empty();
 
-  IdleTimeout(Duration timeout) {
+  IdleTimeout(Duration timeout, ResponseConnection connection) {
     this.timeoutMs = timeout.toMillis();
-  }
-
-  /**
-   * Sets the connection to close when the timeout expires. Cancelling the stream does not close it
-   * while the target goes on sending.
-   */
-  void setConnection(Connection used) {
-    connection = Optional.of(used);
+    this.connection = connection;
   }
 
   /** Returns the stream with the timeout applied; it fails with {@link ReadTimeoutException}. */
   <T> Flux<T> applyTo(Flux<T> stream) {
-    Flux<Long> timeoutSignal =
+    Mono<Long> timeout =
         Flux.interval(Duration.ofMillis(Math.max(1, timeoutMs / CHECKS_PER_TIMEOUT)))
             .onBackpressureDrop()
             .filter(tick -> isIdle())
-            .doOnNext(tick -> connection.ifPresent(used -> used.channel().close()))
-            .flatMap(tick -> Flux.error(ReadTimeoutException.INSTANCE));
-    return stream
-        .doOnRequest(this::addDemand)
-        .doOnNext(part -> onPart())
-        .takeUntilOther(timeoutSignal);
+            .next();
+    return connection.closeOn(
+        timeout, stream.doOnRequest(this::addDemand).doOnNext(part -> onPart()));
   }
 
   private void addDemand(long requested) {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/ReadAheadLimit.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/ReadAheadLimit.java
@@ -1,10 +1,8 @@
 package org.sequoiareach.daemon.target;
 
 import io.netty.channel.Channel;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import reactor.core.publisher.Flux;
-import reactor.netty.Connection;
 
 /**
  * Limits how far a response is read ahead of a slow consumer, by pausing the reads of its
@@ -20,11 +18,10 @@
   private static final int RESUME_AT = 4;
 
   private final AtomicInteger pending = new AtomicInteger();
-  private volatile Optional<Channel> channel = Optional.empty();
+  private final ResponseConnection connection;
 
-  /** Sets the connection of the response, before its first part arrives. */
-  void setConnection(Connection used) {
-    channel = Optional.of(used.channel());
+  ReadAheadLimit(ResponseConnection connection) {
+    this.connection = connection;
   }
 
   /**
@@ -60,7 +57,7 @@
   }
 
   private void updateReads() {
-    channel.ifPresent(used -> used.eventLoop().execute(() -> updateReads(used)));
+    connection.channel().ifPresent(used -> used.eventLoop().execute(() -> updateReads(used)));
   }
 
   private void updateReads(Channel used) {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/ServiceClient.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/ServiceClient.java
@@ -86,14 +86,11 @@
    *     org.sequoiareach.model.request.RequestFailedException}
    */
   public Flux<AnswerPart> call(Effect.Dispatch dispatch, RequestContent content) {
-    AnswerDeadline deadline = new AnswerDeadline(dispatch.deadlineMs());
-    ReadAheadLimit readAhead = new ReadAheadLimit();
-    return client
-        .doOnRequest(
-            (request, connection) -> {
-              deadline.setConnection(connection);
-              readAhead.setConnection(connection);
-            })
+    ResponseConnection connection = new ResponseConnection();
+    AnswerDeadline deadline = new AnswerDeadline(dispatch.deadlineMs(), connection);
+    ReadAheadLimit readAhead = new ReadAheadLimit(connection);
+    return connection
+        .recordFrom(client)
         .headers(
             headers -> content.headers().forEach(field -> headers.add(field.name(), field.value())))
         .request(HttpMethod.valueOf(content.method()))
