Pass the data of a service's answer on by its type

A handler of its own, with a sink, did what selecting the parts that are data and taking their payloads does.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/ServiceCallHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/caller/ServiceCallHandler.java
@@ -20,7 +20,6 @@
 import org.sequoiareach.peer.Header;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
-import reactor.core.publisher.SynchronousSink;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
@@ -94,7 +93,8 @@
             (first, parts) -> {
               if (first.get() instanceof AnswerPart.Head head) {
                 writeHead(response, head);
-                return response.sendByteArray(parts.handle(ServiceCallHandler::passPayload));
+                return response.sendByteArray(
+                    parts.ofType(AnswerPart.Data.class).map(AnswerPart.Data::payload));
               }
               return ErrorResponses.writeProblem(
                   response, RequestFailures.classify(first.getThrowable()));
@@ -168,12 +168,6 @@
     response.header(ErrorResponses.VERDICT_HEADER, Verdict.RAN.label());
   }
 
-  private static void passPayload(AnswerPart part, SynchronousSink<byte[]> sink) {
-    if (part instanceof AnswerPart.Data data) {
-      sink.next(data.payload());
-    }
-  }
-
   private static RuntimeException unknownOperation(String method, String service, String path) {
     String message =
         method
