Keep only whether the end of a stream is undecided, not its description

The handler of a response described how it had ended before it knew whether the description was needed, also for rejected and held answers, and kept it while an order to stop was under way. Nothing changes meanwhile, so the description is made when it is logged.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -76,7 +76,7 @@
   private boolean done;
   private boolean startReported;
   private StopOrder stopOrder = StopOrder.NONE;
-  private Optional<String> undecidedEnd = Optional.empty();
+  private boolean endUndecided;
   private Runnable onEnded = () -> {};
 
   AttemptResponseHandler(
@@ -244,7 +244,6 @@
     if (done) {
       return;
     }
-    final String progress = describeProgress(framing.label());
     switch (mode) {
       case DISCARDED -> {
         if (assessment.provesNotRun()) {
@@ -259,12 +258,12 @@
         exchange.holdResponse(new HeldErrorResponse(status, headers, buffered.retain()));
         fail(AttemptFault.SERVER_ERROR, 0, describeOrigin());
       }
-      case EVENT_STREAM -> completeStream(framing, progress);
+      case EVENT_STREAM -> completeStream(framing);
       case BUFFERED -> {
         exchange.forwardBody(this, buffered.retain());
-        completeDelivered(progress);
+        completeDelivered(describeProgress(framing.label()));
       }
-      default -> completeDelivered(progress);
+      default -> completeDelivered(describeProgress(framing.label()));
     }
   }
 
@@ -301,14 +300,15 @@
         + connection.map(TargetConnection::sentRequests).orElse(0);
   }
 
-  private void completeStream(ResponseFraming framing, String progress) {
+  private void completeStream(ResponseFraming framing) {
     boolean insideEvent = splitter.orElseThrow().isInsideEvent();
     boolean hasEvents = receivedEvents > 0 || resumedAfterEventId > 0;
     StreamEnd end = StreamEnd.of(framing, insideEvent, hasEvents, stopOrder);
-    if (end == StreamEnd.UNDECIDED) {
-      undecidedEnd = Optional.of(progress);
+    endUndecided = end == StreamEnd.UNDECIDED;
+    if (endUndecided) {
       return;
     }
+    String progress = describeProgress(framing.label());
     if (end != StreamEnd.COMPLETE) {
       abortWithFault(AttemptFault.BROKEN_ANSWER, end.description() + ": " + progress);
       return;
@@ -325,9 +325,9 @@
   /** Records the outcome of the order to stop, and decides on an end that waited for it. */
   void onStopAnswered(CopyOutcome outcome) {
     stopOrder = StopOrder.of(outcome);
-    undecidedEnd
-        .filter(progress -> !done)
-        .ifPresent(progress -> completeStream(ResponseFraming.CONNECTION, progress));
+    if (endUndecided && !done) {
+      completeStream(ResponseFraming.CONNECTION);
+    }
   }
 
   /**
