--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -43,9 +43,6 @@
 
   private static final Logger LOGGER = LogManager.getLogger(ProxyExchange.class);
 
-  /** The bytes of comments and repeated events that a sound stream contains between two events. */
-  private static final long MAX_BYTES_WITHOUT_PROGRESS = 256 << 10;
-
   /** Time for a stopped engine to end its response before another engine resumes the run. */
   private static final long SOURCE_END_TIMEOUT_MS = 40;
 
@@ -58,12 +55,10 @@
   private final ResponseWriter response;
   private final long suspendedMsAtStart;
   private final Runnable onEnded;
+  private final EventSequence events = new EventSequence();
   private Optional<AttemptResponseHandler> currentAttempt = Optional.empty();
   private Optional<HeldErrorResponse> heldResponse = Optional.empty();
   private boolean headSent;
-  private long lastEventId;
-  private long bytesWithoutProgress;
-  private boolean allEventsNumbered = true;
   private long lastEventMs;
   private boolean ended;
 
@@ -111,7 +106,7 @@
       return;
     }
     if (sendCall.kind() == RouteKind.RESUMABLE_STREAMING && !headSent) {
-      lastEventId = context.dialect().findLastEventId(request.headers()).orElse(0);
+      events.resumeAfter(context.dialect().findLastEventId(request.headers()).orElse(0));
     }
     boolean sourceActive =
         sendCall.continuation().isPresent() && currentAttempt.filter(r -> !r.isDone()).isPresent();
@@ -141,7 +136,7 @@
     if (ended) {
       return;
     }
-    AttemptResponseHandler next = new AttemptResponseHandler(this, sendCall, lastEventId);
+    AttemptResponseHandler next = new AttemptResponseHandler(this, sendCall, events.lastId());
     currentAttempt = Optional.of(next);
     if (isOutdated(sendCall)) {
       failOutdated(next);
@@ -152,7 +147,7 @@
       next.fail(AttemptFault.LOST, 0, "not sent: an earlier attempt of the request may have run");
       return;
     }
-    if (headSent && newRun && !allEventsNumbered) {
+    if (headSent && newRun && !events.allNumbered()) {
       next.fail(
           AttemptFault.OUTDATED, 0, "not sent: an event without an id cannot be resumed after");
       return;
@@ -225,9 +220,9 @@
   }
 
   private OptionalLong findResumePoint(DispatchEffect.SendCall sendCall) {
-    boolean resumesStream = sendCall.kind() == RouteKind.RESUMABLE_STREAMING && lastEventId > 0;
+    boolean resumesStream = sendCall.kind() == RouteKind.RESUMABLE_STREAMING && events.lastId() > 0;
     return sendCall.continuation().isPresent() || resumesStream
-        ? OptionalLong.of(lastEventId)
+        ? OptionalLong.of(events.lastId())
         : OptionalLong.empty();
   }
 
@@ -244,39 +239,22 @@
    * @return false if ids are missing between the last forwarded event and this one
    */
   boolean forwardEvent(AttemptResponseHandler attempt, ServerSentEventSplitter.Event event) {
-    OptionalLong id = event.id();
-    ByteBuf bytes = event.bytes();
-    bytesWithoutProgress = isProgress(event) ? 0 : bytesWithoutProgress + bytes.readableBytes();
-    if (ended || id.isPresent() && id.getAsLong() <= lastEventId) {
-      bytes.release();
-      return true;
-    }
-    if (id.isPresent() && lastEventId > 0 && id.getAsLong() != lastEventId + 1) {
-      bytes.release();
-      return false;
+    EventSequence.Position position = events.receive(event);
+    if (ended || position != EventSequence.Position.NEXT) {
+      event.bytes().release();
+      return ended || position == EventSequence.Position.REPEATED;
     }
     sendHeadOnce(attempt, OptionalLong.empty());
     attempt.reportStart();
-    id.ifPresent(number -> lastEventId = number);
-    allEventsNumbered &= id.isPresent();
+    events.accept(event.id());
     recordEventLatency();
-    response.sendContent(bytes);
+    response.sendContent(event.bytes());
     return true;
   }
 
-  /**
-   * Returns whether an event is the next part of the stream. In a stream of numbered events that is
-   * one with a new number; in others, one with data.
-   */
-  private boolean isProgress(ServerSentEventSplitter.Event event) {
-    return event.id().isPresent()
-        ? event.id().getAsLong() > lastEventId
-        : lastEventId == 0 && event.hasContent();
-  }
-
   /** Returns whether more bytes were received without progress than a sound stream contains. */
   boolean isFlooded() {
-    return bytesWithoutProgress > MAX_BYTES_WITHOUT_PROGRESS;
+    return events.isFlooded();
   }
 
   /** Forwards a complete body whose length is known. */
