Call what the tests already had to send bytes, chunks and requests

The assertions are the same. With the deadline of a service's answer put off by a minute both cases of endsCallAtDeadlineAlthoughAnswerTrickles fail still.

--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/target/EngineClientTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/target/EngineClientTest.java
@@ -12,12 +12,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.LongStream;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiareach.daemon.answer.AnswerPart;
 import org.sequoiareach.model.request.RequestFailedException;
+import org.sequoiareach.standin.server.RawServer;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -39,16 +41,24 @@
   private static final int PAUSE_MS = 500;
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
+  private final LoopResources traffic = LoopResources.create("test-traffic", 1, true);
+  private final ConnectionProvider connections = ConnectionProvider.create("test-traffic", 10);
+  private final EngineClient client = new EngineClient(traffic, connections);
+
+  @AfterEach
+  void stop() {
+    connections.dispose();
+    traffic.dispose();
+  }
+
   /** Guards against decoding a buffer after it was released to the pool, which corrupts tokens. */
   @ParameterizedTest
   @ValueSource(ints = {1, 2, 256})
   void readsEveryTokenWhenConsumerIsSlow(int demand) {
     DisposableServer engine = startEngine();
-    LoopResources traffic = LoopResources.create("test-traffic", 1, true);
-    ConnectionProvider connections = ConnectionProvider.create("test-traffic", 10);
     try {
       List<Long> sequences =
-          new EngineClient(traffic, connections)
+          client
               .resume("e1", "127.0.0.1:" + engine.port(), "r1", 0)
               .limitRate(demand)
               .concatMap(part -> Mono.just(part).delayElement(Duration.ofMillis(1)), 1)
@@ -61,8 +71,6 @@
           .containsExactlyElementsOf(LongStream.rangeClosed(1, TOKENS).boxed().toList());
     } finally {
       engine.disposeNow();
-      connections.dispose();
-      traffic.dispose();
     }
   }
 
@@ -70,13 +78,11 @@
   @CsvSource({"1, true", "20, true", "100, true", "1, false", "20, false", "100, false"})
   void deliversReceivedTokensBeforeFailureOfTheirStream(int tokens, boolean together)
       throws IOException {
-    LoopResources traffic = LoopResources.create("test-traffic", 1, true);
-    ConnectionProvider connections = ConnectionProvider.create("test-traffic", 10);
     try (RawTarget engine = new RawTarget(socket -> breakOff(socket, tokens, together))) {
       List<Long> sequences = new ArrayList<>();
 
       Flux<AnswerPart> parts =
-          new EngineClient(traffic, connections)
+          client
               .resume("e1", engine.address(), "r1", 0)
               .limitRate(1)
               .concatMapDelayError(part -> Mono.just(part).delayElement(Duration.ofMillis(5)), 1)
@@ -85,21 +91,16 @@
       assertThatThrownBy(() -> parts.blockLast(TIMEOUT)).isInstanceOf(RequestFailedException.class);
       assertThat(sequences)
           .containsExactlyElementsOf(LongStream.rangeClosed(1, tokens).boxed().toList());
-    } finally {
-      connections.dispose();
-      traffic.dispose();
     }
   }
 
   @Test
   void pausesEngineWhileConsumerHasNoDemandAndClosesOnceItHasGone() throws Exception {
-    LoopResources traffic = LoopResources.create("test-traffic", 1, true);
-    ConnectionProvider connections = ConnectionProvider.create("test-traffic", 10);
     AtomicLong sentBytes = new AtomicLong();
     CompletableFuture<Void> closed = new CompletableFuture<>();
     try (RawTarget engine = new RawTarget(socket -> sendWithoutEnd(socket, sentBytes, closed))) {
       Disposable stream =
-          new EngineClient(traffic, connections)
+          client
               .resume("e1", engine.address(), "r1", 0)
               .concatMap(part -> Mono.never(), 1)
               .subscribe();
@@ -112,9 +113,6 @@
       assertThat(sentBytes).hasValueBetween(1L, MAX_READ_AHEAD_BYTES);
       stream.dispose();
       assertThat(closed).succeedsWithin(TIMEOUT);
-    } finally {
-      connections.dispose();
-      traffic.dispose();
     }
   }
 
@@ -125,7 +123,7 @@
       RawTarget.write(socket, STREAM_HEAD);
       for (int i = 1; true; i++) {
         String event = "id: " + i + "\ndata: " + "x".repeat(10_000) + "\n\n";
-        RawTarget.write(socket, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+        RawTarget.write(socket, RawServer.chunk(event));
         sentBytes.addAndGet(event.length());
       }
     } catch (IOException e) {
@@ -138,9 +136,7 @@
     RawTarget.readRequest(socket);
     StringBuilder pending = new StringBuilder(STREAM_HEAD);
     for (int i = 1; i <= tokens; i++) {
-      String event = "id: " + i + "\ndata: {\"id\":\"chatcmpl-r1\"}\n\n";
-      pending.append(Integer.toHexString(event.length())).append("\r\n");
-      pending.append(event).append("\r\n");
+      pending.append(RawServer.chunk("id: " + i + "\ndata: {\"id\":\"chatcmpl-r1\"}\n\n"));
       if (!together) {
         RawTarget.write(socket, pending.toString());
         pending.setLength(0);
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/target/ServiceClientTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/target/ServiceClientTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -20,6 +21,7 @@
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.model.request.RequestFailedException;
 import org.sequoiareach.model.request.Verdict;
+import org.sequoiareach.standin.server.RawServer;
 import org.sequoiareach.store.time.MonotonicClock;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -29,15 +31,21 @@
 
   private static final String CHUNKED_HEAD =
       "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n";
-  private static final String CHUNK = "1\r\nx\r\n";
+  private static final String CHUNK = RawServer.chunk("x");
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
   private static final long SHORT_CALL_MS = 1_500;
   private static final int TRICKLE_PERIOD_MS = 50;
 
+  private final LoopResources traffic = LoopResources.create("test-traffic", 1, true);
+
+  @AfterEach
+  void stop() {
+    traffic.dispose();
+  }
+
   @ParameterizedTest
   @ValueSource(ints = {1, 20, 300})
   void deliversReceivedBytesBeforeFailureOfTheirAnswer(int chunks) throws IOException {
-    LoopResources traffic = LoopResources.create("test-traffic", 1, true);
     AtomicInteger received = new AtomicInteger();
     try (RawTarget service = new RawTarget(socket -> breakOff(socket, chunks))) {
       Flux<AnswerPart> slowlyRead =
@@ -55,8 +63,6 @@
       assertThatThrownBy(() -> slowlyRead.blockLast(TIMEOUT))
           .isInstanceOf(RequestFailedException.class);
       assertThat(received).hasValue(chunks);
-    } finally {
-      traffic.dispose();
     }
   }
 
@@ -67,39 +73,27 @@
 
   @ParameterizedTest
   @MethodSource("trickles")
-  void endsCallAtDeadlineAlthoughAnswerTrickles(String start, String repeated) throws IOException {
-    LoopResources traffic = LoopResources.create("test-traffic", 1, true);
-    CompletableFuture<Void> closed = new CompletableFuture<>();
-    try (RawTarget service = new RawTarget(socket -> trickle(socket, start, repeated, closed))) {
+  void endsCallAtDeadlineAlthoughAnswerTrickles(String start, String repeated) throws Exception {
+    try (RawServer service = new RawServer()) {
       long startMs = MonotonicClock.nowMs();
-      Flux<AnswerPart> answer =
+      final CompletableFuture<AnswerPart> answer =
           new ServiceClient(traffic)
-              .call(dispatch(service.address(), startMs + SHORT_CALL_MS), content());
+              .call(dispatch(service.address(), startMs + SHORT_CALL_MS), content())
+              .last()
+              .toFuture();
+      RawServer.Connection accepted = service.accept();
+      accepted.awaitReceived("\r\n\r\n");
+      accepted.send(start);
+
+      long openMs = accepted.sendUntilClosed(repeated, TRICKLE_PERIOD_MS, 4 * SHORT_CALL_MS);
 
-      assertThatThrownBy(() -> answer.blockLast(TIMEOUT))
+      assertThat(openMs).as("time until the connection was closed").isLessThan(4 * SHORT_CALL_MS);
+      assertThatThrownBy(() -> answer.get(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS))
+          .cause()
           .isInstanceOfSatisfying(
               RequestFailedException.class,
               failure -> assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN));
       assertThat(MonotonicClock.nowMs() - startMs).isBetween(SHORT_CALL_MS, 4 * SHORT_CALL_MS);
-      assertThat(closed).succeedsWithin(TIMEOUT);
-    } finally {
-      traffic.dispose();
-    }
-  }
-
-  /** Sends a piece now and then until the connection is closed. */
-  private static void trickle(
-      Socket socket, String start, String repeated, CompletableFuture<Void> closed)
-      throws IOException {
-    RawTarget.readRequest(socket);
-    RawTarget.write(socket, start);
-    try {
-      while (true) {
-        RawTarget.write(socket, repeated);
-        TimeUnit.MILLISECONDS.sleep(TRICKLE_PERIOD_MS);
-      }
-    } catch (IOException | InterruptedException e) {
-      closed.complete(null);
     }
   }
 
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/AbstractTargetConnectionTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/AbstractTargetConnectionTest.java
@@ -59,16 +59,23 @@
 
   /** Sends a request and waits for its complete response. */
   RawServer.Connection exchange(TargetConnection connection, String method) throws Exception {
-    RawServer.Connection accepted = server.accept();
     RecordingListener listener = new RecordingListener();
     listener.connection = connection;
-    send(connection, method, "", listener);
-    accepted.awaitReceived(method);
+    RawServer.Connection accepted = startExchange(connection, method, listener);
     accepted.send(OK);
     assertThat(listener.await()).isEqualTo("complete");
     return accepted;
   }
 
+  /** Sends a request without a body and waits until the server has received it. */
+  RawServer.Connection startExchange(
+      TargetConnection connection, String method, ResponseListener listener) throws Exception {
+    RawServer.Connection accepted = server.accept();
+    send(connection, method, "", listener);
+    accepted.awaitReceived(method);
+    return accepted;
+  }
+
   TargetConnection acquireSame(TargetConnection connection, int number) throws Exception {
     if (number == 1) {
       return connection;
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionReuseTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionReuseTest.java
@@ -51,9 +51,7 @@
     final RecordingListener listener = new RecordingListener();
     TargetConnection connection = acquire();
     listener.connection = connection;
-    final RawServer.Connection accepted = server.accept();
-    send(connection, "GET", "", listener);
-    accepted.awaitReceived("GET");
+    final RawServer.Connection accepted = startExchange(connection, "GET", listener);
 
     accepted.send(OK + unescape(trailing));
 
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionTest.java
@@ -105,9 +105,7 @@
   void doesNotNotifyListenerOfLateResponseAfterAbort() throws Exception {
     RecordingListener listener = new RecordingListener();
     TargetConnection connection = acquire();
-    final RawServer.Connection accepted = server.accept();
-    send(connection, "GET", "", listener);
-    accepted.awaitReceived("GET");
+    final RawServer.Connection accepted = startExchange(connection, "GET", listener);
 
     onLoop(
         () -> {
@@ -127,9 +125,7 @@
   void reportsFailureIfTransferCodingIsNotDecoded(String coding) throws Exception {
     RecordingListener listener = new RecordingListener();
     TargetConnection connection = acquire();
-    final RawServer.Connection accepted = server.accept();
-    send(connection, "GET", "", listener);
-    accepted.awaitReceived("GET");
+    final RawServer.Connection accepted = startExchange(connection, "GET", listener);
 
     accepted.send(
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n4\r\npart\r\n0\r\n\r\n");
@@ -145,9 +141,7 @@
     RecordingListener listener = new RecordingListener();
     TargetConnection connection = acquire();
     listener.connection = connection;
-    final RawServer.Connection accepted = server.accept();
-    send(connection, "GET", "", listener);
-    accepted.awaitReceived("GET");
+    final RawServer.Connection accepted = startExchange(connection, "GET", listener);
 
     accepted.send("HTTP/1.1 200 OK\r\n\r\npart");
     listener.awaitHead();
@@ -169,9 +163,7 @@
   void reportsFailureOnceForIncompleteOrMalformedResponse(String bytes) throws Exception {
     RecordingListener listener = new RecordingListener();
     TargetConnection connection = acquire();
-    final RawServer.Connection accepted = server.accept();
-    send(connection, "GET", "", listener);
-    accepted.awaitReceived("GET");
+    final RawServer.Connection accepted = startExchange(connection, "GET", listener);
 
     accepted.send(unescape(bytes));
     accepted.close();
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/UnframedResponseTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/UnframedResponseTest.java
@@ -38,9 +38,7 @@
   private RawServer.Connection startResponse() throws Exception {
     connection = acquire();
     listener.connection = connection;
-    RawServer.Connection accepted = server.accept();
-    send(connection, "GET", "", listener);
-    accepted.awaitReceived("GET");
+    RawServer.Connection accepted = startExchange(connection, "GET", listener);
     accepted.send("HTTP/1.1 200 OK\r\n\r\npart");
     listener.awaitHead();
     return accepted;
--- a/sequoiareach-standin/src/main/java/org/sequoiareach/standin/server/RawServer.java
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/server/RawServer.java
@@ -72,6 +72,16 @@
     return String.join("", texts);
   }
 
+  /**
+   * Frames a part of a body that is sent in chunks.
+   *
+   * @param part the part, in ISO 8859-1; not empty, as an empty chunk ends a body
+   * @return the chunk
+   */
+  public static String chunk(String part) {
+    return Integer.toHexString(part.length()) + "\r\n" + part + "\r\n";
+  }
+
   @Override
   public void close() throws IOException {
     socket.close();
--- a/sequoiareach-standin/src/test/java/org/sequoiareach/standin/kv/KvStandinTest.java
+++ b/sequoiareach-standin/src/test/java/org/sequoiareach/standin/kv/KvStandinTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.sequoiareach.standin.server.Exchanges;
+import org.sequoiareach.standin.server.RawServer;
 import org.sequoiareach.standin.server.TestHttpClient;
 
 @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
@@ -165,7 +166,8 @@
     try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
       String head = "POST /v3/watch HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
       String body = watch("k", "");
-      String call = head + chunk(body.substring(0, 9)) + chunk(body.substring(9));
+      String call =
+          head + RawServer.chunk(body.substring(0, 9)) + RawServer.chunk(body.substring(9));
       socket.setSoTimeout(5_000);
       socket.getOutputStream().write(call.getBytes(StandardCharsets.US_ASCII));
       BufferedReader reader =
@@ -180,10 +182,6 @@
     return client.send("POST", "/v3/kv/put", keyRequest(key, ",\"value\":\"" + b64(value) + "\""));
   }
 
-  private static String chunk(String text) {
-    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
-  }
-
   private static String watch(String key, String more) {
     return "{\"create_request\":" + keyRequest(key, more) + "}";
   }
