Log what a request carried when its answer broke off

The log of the incident names organisation and route of the requests whose targets crashed, but not the parts of their prompts, so that it cannot tell which of them the requests share. attempt-failed now ends with the traits of the request: digests of its caller and of each part of its prompt but the last, bounded to 64 parts.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
@@ -1,9 +1,11 @@
 package org.sequoiareach.decision.dispatch;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.sequoiareach.model.quarantine.RequestTraits;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.route.Route;
 import org.sequoiareach.model.route.RoutedTarget;
@@ -22,6 +24,7 @@
   private final Set<String> possibleRunTargets = new HashSet<>();
   private final Set<String> permitDeniedTargets = new HashSet<>();
   private OptionalLong permitReturnMs = OptionalLong.empty();
+  private Optional<RequestTraits> traits = Optional.empty();
   private Optional<RoutedTarget> target = Optional.empty();
   private int attempt;
   private int reachedAttempts;
@@ -60,6 +63,16 @@
     return profile.generation().map(GenerationDemand::expectedMemoryTokens).orElse(0L);
   }
 
+  /** Returns what other requests may share with this one; computed when first needed. */
+  RequestTraits traits() {
+    if (traits.isEmpty()) {
+      List<String> parts =
+          profile.generation().map(GenerationDemand::sharedPartIds).orElse(List.of());
+      traits = Optional.of(RequestTraits.of(service, organisation, parts));
+    }
+    return traits.get();
+  }
+
   Route route() {
     return route;
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -173,7 +173,7 @@
     if (event.fault().countsAgainstTarget()) {
       health.onFailure(event.nowMs(), target.id());
     }
-    calls.logDecision("attempt-failed", call, target.id(), event.fault() + " " + event.detail());
+    calls.logDecision("attempt-failed", call, target.id(), describeFailure(event, call));
     calls.releaseTarget(call);
     if (event.started()) {
       call.answerStarted(event.nowMs());
@@ -192,6 +192,14 @@
     retryOrFail(event, call);
   }
 
+  /** Describes a failure, with what the request carried if its answer broke off. */
+  private static String describeFailure(DispatchEvent.AttemptFailed event, ActiveCall call) {
+    String failure = event.fault() + " " + event.detail();
+    boolean brokeOff =
+        event.fault() == AttemptFault.LOST || event.fault() == AttemptFault.BROKEN_ANSWER;
+    return brokeOff ? failure + " traits=" + call.traits() : failure;
+  }
+
   void onPermitAnswered(DispatchEvent.PermitAnswered event) {
     permits.onPermitAnswered(event);
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/GenerationDemand.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/GenerationDemand.java
@@ -45,4 +45,13 @@
   public long expectedMemoryTokens() {
     return promptTokens + estimatedOutputTokens();
   }
+
+  /**
+   * Returns the identifiers of the parts that other requests may share.
+   *
+   * @return the identifiers of all parts but the last, in order
+   */
+  public List<String> sharedPartIds() {
+    return parts.stream().limit(Math.max(0, parts.size() - 1)).map(PromptPart::id).toList();
+  }
 }
--- /dev/null
+++ b/sequoiareach-model/src/main/java/org/sequoiareach/model/quarantine/RequestTraits.java
@@ -0,0 +1,72 @@
+package org.sequoiareach.model.quarantine;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.sequoiareach.model.Check;
+
+/**
+ * The properties of a request that other requests may share, as digests in ascending order.
+ *
+ * <p>A digest starts with its kind and does not reveal the content. Immutable.
+ *
+ * @param digests the digests
+ */
+public record RequestTraits(List<String> digests) {
+
+  /** The parts of a prompt that are considered; a request may name any number. */
+  public static final int MAX_PARTS = 64;
+
+  private static final String CALLER = "caller-";
+  private static final String PART = "part-";
+
+  /** Sorts the digests and removes duplicates. */
+  public RequestTraits {
+    digests = digests.stream().sorted().distinct().toList();
+    digests.forEach(digest -> Check.hasText(digest, "digests"));
+  }
+
+  /**
+   * Creates the traits of a request. The first {@value #MAX_PARTS} parts are considered.
+   *
+   * @param service the service that runs the request
+   * @param organisation the organisation of its caller
+   * @param sharedParts the identifiers of the parts of its prompt that other requests may share
+   * @return the traits
+   */
+  public static RequestTraits of(
+      String service, Optional<String> organisation, List<String> sharedParts) {
+    Stream<String> caller = organisation.stream().map(name -> CALLER + digest(name));
+    Stream<String> parts =
+        sharedParts.stream().limit(MAX_PARTS).map(part -> PART + digest(service, part));
+    return new RequestTraits(Stream.concat(caller, parts).toList());
+  }
+
+  @Override
+  public String toString() {
+    return String.join(",", digests);
+  }
+
+  private static String digest(String... values) {
+    MessageDigest sha256 = sha256();
+    for (String value : values) {
+      byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+      sha256.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).array());
+      sha256.update(bytes);
+    }
+    return HexFormat.of().toHexDigits(ByteBuffer.wrap(sha256.digest()).getLong());
+  }
+
+  private static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("the algorithm SHA-256 is not available", e);
+    }
+  }
+}
