Quarantine requests whose content crashes the targets that run them

Cause: a failure was counted against the target alone. Health, ejection, retries and budgets ask whether a target is bad; nothing asked whether the request was. Each daemon sent on what had just crashed an engine, and no daemon told another.

Change: daemons tell each other of crashes, with digests of what the target was about to answer (caller, parts of the prompt but the last). A crash is a connection that broke off before or within 500 ms of the first part of an answer, on a target that afterwards refuses connections, lost its entry or came back as a new incarnation. Traits that are common to three crashes at different moments, while requests without them were answered and none with them, are quarantined by all daemons: refused at once with the time of return, calls in progress that have not started are ended. Daemons that saw such requests answered object within 250 ms. Traits that always come together are quarantined together, so that sound requests with one of them are served. A request is sent for trial after a minute, then seldom; without matching requests the quarantine lapses.

Ruled out by the log of the incident: targets that die for reasons of their own (in 16 of 16 crashes one request of one organisation was at its first event), and second sends or copies (none).

An incomplete head or body whose connection closed is now told as such to the listener of a response (onDisconnected), apart from malformed ones; the tests that expect it say which of the two.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -74,6 +74,7 @@
   private long discardedBytes;
   private int receivedEvents;
   private boolean done;
+  private boolean disconnected;
   private boolean startReported;
   private StopOrder stopOrder = StopOrder.NONE;
   private boolean endUndecided;
@@ -110,6 +111,11 @@
     return done;
   }
 
+  /** Returns whether the connection to the target broke off. */
+  boolean isDisconnected() {
+    return disconnected;
+  }
+
   /** Reports, on the first call only, that the response body has started. */
   void reportStart() {
     if (!startReported) {
@@ -276,6 +282,12 @@
     fail(AttemptFault.BROKEN_ANSWER, 0, detail + " " + describeProgress("incomplete"));
   }
 
+  @Override
+  public void onDisconnected(String detail) {
+    disconnected = true;
+    onFailure(detail);
+  }
+
   /**
    * Ends the attempt as failed; what the caller receives is decided by the reducer.
    *
@@ -310,6 +322,7 @@
     }
     String progress = describeProgress(framing.label());
     if (end != StreamEnd.COMPLETE) {
+      disconnected = framing == ResponseFraming.CONNECTION;
       abortWithFault(AttemptFault.BROKEN_ANSWER, end.description() + ": " + progress);
       return;
     }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -2,14 +2,12 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
-import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Optional;
@@ -21,6 +19,7 @@
 import org.sequoiareach.daemon.dialect.AttemptMetadata;
 import org.sequoiareach.daemon.front.ResponseWriter;
 import org.sequoiareach.daemon.upstream.TargetConnection;
+import org.sequoiareach.daemon.upstream.TargetConnectionManager;
 import org.sequoiareach.decision.dispatch.AttemptFault;
 import org.sequoiareach.decision.dispatch.CallProfile;
 import org.sequoiareach.decision.dispatch.CopyOutcome;
@@ -228,9 +227,9 @@
 
   /** Distinguishes a refused connection, where no process listens, from other failures. */
   private static AttemptFault classifyConnectFailure(IOException problem) {
-    boolean refused =
-        problem instanceof ConnectException && !(problem instanceof ConnectTimeoutException);
-    return refused ? AttemptFault.NOBODY_THERE : AttemptFault.NOT_SENT;
+    return TargetConnectionManager.isRefusal(problem)
+        ? AttemptFault.NOBODY_THERE
+        : AttemptFault.NOT_SENT;
   }
 
   /**
@@ -347,6 +346,7 @@
             fault,
             retryAfterMs,
             headSent,
+            attempt.isDisconnected(),
             detail));
   }
 
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
@@ -94,6 +94,8 @@
       withExchange(cut.callId(), ProxyExchange::abort);
     } else if (effect instanceof DispatchEffect.DropTarget drop) {
       context.loop().execute(() -> context.connections().retire(drop.target()));
+    } else if (effect instanceof DispatchEffect.ProbeTarget probe) {
+      context.loop().execute(() -> probe(probe.target()));
     } else if (effect instanceof DispatchEffect.WatchRate watch) {
       context.loop().execute(() -> watchRate(watch));
     } else if (effect instanceof DispatchEffect.CopyRun copy) {
@@ -105,6 +107,19 @@
     }
   }
 
+  private void probe(RoutedTarget target) {
+    context
+        .connections()
+        .probe(
+            target,
+            outcome ->
+                context
+                    .events()
+                    .post(
+                        new DispatchEvent.TargetProbed(
+                            MonotonicClock.nowMs(), target.id(), outcome)));
+  }
+
   private void watchRate(DispatchEffect.WatchRate watch) {
     if (watch.watched()) {
       context.rateWatch().add(watch.targetId());
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
@@ -45,6 +45,7 @@
 import org.sequoiareach.peer.PeerMessage;
 import org.sequoiareach.peer.PeerSettings;
 import org.sequoiareach.peer.PeerTransport;
+import org.sequoiareach.peer.QuarantineMessage;
 import org.sequoiareach.peer.StateMessage;
 import org.sequoiareach.peer.TcpPeerTransport;
 import org.sequoiareach.store.http.HttpCaller;
@@ -123,13 +124,16 @@
     MembershipBridge membership = new MembershipBridge(controlLoop, started);
     CompletableFuture<PeerStateBridge> peerState = new CompletableFuture<>();
     CompletableFuture<PeerLimitBridge> peerLimits = new CompletableFuture<>();
+    CompletableFuture<PeerQuarantineBridge> quarantines = new CompletableFuture<>();
     this.transport =
         TcpPeerTransport.start(
-            peerSettings(), new PeerMessageDispatcher(membership, peerState, peerLimits));
+            peerSettings(),
+            new PeerMessageDispatcher(membership, peerState, peerLimits, quarantines));
     started.complete(transport);
     PeerMessageSender sender = new PeerMessageSender(transport);
     peerState.complete(new PeerStateBridge(controlLoop, sender));
     peerLimits.complete(new PeerLimitBridge(controlLoop, sender));
+    quarantines.complete(new PeerQuarantineBridge(controlLoop, sender));
     HttpCaller http = new HttpCaller(createClient(), MAX_STORE_RESPONSE_BYTES);
     TargetConnectionManager connections = new TargetConnectionManager(loop, resources);
     ProxyExchangeRegistry exchanges =
@@ -145,6 +149,7 @@
     metrics.register("sheet.revision", (Gauge<Long>) reducer::sheetRevision);
     metrics.register("targets", (Gauge<Integer>) reducer::targetCount);
     metrics.register("targets.limited", (Gauge<Integer>) reducer::limitCount);
+    metrics.register("quarantines", (Gauge<Integer>) reducer::quarantineCount);
     controlLoop.start(
         reducer,
         List.of(
@@ -154,6 +159,7 @@
             exchanges,
             peerState.join(),
             peerLimits.join(),
+            quarantines.join(),
             effect -> handleLocalEffect(effect, membership)));
     postSeedPeers();
     this.callerChannel = callerServer.accept(callerSocket);
@@ -340,11 +346,13 @@
    * @param peerState receives state messages; completes after the transport has started, which
    *     itself needs this listener
    * @param peerLimits receives messages about rate limits; completes at the same time
+   * @param quarantines receives messages about crashes and quarantines; completes at the same time
    */
   private record PeerMessageDispatcher(
       MembershipBridge membership,
       CompletableFuture<PeerStateBridge> peerState,
-      CompletableFuture<PeerLimitBridge> peerLimits)
+      CompletableFuture<PeerLimitBridge> peerLimits,
+      CompletableFuture<PeerQuarantineBridge> quarantines)
       implements PeerListener {
 
     @Override
@@ -355,6 +363,8 @@
         peerState.thenAccept(bridge -> bridge.onMessage(fromDaemon, state));
       } else if (message instanceof LimitMessage limit) {
         peerLimits.thenAccept(bridge -> bridge.onMessage(fromDaemon, limit));
+      } else if (message instanceof QuarantineMessage quarantine) {
+        quarantines.thenAccept(bridge -> bridge.onMessage(fromDaemon, quarantine));
       }
     }
 
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/ResponseListener.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/ResponseListener.java
@@ -4,8 +4,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 
 /**
- * Receives the response to one request. Called on the event loop; {@link #onComplete} or {@link
- * #onFailure} is the last call.
+ * Receives the response to one request. Called on the event loop; {@link #onComplete}, {@link
+ * #onFailure} or {@link #onDisconnected} is the last call.
  */
 public interface ResponseListener {
 
@@ -31,9 +31,16 @@
   void onComplete(ResponseFraming framing);
 
   /**
-   * Called when the connection was lost or the response is malformed.
+   * Called when the response is malformed or exceeds a limit.
    *
    * @param detail a description of the failure
    */
   void onFailure(String detail);
+
+  /**
+   * Called when the connection broke off before the response was complete.
+   *
+   * @param detail a description of the failure
+   */
+  void onDisconnected(String detail);
 }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnectionManager.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnectionManager.java
@@ -1,19 +1,24 @@
 package org.sequoiareach.daemon.upstream;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.sequoiareach.decision.dispatch.ProbeOutcome;
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.store.http.KeepAliveProbes;
@@ -73,6 +78,43 @@
             () -> open(pool, target, maxConnections, done));
   }
 
+  /**
+   * Opens a connection to a target and closes it at once.
+   *
+   * @param target the target
+   * @param done receives the outcome, on the event loop
+   */
+  public void probe(RoutedTarget target, Consumer<ProbeOutcome> done) {
+    ChannelFuture opened =
+        bootstrap
+            .clone()
+            .handler(new ChannelDuplexHandler())
+            .connect(parseAddress(target.address()));
+    opened.addListener(
+        ignored -> {
+          opened.channel().close();
+          done.accept(classify(opened));
+        });
+  }
+
+  private static ProbeOutcome classify(ChannelFuture opened) {
+    if (opened.isSuccess()) {
+      return ProbeOutcome.REACHED;
+    }
+    return isRefusal(opened.cause()) ? ProbeOutcome.REFUSED : ProbeOutcome.UNKNOWN;
+  }
+
+  /**
+   * Returns whether a failure to connect shows that nothing listens at the address, in contrast to
+   * a timeout.
+   *
+   * @param failure the failure
+   * @return true if the connection was refused
+   */
+  public static boolean isRefusal(Throwable failure) {
+    return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
+  }
+
   /**
    * Closes the idle connections to a target, and the others as soon as their responses end.
    *
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/AbstractTargetConnectionTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/AbstractTargetConnectionTest.java
@@ -229,6 +229,11 @@
       end("failure: " + detail);
     }
 
+    @Override
+    public void onDisconnected(String detail) {
+      end("disconnected: " + detail);
+    }
+
     void end(String event) {
       events.add(event);
       ends.add(event);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
@@ -30,6 +30,7 @@
   private int reachedAttempts;
   private int copyRounds;
   private boolean started;
+  private boolean survived;
   private long lastSentAtMs;
   private long startedAtMs;
   private long firstEventDelayMs;
@@ -183,6 +184,17 @@
     started = true;
   }
 
+  /**
+   * Records that a target survived the call.
+   *
+   * @return false if that was recorded before
+   */
+  boolean markSurvived() {
+    boolean first = !survived;
+    survived = true;
+    return first;
+  }
+
   /** Returns the time from sending the first attempt that answered to the start of its answer. */
   long firstEventDelayMs() {
     return firstEventDelayMs;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.sequoiareach.model.quarantine.Quarantine;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.route.Route;
@@ -30,6 +31,7 @@
   private final TargetHandler targets;
   private final TargetHealthHandler health;
   private final LimitHandler limits;
+  private final QuarantineHandler quarantines;
   private final PermitHandler permits;
   private final CallPlacement placement;
   private final UnroutedCalls unrouted = new UnroutedCalls();
@@ -41,7 +43,9 @@
       RunDurationRegistry durations,
       TargetHandler targets,
       TargetHealthHandler health,
-      LimitHandler limits) {
+      LimitHandler limits,
+      QuarantineHandler quarantines) {
+    this.quarantines = quarantines;
     this.limits = limits;
     this.permits = new PermitHandler(calls, limits, this);
     this.placement = new CallPlacement(context, limits, durations);
@@ -144,6 +148,7 @@
 
   private void recordOutcome(DispatchEvent.AnswerDelivered event, ActiveCall call) {
     String targetId = ActiveCalls.targetIdOf(call);
+    recordSurvival(event.nowMs(), call);
     if (event.status() < MIN_SERVER_ERROR_STATUS) {
       health.onSuccess(event.nowMs(), targetId);
       recordDuration(event.nowMs(), call);
@@ -152,6 +157,15 @@
     }
   }
 
+  /** Records that a target survived a call that it answered. A run without an event never began. */
+  private void recordSurvival(long nowMs, ActiveCall call) {
+    boolean began = call.isStarted() || !call.route().kind().isStreaming();
+    if (began && call.markSurvived()) {
+      long answeredAtMs = call.isStarted() ? call.startedAtMs() : nowMs;
+      quarantines.onSurvived(nowMs, call, answeredAtMs);
+    }
+  }
+
   void onCallerLeft(DispatchEvent.CallerLeft event) {
     unrouted.remove(event.callId());
     calls
@@ -174,6 +188,10 @@
       health.onFailure(event.nowMs(), target.id());
     }
     calls.logDecision("attempt-failed", call, target.id(), describeFailure(event, call));
+    quarantines.onAttemptFailed(event, call, target);
+    if (event.fault() == AttemptFault.SERVER_ERROR) {
+      recordSurvival(event.nowMs(), call);
+    }
     calls.releaseTarget(call);
     if (event.started()) {
       call.answerStarted(event.nowMs());
@@ -182,6 +200,14 @@
     if (showsTargetHasLeft(event.fault())) {
       targets.markLeaving(event.nowMs(), target.id());
     }
+    if (quarantines.mayCrashAnother(event, call, target)) {
+      calls.refuse(
+          call,
+          Reason.TARGET_FAILED,
+          "the target crashed, and so did another one under a similar request",
+          0);
+      return;
+    }
     if (migrations.tryContinue(event, call, target)) {
       return;
     }
@@ -288,6 +314,12 @@
    */
   private void place(
       long nowMs, ActiveCall call, String why, Optional<DispatchEvent.AttemptFailed> failure) {
+    Optional<Quarantine> quarantine =
+        call.isStarted() ? Optional.empty() : quarantines.findRefusal(nowMs, call);
+    if (quarantine.isPresent()) {
+      quarantines.refuse(nowMs, call, quarantine.get());
+      return;
+    }
     CallPlacement.Choice choice = placement.choose(nowMs, call);
     if (choice.permitTarget().isPresent()) {
       RoutedTarget limited = choice.permitTarget().get();
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Optional;
 import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.model.quarantine.CrashReport;
+import org.sequoiareach.model.quarantine.Quarantine;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.route.RouteKind;
@@ -29,6 +31,9 @@
   @JsonSubTypes.Type(DispatchEffect.CopyRun.class),
   @JsonSubTypes.Type(DispatchEffect.ReleaseCopy.class),
   @JsonSubTypes.Type(DispatchEffect.AskReport.class),
+  @JsonSubTypes.Type(DispatchEffect.ProbeTarget.class),
+  @JsonSubTypes.Type(DispatchEffect.TellCrashes.class),
+  @JsonSubTypes.Type(DispatchEffect.TellQuarantines.class),
   @JsonSubTypes.Type(DispatchEffect.WatchRate.class),
   @JsonSubTypes.Type(DispatchEffect.TellLimits.class),
   @JsonSubTypes.Type(DispatchEffect.LendShare.class),
@@ -146,6 +151,33 @@
    */
   record AskReport(RoutedTarget target) implements DispatchEffect {}
 
+  /**
+   * Opens a connection to a target to find out whether it lives.
+   *
+   * @param target the target
+   */
+  record ProbeTarget(RoutedTarget target) implements DispatchEffect {}
+
+  /**
+   * Sends what this daemon knows of crashes of targets to another one.
+   *
+   * @param daemonId the identifier of the other daemon
+   * @param address the address of the other daemon
+   * @param reports the reports
+   */
+  record TellCrashes(String daemonId, String address, List<CrashReport> reports)
+      implements DispatchEffect {}
+
+  /**
+   * Sends what this daemon knows of quarantines to another one.
+   *
+   * @param daemonId the identifier of the other daemon
+   * @param address the address of the other daemon
+   * @param quarantines the quarantines
+   */
+  record TellQuarantines(String daemonId, String address, List<Quarantine> quarantines)
+      implements DispatchEffect {}
+
   /**
    * Starts or stops reporting the absence of a rate from the answers of a target.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import org.sequoiareach.decision.event.Event;
+import org.sequoiareach.model.quarantine.CrashReport;
+import org.sequoiareach.model.quarantine.Quarantine;
 import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.model.route.RoutingSheet;
 import org.sequoiareach.model.route.StatedRate;
@@ -31,6 +33,9 @@
   @JsonSubTypes.Type(DispatchEvent.AnswerDelivered.class),
   @JsonSubTypes.Type(DispatchEvent.AttemptFailed.class),
   @JsonSubTypes.Type(DispatchEvent.CallerLeft.class),
+  @JsonSubTypes.Type(DispatchEvent.TargetProbed.class),
+  @JsonSubTypes.Type(DispatchEvent.CrashesTold.class),
+  @JsonSubTypes.Type(DispatchEvent.QuarantinesTold.class),
   @JsonSubTypes.Type(DispatchEvent.RateStated.class),
   @JsonSubTypes.Type(DispatchEvent.LimitsTold.class),
   @JsonSubTypes.Type(DispatchEvent.ShareLent.class),
@@ -174,6 +179,7 @@
    * @param retryAfterMs the delay after which the target accepts requests again, as reported by the
    *     target, in milliseconds; 0 if not reported
    * @param started whether a part of its answer was delivered
+   * @param disconnected whether the connection to the target broke off
    * @param detail a description of the failure for the log
    */
   record AttemptFailed(
@@ -183,9 +189,39 @@
       AttemptFault fault,
       long retryAfterMs,
       boolean started,
+      boolean disconnected,
       String detail)
       implements DispatchEvent {}
 
+  /**
+   * A probe of a target ended.
+   *
+   * @param nowMs when it was observed
+   * @param targetId the identifier of the target
+   * @param outcome the outcome
+   */
+  record TargetProbed(long nowMs, String targetId, ProbeOutcome outcome) implements DispatchEvent {}
+
+  /**
+   * Another daemon sent what it knows of crashes of targets.
+   *
+   * @param nowMs when it was observed
+   * @param daemonId the identifier of the other daemon
+   * @param reports the reports, with their times converted to the local clock
+   */
+  record CrashesTold(long nowMs, String daemonId, List<CrashReport> reports)
+      implements DispatchEvent {}
+
+  /**
+   * Another daemon sent what it knows of quarantines.
+   *
+   * @param nowMs when it was observed
+   * @param daemonId the identifier of the other daemon
+   * @param quarantines the quarantines, with their times converted to the local clock
+   */
+  record QuarantinesTold(long nowMs, String daemonId, List<Quarantine> quarantines)
+      implements DispatchEvent {}
+
   /**
    * The head of a target's own answer to an attempt was received and is relevant to the rate of
    * requests that the target accepts.
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -9,6 +9,7 @@
 import org.sequoiareach.decision.membership.MembershipEvent;
 import org.sequoiareach.decision.membership.MembershipReducer;
 import org.sequoiareach.decision.membership.MembershipSettings;
+import org.sequoiareach.decision.quarantine.CrashHistory;
 import org.sequoiareach.decision.reducer.Reducer;
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.sheet.SheetStatus;
@@ -21,8 +22,8 @@
  * delegated to one handler per concern; all of them share a {@link DispatchContext}.
  *
  * <p>Not thread-safe: all events must be applied on the control thread. Only {@link
- * #sheetRevision()}, {@link #targetCount()} and {@link #limitCount()} may be called from any
- * thread.
+ * #sheetRevision()}, {@link #targetCount()}, {@link #limitCount()} and {@link #quarantineCount()}
+ * may be called from any thread.
  */
 public final class DispatchReducer implements Reducer {
 
@@ -35,9 +36,12 @@
   private final PeerSyncHandler peerSync;
   private final LifecycleHandler lifecycle;
   private final LimitHandler limits;
+  private final CrashHandler crashes;
+  private final QuarantineHandler quarantines;
   private volatile long sheetRevision;
   private volatile int targetCount;
   private volatile int limitCount;
+  private volatile int quarantineCount;
 
   /**
    * Creates a reducer without routing sheet, targets or calls.
@@ -56,7 +60,12 @@
     this.migrations = new MigrationHandler(context, active, durations, limits);
     this.targets = new TargetHandler(context, active, migrations, limits);
     this.health = new TargetHealthHandler(context);
-    this.calls = new CallHandler(context, active, migrations, durations, targets, health, limits);
+    CrashHistory history = new CrashHistory();
+    this.crashes = new CrashHandler(context, history);
+    this.quarantines = new QuarantineHandler(context, active, history, crashes);
+    this.calls =
+        new CallHandler(
+            context, active, migrations, durations, targets, health, limits, quarantines);
     this.peerSync = new PeerSyncHandler(context);
     this.lifecycle = new LifecycleHandler(context, active, calls);
   }
@@ -69,6 +78,8 @@
       targets.tick(tick.nowMs());
       migrations.startDueCopies(tick.nowMs());
       limits.tick(tick.nowMs());
+      crashes.tick(tick.nowMs());
+      quarantines.tick(tick.nowMs());
       calls.tick(tick.nowMs());
       peerSync.tick(tick.nowMs());
       lifecycle.tick(tick.nowMs());
@@ -82,6 +93,7 @@
     sheetRevision = context.sheetRevision();
     targetCount = context.targets().listedCount();
     limitCount = limits.inForceCount();
+    quarantineCount = quarantines.activeCount();
     return context.effects().take();
   }
 
@@ -102,6 +114,12 @@
       limits.onPermitSpent(spent);
     } else if (event instanceof DispatchEvent.PermitAnswered answered) {
       calls.onPermitAnswered(answered);
+    } else if (event instanceof DispatchEvent.TargetProbed probed) {
+      crashes.onTargetProbed(probed);
+    } else if (event instanceof DispatchEvent.CrashesTold told) {
+      crashes.onCrashesTold(told);
+    } else if (event instanceof DispatchEvent.QuarantinesTold told) {
+      quarantines.onQuarantinesTold(told);
     } else if (event instanceof DispatchEvent.AnswerDelivered delivered) {
       calls.onAnswerDelivered(delivered);
     } else if (event instanceof DispatchEvent.AttemptFailed failed) {
@@ -123,6 +141,7 @@
     } else if (event instanceof DispatchEvent.SettingsChanged changed) {
       context.applySettings(changed.settings());
     } else {
+      crashes.onTargetsChanged(event);
       targets.apply(event);
       calls.releaseHeld(event.nowMs());
       lifecycle.tick(event.nowMs());
@@ -156,6 +175,15 @@
     return limitCount;
   }
 
+  /**
+   * Returns the number of quarantines that were not lifted.
+   *
+   * @return the number of quarantines
+   */
+  public int quarantineCount() {
+    return quarantineCount;
+  }
+
   /** Collects the effects of one event. */
   static final class EffectList {
 
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/SimulatedTargets.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/SimulatedTargets.java
@@ -125,6 +125,7 @@
                       fault,
                       0,
                       callOf(attempt).headSent,
+                      false,
                       "simulated"));
             });
   }
--- a/sequoiareach-model/src/main/java/org/sequoiareach/model/quarantine/RequestTraits.java
+++ b/sequoiareach-model/src/main/java/org/sequoiareach/model/quarantine/RequestTraits.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.Collections;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
@@ -47,6 +48,41 @@
     return new RequestTraits(Stream.concat(caller, parts).toList());
   }
 
+  /**
+   * Returns whether these traits identify more than the caller. Requests are never judged by their
+   * caller alone.
+   *
+   * @return true if a digest of another kind is present
+   */
+  public boolean isSpecific() {
+    return digests.stream().anyMatch(digest -> !digest.startsWith(CALLER));
+  }
+
+  /**
+   * Returns whether a request with these traits has all of the given ones.
+   *
+   * @param other the other traits
+   * @return true if each of them is present
+   */
+  public boolean containsAll(RequestTraits other) {
+    return other.digests.size() <= digests.size()
+        && other.digests.stream().allMatch(this::contains);
+  }
+
+  /**
+   * Returns the traits that two requests have in common.
+   *
+   * @param other the traits of the other request
+   * @return the traits present in both
+   */
+  public RequestTraits intersect(RequestTraits other) {
+    return new RequestTraits(digests.stream().filter(other::contains).toList());
+  }
+
+  private boolean contains(String digest) {
+    return Collections.binarySearch(digests, digest) >= 0;
+  }
+
   @Override
   public String toString() {
     return String.join(",", digests);
--- a/sequoiareach-model/src/main/java/org/sequoiareach/model/request/Reason.java
+++ b/sequoiareach-model/src/main/java/org/sequoiareach/model/request/Reason.java
@@ -32,6 +32,8 @@
   BUDGET_UNAVAILABLE(503),
   /** No target has free capacity within the time that the request can wait. */
   NO_CAPACITY(503),
+  /** Requests with the same content crashed several targets. */
+  QUARANTINED(503),
   /** No live target serves the model or service. */
   NO_TARGET(503),
   /** The daemon is starting, stopping, or has not confirmed its sheet. */
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerCodec.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerCodec.java
@@ -27,6 +27,8 @@
   private static final List<Class<?>> ARRAY_ENCODED_TYPES =
       List.of(
           LimitMessage.KnownLimit.class,
+          QuarantineMessage.KnownCrash.class,
+          QuarantineMessage.KnownQuarantine.class,
           MemberUpdate.class,
           TargetHint.class,
           Outcome.class,
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerMessage.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerMessage.java
@@ -37,6 +37,8 @@
   @JsonSubTypes.Type(value = LimitMessage.ShareLoan.class, name = "51"),
   @JsonSubTypes.Type(value = LimitMessage.PermitRequest.class, name = "52"),
   @JsonSubTypes.Type(value = LimitMessage.PermitResponse.class, name = "53"),
-  @JsonSubTypes.Type(value = LimitMessage.SpentPermit.class, name = "54")
+  @JsonSubTypes.Type(value = LimitMessage.SpentPermit.class, name = "54"),
+  @JsonSubTypes.Type(value = QuarantineMessage.CrashAnnouncement.class, name = "60"),
+  @JsonSubTypes.Type(value = QuarantineMessage.QuarantineAnnouncement.class, name = "61")
 })
 public interface PeerMessage {}
