--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/QuarantineHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/QuarantineHandler.java
@@ -26,8 +26,11 @@
  */
 final class QuarantineHandler {
 
-  /** The interval at which crashes are compared with each other. */
-  private static final long COMPARISON_INTERVAL_MS = 100;
+  /** The minimum interval at which crashes are compared with each other. */
+  private static final long COMPARISON_INTERVAL_MS = 200;
+
+  /** The interval at which known crashes are compared again with the requests answered since. */
+  private static final long REPEATED_COMPARISON_INTERVAL_MS = 1_000;
 
   /** The interval at which unchanged quarantines are told again, for daemons that missed them. */
   private static final long REFRESH_INTERVAL_MS = 1_000;
@@ -53,7 +56,8 @@
   private final ChangeQueue<RequestTraits, Quarantine> untold = new ChangeQueue<>(MAX_TOLD);
   private final Set<RequestTraits> enforced = new HashSet<>();
   private Set<String> knownPeers = Set.of();
-  private long nextComparisonMs;
+  private long comparedVersion;
+  private long comparedAtMs = Long.MIN_VALUE / 2;
   private long nextRefreshMs;
 
   QuarantineHandler(
@@ -155,14 +159,21 @@
       soundRuns.clear();
     }
     recordSurvivors(nowMs);
-    if (nowMs >= nextComparisonMs && !crashes.isEmpty()) {
-      nextComparisonMs = nowMs + COMPARISON_INTERVAL_MS;
+    if (!crashes.isEmpty() && nowMs >= comparedAtMs + comparisonIntervalMs()) {
+      comparedAtMs = nowMs;
+      comparedVersion = crashes.version();
       compareCrashes(nowMs);
     }
     enforce(nowMs);
     tellPeers(nowMs);
   }
 
+  private long comparisonIntervalMs() {
+    return crashes.version() == comparedVersion
+        ? REPEATED_COMPARISON_INTERVAL_MS
+        : COMPARISON_INTERVAL_MS;
+  }
+
   private void recordSurvivors(long nowMs) {
     if (crashes.isEmpty() && registry.all().isEmpty()) {
       return;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/quarantine/CommonTraitsStrategy.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/quarantine/CommonTraitsStrategy.java
@@ -6,7 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.stream.Stream;
+import java.util.stream.Collectors;
 import org.sequoiareach.model.quarantine.Quarantine;
 import org.sequoiareach.model.quarantine.RequestTraits;
 
@@ -33,6 +33,11 @@
    */
   static final int MIN_OTHER_SOUND_RUNS = 3;
 
+  /** The latest crashes that are compared with each other, and the runs of each. */
+  private static final int MAX_COMPARED_CRASHES = 16;
+
+  private static final int MAX_COMPARED_RUNS = 6;
+
   /** The share of the runs that must have crashed their target: four in five. */
   private static final int CRASHES_PER_SOUND_RUN = 4;
 
@@ -79,15 +84,20 @@
 
   /** Returns what runs at two crashes, or a run at a crash and a quarantine, have in common. */
   private static Set<RequestTraits> findCommonTraits(List<Crash> crashes, Evidence evidence) {
+    int from = Math.max(0, crashes.size() - MAX_COMPARED_CRASHES);
+    Set<RequestTraits> earlier =
+        evidence
+            .quarantines()
+            .active()
+            .map(Quarantine::traits)
+            .collect(Collectors.toCollection(HashSet::new));
     Set<RequestTraits> found = new HashSet<>();
-    for (int i = 0; i < crashes.size(); i++) {
-      for (RequestTraits run : crashes.get(i).runs()) {
-        Stream<RequestTraits> others =
-            Stream.concat(
-                crashes.subList(0, i).stream().flatMap(crash -> crash.runs().stream()),
-                evidence.quarantines().active().map(Quarantine::traits));
-        others.map(run::intersect).filter(RequestTraits::isSpecific).forEach(found::add);
+    for (Crash crash : crashes.subList(from, crashes.size())) {
+      List<RequestTraits> runs = crash.runs().stream().limit(MAX_COMPARED_RUNS).toList();
+      for (RequestTraits run : runs) {
+        earlier.stream().map(run::intersect).filter(RequestTraits::isSpecific).forEach(found::add);
       }
+      earlier.addAll(runs);
     }
     return found;
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/quarantine/CrashHistory.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/quarantine/CrashHistory.java
@@ -25,6 +25,7 @@
   static final long SAME_MOMENT_MS = 100;
 
   private final Map<String, Crash> crashes = new LinkedHashMap<>();
+  private long version;
 
   /**
    * Adds a report.
@@ -36,8 +37,11 @@
     String key = report.targetId() + "/" + report.incarnation();
     Crash known = crashes.get(key);
     if (known != null) {
-      return known.add(report);
+      boolean added = known.add(report);
+      version += added ? 1 : 0;
+      return added;
     }
+    version++;
     if (crashes.size() >= MAX_CRASHES) {
       crashes.remove(crashes.keySet().iterator().next());
     }
@@ -54,6 +58,15 @@
     return crashes.isEmpty();
   }
 
+  /**
+   * Returns a number that grows with each report that told anything new.
+   *
+   * @return the number
+   */
+  public long version() {
+    return version;
+  }
+
   /**
    * Returns all reports on the remembered crashes.
    *
--- a/sequoiareach-standin/src/main/java/org/sequoiareach/standin/server/RawServer.java
+++ b/sequoiareach-standin/src/main/java/org/sequoiareach/standin/server/RawServer.java
@@ -217,6 +217,18 @@
       await(() -> received().contains(text), "'" + text + "' was not received");
     }
 
+    /**
+     * Waits until the bytes received contain a text, or the client has closed the connection.
+     *
+     * @param text the text
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void awaitReceivedOrClosed(String text) throws InterruptedException {
+      await(
+          () -> ended || received().contains(text),
+          "'" + text + "' was not received and the connection is still open");
+    }
+
     private void readAll() {
       byte[] buffer = new byte[64 << 10];
       try {
