--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/quarantine/QuarantineRegistry.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/quarantine/QuarantineRegistry.java
@@ -31,7 +31,7 @@
 
   static final long MAX_TRIAL_INTERVAL_MS = 3_600_000;
 
-  private static final int MAX_QUARANTINES = 64;
+  static final int MAX_QUARANTINES = 64;
 
   private final Map<RequestTraits, Quarantine> quarantines = new LinkedHashMap<>();
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/quarantine/SoundRunHistory.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/quarantine/SoundRunHistory.java
@@ -11,7 +11,7 @@
  */
 public final class SoundRunHistory {
 
-  private static final int MAX_RUNS = 2_048;
+  static final int MAX_RUNS = 2_048;
 
   private final Deque<SoundRun> runs = new ArrayDeque<>();
 
--- a/sequoiareach-peer/src/test/java/org/sequoiareach/peer/PeerCodecTest.java
+++ b/sequoiareach-peer/src/test/java/org/sequoiareach/peer/PeerCodecTest.java
@@ -16,6 +16,7 @@
 import org.sequoiareach.model.platform.MemberState;
 import org.sequoiareach.model.platform.MemberUpdate;
 import org.sequoiareach.model.platform.TargetHint;
+import org.sequoiareach.model.quarantine.RequestTraits;
 import org.sequoiareach.model.request.Outcome;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.RequestKind;
@@ -66,7 +67,8 @@
 
   @Provide
   Arbitrary<PeerMessage> messages() {
-    return Arbitraries.oneOf(attempts(), answers(), membership(), sheets(), limits());
+    return Arbitraries.oneOf(
+        attempts(), answers(), membership(), sheets(), limits(), quarantines());
   }
 
   private static Arbitrary<PeerMessage> attempts() {
@@ -162,6 +164,32 @@
     return Arbitraries.oneOf(announced, loan, request, response, spent);
   }
 
+  private static Arbitrary<PeerMessage> quarantines() {
+    Arbitrary<List<String>> traits =
+        Arbitraries.of("caller-1", "part-1", "part-2")
+            .list()
+            .uniqueElements()
+            .ofMinSize(2)
+            .ofMaxSize(3)
+            .map(digests -> new RequestTraits(digests).digests());
+    Arbitrary<PeerMessage> crashes =
+        Combinators.combine(text(), millis(), text(), text(), millis(), traits.list().ofMaxSize(3))
+            .as(QuarantineMessage.KnownCrash::new)
+            .list()
+            .ofMaxSize(3)
+            .map(QuarantineMessage.CrashAnnouncement::new);
+    Arbitrary<OptionalLong> lifts = Arbitraries.of(OptionalLong.empty(), OptionalLong.of(7));
+    Arbitrary<Integer> counts = Arbitraries.integers().greaterOrEqual(1);
+    Arbitrary<PeerMessage> announced =
+        Combinators.combine(
+                traits, counts, millis(), millis(), millis(), Arbitraries.longs(), counts, lifts)
+            .as(QuarantineMessage.KnownQuarantine::new)
+            .list()
+            .ofMaxSize(3)
+            .map(QuarantineMessage.QuarantineAnnouncement::new);
+    return Arbitraries.oneOf(crashes, announced);
+  }
+
   private static PeerMessage sections(Sheet sheet) {
     return new SheetMessage.SheetSections(
         SheetManifest.of(sheet), Optional.of(SheetCatalogue.of(sheet)), sheet.organisations());
