--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/quarantine/CrashDetectorTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/quarantine/CrashDetectorTest.java
@@ -17,6 +17,9 @@
   private static final RequestTraits RUN =
       RequestTraits.of("llm", Optional.of("mill"), List.of("a"));
 
+  private static final CrashReport TOLD_REPORT =
+      new CrashReport("i-1", 1, "llm", "d2", 100, List.of(RUN));
+
   private final CrashDetector detector = new CrashDetector("d1");
 
   /** What is observed after connections to a target broke off. */
@@ -24,8 +27,7 @@
     NOBODY_THERE(detector -> detector.onNobodyThere("i-1")),
     ENTRY_REMOVED(detector -> detector.onRemoved("i-1")),
     NEW_INCARNATION(detector -> detector.onListed(target(2))),
-    TOLD(
-        detector -> detector.onReported(new CrashReport("i-1", 1, "llm", "d2", 100, List.of(RUN))));
+    TOLD(detector -> detector.onReported(TOLD_REPORT));
 
     private final Function<CrashDetector, Optional<CrashReport>> action;
 
