Quarantine repeated requests that crash the targets that run them

What callers saw: a request that came again with the same path, caller and body crashed a target each time, a lookup two; with three booking targets a third of all calls was refused for want of a target.

Cause: as of prompt parts, a failure was counted against the target alone; and sound requests with the same parts refute the suspicion of parts, so that the quarantine of parts does not cover it. Besides, each lookup was sent on to a second target at once.

Change: method, path and body of a request are one more trait of it, by length and checksum, so that three crashes under the same request quarantine it and nothing else. A repeatable call whose connection broke off before its answer is sent to a second target only once a probe has shown that the first one lives; if that has crashed, its caller is told at once. Callers repeat such calls themselves.

CrashingFleet: 8 cases of repeated requests with 6 and 84 daemons, three to 34 targets; no sound request is refused, nor if targets of popular calls crash for reasons of their own.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
@@ -72,7 +72,10 @@
         new ProxyExchange(context, callId, profile, request, body, response, () -> remove(callId));
     exchanges.put(callId, exchange);
     context.metrics().counter("calls.active").inc();
-    context.events().post(new DispatchEvent.CallArrived(MonotonicClock.nowMs(), callId, profile));
+    Optional<String> content = Optional.of(ContentIdentity.of(request, body));
+    context
+        .events()
+        .post(new DispatchEvent.CallArrived(MonotonicClock.nowMs(), callId, profile, content));
     return exchange::onCallerDisconnected;
   }
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
@@ -15,6 +15,7 @@
 
   private final String callId;
   private final CallProfile profile;
+  private final Optional<String> content;
   private final Route route;
   private final String service;
   private final Optional<String> organisation;
@@ -38,12 +39,14 @@
   ActiveCall(
       String callId,
       CallProfile profile,
+      Optional<String> content,
       Route route,
       String service,
       Optional<String> organisation,
       int priority) {
     this.callId = callId;
     this.profile = profile;
+    this.content = content;
     this.route = route;
     this.service = service;
     this.organisation = organisation;
@@ -69,7 +72,7 @@
     if (traits.isEmpty()) {
       List<String> parts =
           profile.generation().map(GenerationDemand::sharedPartIds).orElse(List.of());
-      traits = Optional.of(RequestTraits.of(service, organisation, parts));
+      traits = Optional.of(RequestTraits.of(service, organisation, parts, content));
     }
     return traits.get();
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -35,6 +35,7 @@
   private final PermitHandler permits;
   private final CallPlacement placement;
   private final UnroutedCalls unrouted = new UnroutedCalls();
+  private final ProbeWaits probeWaits = new ProbeWaits();
 
   CallHandler(
       DispatchContext context,
@@ -188,7 +189,7 @@
       health.onFailure(event.nowMs(), target.id());
     }
     calls.logDecision("attempt-failed", call, target.id(), describeFailure(event, call));
-    quarantines.onAttemptFailed(event, call, target);
+    final boolean probed = quarantines.onAttemptFailed(event, call, target);
     if (event.fault() == AttemptFault.SERVER_ERROR) {
       recordSurvival(event.nowMs(), call);
     }
@@ -215,9 +216,33 @@
       calls.abort(call, Reason.TARGET_FAILED, "the attempt failed after its answer had started");
       return;
     }
+    if (probed && call.route().kind() == RouteKind.IDEMPOTENT) {
+      // Sent to a second target at once, the call might crash that one, too.
+      probeWaits.add(call, target.id(), event);
+      return;
+    }
     retryOrFail(event, call);
   }
 
+  /** Decides on the calls that waited to learn whether their target has crashed. */
+  void onTargetProbed(DispatchEvent.TargetProbed event) {
+    boolean crashed = event.outcome() == ProbeOutcome.REFUSED;
+    probeWaits
+        .takeForTarget(event.targetId())
+        .forEach(wait -> onProbeEnded(event.nowMs(), wait, crashed));
+  }
+
+  private void onProbeEnded(long nowMs, ProbeWaits.Wait wait, boolean crashed) {
+    if (calls.find(wait.call().callId()).isEmpty()) {
+      return;
+    }
+    if (crashed) {
+      calls.refuse(wait.call(), Reason.TARGET_FAILED, "the target crashed during the request", 0);
+      return;
+    }
+    retryOrFail(wait.failure().at(nowMs), wait.call());
+  }
+
   /** Describes a failure, with what the request carried if its answer broke off. */
   private static String describeFailure(DispatchEvent.AttemptFailed event, ActiveCall call) {
     String failure = event.fault() + " " + event.detail();
@@ -247,6 +272,7 @@
 
   void tick(long nowMs) {
     permits.tick(nowMs);
+    probeWaits.takeOverdue(nowMs).forEach(wait -> onProbeEnded(nowMs, wait, false));
     boolean mayLoadSoon = !context.targets().isStoreUnreachable();
     List<DispatchEvent.CallArrived> overdue =
         mayLoadSoon ? unrouted.takeExpired(nowMs) : unrouted.takeAll();
@@ -301,6 +327,7 @@
     return new ActiveCall(
         event.callId(),
         event.profile(),
+        event.content(),
         route,
         RouteIndex.chooseService(route, context.randomLong()),
         organisation.map(RoutedOrganisation::name),
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CrashHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CrashHandler.java
@@ -37,21 +37,26 @@
     this.peers = new PeerRotation(context.membership());
   }
 
-  /** Considers whether a failed attempt shows that its target has crashed. */
-  void onAttemptFailed(DispatchEvent.AttemptFailed event, ActiveCall call, RoutedTarget target) {
+  /**
+   * Considers whether a failed attempt shows that its target has crashed.
+   *
+   * @return whether the target is probed to find out
+   */
+  boolean onAttemptFailed(DispatchEvent.AttemptFailed event, ActiveCall call, RoutedTarget target) {
     if (event.fault() == AttemptFault.NOBODY_THERE) {
       report(event.nowMs(), detector.onNobodyThere(target.id()), "nobody listens");
-      return;
+      return false;
     }
     boolean justStarted = !call.isStarted() || event.nowMs() - call.startedAtMs() < ANSWER_START_MS;
     if (!event.disconnected()
         || !justStarted
         || !context.targets().isAvailable(target.id(), event.nowMs())) {
-      return;
+      return false;
     }
     if (detector.addBrokenRun(event.nowMs(), target, call.traits())) {
       context.effects().add(new DispatchEffect.ProbeTarget(target));
     }
+    return true;
   }
 
   void onTargetProbed(DispatchEvent.TargetProbed event) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.sequoiareach.decision.event.Event;
 import org.sequoiareach.model.quarantine.CrashReport;
 import org.sequoiareach.model.quarantine.Quarantine;
@@ -133,12 +134,14 @@
    * @param nowMs when it was observed
    * @param callId the identifier that the daemon assigned to the call
    * @param profile the request
+   * @param content identifies the method, path and body of the request; empty if unknown
    */
-  record CallArrived(long nowMs, String callId, CallProfile profile) implements DispatchEvent {
+  record CallArrived(long nowMs, String callId, CallProfile profile, Optional<String> content)
+      implements DispatchEvent {
 
     /** Copies the event with the time at which a held call is processed. */
     CallArrived at(long processedMs) {
-      return new CallArrived(processedMs, callId, profile);
+      return new CallArrived(processedMs, callId, profile, content);
     }
   }
 
@@ -191,7 +194,14 @@
       boolean started,
       boolean disconnected,
       String detail)
-      implements DispatchEvent {}
+      implements DispatchEvent {
+
+    /** Copies the event with the time at which a retry is considered. */
+    AttemptFailed at(long consideredMs) {
+      return new AttemptFailed(
+          consideredMs, callId, attempt, fault, retryAfterMs, started, disconnected, detail);
+    }
+  }
 
   /**
    * A probe of a target ended.
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -116,6 +116,7 @@
       calls.onPermitAnswered(answered);
     } else if (event instanceof DispatchEvent.TargetProbed probed) {
       crashes.onTargetProbed(probed);
+      calls.onTargetProbed(probed);
     } else if (event instanceof DispatchEvent.CrashesTold told) {
       crashes.onCrashesTold(told);
     } else if (event instanceof DispatchEvent.QuarantinesTold told) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/QuarantineHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/QuarantineHandler.java
@@ -96,9 +96,13 @@
     return (int) registry.active().count();
   }
 
-  /** Considers whether a failed attempt shows that its target has crashed. */
-  void onAttemptFailed(DispatchEvent.AttemptFailed event, ActiveCall call, RoutedTarget target) {
-    crashHandler.onAttemptFailed(event, call, target);
+  /**
+   * Considers whether a failed attempt shows that its target has crashed.
+   *
+   * @return whether the target is probed to find out
+   */
+  boolean onAttemptFailed(DispatchEvent.AttemptFailed event, ActiveCall call, RoutedTarget target) {
+    return crashHandler.onAttemptFailed(event, call, target);
   }
 
   /** Returns whether a call whose connection broke off may crash the next target as well. */
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/quarantine/CrashDetector.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/quarantine/CrashDetector.java
@@ -42,13 +42,15 @@
    * @param nowMs the current time
    * @param target the target of the run
    * @param traits the traits of the run
-   * @return whether this is the first such run on the target, so that the target should be probed
+   * @return whether the target should be probed, because no probe is in progress
    */
   public boolean addBrokenRun(long nowMs, RoutedTarget target, RequestTraits traits) {
     Pending known = pending.get(target.id());
     if (known != null && known.target.isSameIncarnation(target)) {
+      boolean probeEnded = known.reached;
       known.runs.add(traits);
-      return false;
+      known.reached = false;
+      return probeEnded;
     }
     if (known == null && pending.size() >= MAX_PENDING) {
       return false;
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/CrashingFleet.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/CrashingFleet.java
@@ -24,12 +24,13 @@
  */
 final class CrashingFleet extends AbstractFleet {
 
-  private static final String SERVICE = DispatchFixture.ENGINES;
   private static final long MIN_PREFILL_MS = 100;
   private static final long MAX_PREFILL_MS = 500;
   private static final long MIN_ANSWER_MS = 80;
   private static final long MAX_ANSWER_MS = 9_000;
-  private static final long CALLER_DEADLINE_MS = 39_000;
+  private static final long GENERATION_DEADLINE_MS = 39_000;
+  private static final long CALL_WORK_MS = 20;
+  private static final long CALL_DEADLINE_MS = 1_500;
   private static final long ENTRY_LAPSE_MS = 2_500;
   private static final long MIN_RESTART_MS = 2_300;
   private static final long MAX_RESTART_MS = 3_500;
@@ -38,6 +39,8 @@
   private final Map<String, Request> requests = new HashMap<>();
   private final List<Crash> crashes = new ArrayList<>();
   private final List<Sent> deadlySends = new ArrayList<>();
+  private final String route;
+  private final boolean isPlain;
   private Predicate<Request> deadly = request -> false;
   private int enginesStarted;
   private long revision = 10;
@@ -84,7 +87,14 @@
   }
 
   CrashingFleet(int size, int engineCount, long seed) {
+    this(size, engineCount, seed, "draft");
+  }
+
+  /** Creates a fleet whose callers use one route, in front of the targets of its service. */
+  CrashingFleet(int size, int engineCount, long seed, String route) {
     super(seed);
+    this.route = route;
+    this.isPlain = route.equals("status") || route.equals("booking");
     for (int i = 0; i < engineCount; i++) {
       addEngine();
     }
@@ -204,11 +214,12 @@
                     new CallProfile(
                         request.id,
                         DispatchFixture.HOST,
-                        "/draft/1",
+                        "/" + route + "/1",
                         Optional.of(KEY),
                         nowMs,
-                        nowMs + CALLER_DEADLINE_MS,
-                        Optional.of(demand))));
+                        nowMs + (isPlain ? CALL_DEADLINE_MS : GENERATION_DEADLINE_MS),
+                        isPlain ? Optional.empty() : Optional.of(demand)),
+                    Optional.of(String.join(",", parts))));
   }
 
   private void receive(Daemon daemon, DispatchEffect.SendCall send) {
@@ -222,7 +233,7 @@
       deadlySends.add(new Sent(elapsedMs(), request, numberOf(daemon.id())));
     }
     engine.runs.put(request.id, new Run(daemon, send, request));
-    long prefillMs = random().nextLong(MIN_PREFILL_MS, MAX_PREFILL_MS);
+    long prefillMs = isPlain ? 0 : random().nextLong(MIN_PREFILL_MS, MAX_PREFILL_MS);
     clock().after(prefillMs, () -> begin(engine, request.id));
   }
 
@@ -235,6 +246,10 @@
       crash(engine, Optional.of(run.request));
       return;
     }
+    if (isPlain) {
+      clock().after(CALL_WORK_MS, () -> complete(engine, id));
+      return;
+    }
     engine.started.put(id, true);
     run.daemon.apply(at -> new DispatchEvent.AnswerStarted(at, id, run.send.attempt()));
     long answerMs = random().nextLong(MIN_ANSWER_MS, MAX_ANSWER_MS);
@@ -279,10 +294,11 @@
   }
 
   private RoutedTarget addEngine() {
-    String id = SERVICE + "-" + enginesStarted;
+    String service = isPlain ? DispatchFixture.DESK : DispatchFixture.ENGINES;
+    String id = service + "-" + enginesStarted;
     String address = "10.8.0." + enginesStarted + ":80";
     RoutedTarget target =
-        new RoutedTarget(id, 1, SERVICE, address, "z" + enginesStarted % 3, 24, false);
+        new RoutedTarget(id, 1, service, address, "z" + enginesStarted % 3, 24, false);
     enginesStarted++;
     engines.put(id, new Engine(target));
     return target;
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DeadlyRequestTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DeadlyRequestTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Plays fleets of daemons in front of engines that crash under requests with certain content. */
 class DeadlyRequestTest {
@@ -19,6 +20,7 @@
   private static final long WINDOW_MS = 3_000;
 
   private static final int FREE_CRASHES = 5;
+  private static final int FREE_CRASHES_OF_ONE_REQUEST = 3;
   private static final int FURTHER_SENDS = 3;
   private static final long FROM_MS = 6_000;
   private static final long END_MS = 36_000;
@@ -149,6 +151,44 @@
     assertBounded(fleet, "dead");
   }
 
+  @ParameterizedTest
+  @CsvSource({
+    "6, 10, draft",
+    "6, 10, check",
+    "6, 10, status",
+    "6, 10, booking",
+    "6, 3, status",
+    "6, 3, booking",
+    "84, 34, draft",
+    "84, 4, status"
+  })
+  void stopsSendingRequestThatComesAgain(int daemons, int targets, String route) {
+    CrashingFleet fleet = new CrashingFleet(daemons, targets, 17, route);
+    fleet.setDeadly(request -> request.parts().contains("same"));
+    loadSound(fleet, 1);
+    fleet.load("deadly", 1, FROM_MS, END_MS, number -> List.of("shared", "subject-1", "same"));
+
+    fleet.run(END_MS);
+
+    assertBounded(fleet, "same", FREE_CRASHES_OF_ONE_REQUEST);
+    assertThat(fleet.requests("sound")).noneMatch(CrashingFleet.Request::isQuarantined);
+    assertThat(fleet.servedShare("sound", FROM_MS + 3 * WINDOW_MS, END_MS)).isGreaterThan(0.95);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"status", "booking"})
+  void refusesNoSoundCallIfTargetsCrashForReasonsOfTheirOwn(String route) {
+    CrashingFleet fleet = new CrashingFleet(6, 4, 19, route);
+    fleet.load("sound", 40, 2_000, END_MS, number -> List.of("popular-" + number % 3));
+    for (long atMs = FROM_MS; atMs < END_MS; atMs += 1_100) {
+      fleet.at(atMs, fleet::crashRandomEngine);
+    }
+
+    fleet.run(END_MS);
+
+    assertThat(fleet.requests("sound")).noneMatch(CrashingFleet.Request::isQuarantined);
+  }
+
   @ParameterizedTest
   @MethodSource("seeds")
   void refusesNoSoundRequestIfEnginesCrashForReasonsOfTheirOwn(long seed) {
@@ -226,15 +266,19 @@
   }
 
   private static void assertBounded(CrashingFleet fleet, String part) {
+    assertBounded(fleet, part, FREE_CRASHES);
+  }
+
+  private static void assertBounded(CrashingFleet fleet, String part, int freeCrashes) {
     List<Long> crashesMs =
         fleet.crashes().stream()
             .filter(crash -> crash.cause().filter(one -> one.parts().contains(part)).isPresent())
             .map(CrashingFleet.Crash::atMs)
             .toList();
     long boundFromMs =
-        crashesMs.size() < FREE_CRASHES
+        crashesMs.size() < freeCrashes
             ? Long.MAX_VALUE
-            : crashesMs.get(FREE_CRASHES - 1) + WINDOW_MS;
+            : crashesMs.get(freeCrashes - 1) + WINDOW_MS;
     assertThat(fleet.deadlySends())
         .as("sends after crashes at %s", crashesMs)
         .filteredOn(sent -> sent.request().parts().contains(part) && sent.atMs() > boundFromMs)
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFixture.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFixture.java
@@ -124,7 +124,8 @@
                 Optional.of(key),
                 nowMs,
                 nowMs + (demand.isPresent() ? 39_000 : 1_500),
-                demand)));
+                demand),
+            Optional.empty()));
     return callId;
   }
 
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchMeasurement.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchMeasurement.java
@@ -100,7 +100,8 @@
             Optional.of("k1"),
             nowMs,
             nowMs + 39_000,
-            Optional.of(demand)));
+            Optional.of(demand)),
+        Optional.empty());
   }
 
   private double time(Event event) {
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/LimitedFleet.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/LimitedFleet.java
@@ -159,7 +159,8 @@
                     Optional.of(KEY),
                     nowMs,
                     nowMs + CALLER_DEADLINE_MS,
-                    Optional.empty())));
+                    Optional.empty()),
+                Optional.empty()));
   }
 
   @Override
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/NotRunVerdictTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/NotRunVerdictTest.java
@@ -44,7 +44,8 @@
                 Optional.of("k1"),
                 arrivedMs,
                 arrivedMs + 1_500,
-                Optional.empty())));
+                Optional.empty()),
+            Optional.empty()));
 
     assertVerdict("late", Verdict.NOT_RUN);
     assertThat(fixture.sends("late")).isEmpty();
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/quarantine/CommonTraitsStrategyTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/quarantine/CommonTraitsStrategyTest.java
@@ -180,6 +180,6 @@
   }
 
   private static RequestTraits run(String... parts) {
-    return RequestTraits.of(SERVICE, Optional.of("mill"), Arrays.asList(parts));
+    return RequestTraits.of(SERVICE, Optional.of("mill"), Arrays.asList(parts), Optional.empty());
   }
 }
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/quarantine/CrashDetectorTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/quarantine/CrashDetectorTest.java
@@ -15,7 +15,7 @@
 class CrashDetectorTest {
 
   private static final RequestTraits RUN =
-      RequestTraits.of("llm", Optional.of("mill"), List.of("a"));
+      RequestTraits.of("llm", Optional.of("mill"), List.of("a"), Optional.empty());
 
   private static final CrashReport TOLD_REPORT =
       new CrashReport("i-1", 1, "llm", "d2", 100, List.of(RUN));
@@ -80,10 +80,12 @@
   }
 
   @Test
-  void probesEachIncarnationOnce() {
+  void probesEachIncarnationOnceAtATime() {
     assertThat(detector.addBrokenRun(100, target(1), RUN)).isTrue();
     assertThat(detector.addBrokenRun(101, target(1), RUN)).isFalse();
     assertThat(detector.addBrokenRun(102, target(2), RUN)).isTrue();
+    detector.onReached("i-1");
+    assertThat(detector.addBrokenRun(103, target(2), RUN)).isTrue();
   }
 
   private static RoutedTarget target(long incarnation) {
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/quarantine/QuarantineRegistryTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/quarantine/QuarantineRegistryTest.java
@@ -138,6 +138,6 @@
   }
 
   private static RequestTraits traits(String... parts) {
-    return RequestTraits.of("llm", Optional.of("mill"), List.of(parts));
+    return RequestTraits.of("llm", Optional.of("mill"), List.of(parts), Optional.empty());
   }
 }
--- a/sequoiareach-model/src/main/java/org/sequoiareach/model/quarantine/RequestTraits.java
+++ b/sequoiareach-model/src/main/java/org/sequoiareach/model/quarantine/RequestTraits.java
@@ -25,6 +25,7 @@
 
   private static final String CALLER = "caller-";
   private static final String PART = "part-";
+  private static final String CONTENT = "content-";
 
   /** Sorts the digests and removes duplicates. */
   public RequestTraits {
@@ -38,14 +39,19 @@
    * @param service the service that runs the request
    * @param organisation the organisation of its caller
    * @param sharedParts the identifiers of the parts of its prompt that other requests may share
+   * @param content identifies its method, path and body, which a repeated request shares
    * @return the traits
    */
   public static RequestTraits of(
-      String service, Optional<String> organisation, List<String> sharedParts) {
+      String service,
+      Optional<String> organisation,
+      List<String> sharedParts,
+      Optional<String> content) {
+    Stream<String> whole = content.stream().map(text -> CONTENT + digest(service, text));
     Stream<String> caller = organisation.stream().map(name -> CALLER + digest(name));
     Stream<String> parts =
         sharedParts.stream().limit(MAX_PARTS).map(part -> PART + digest(service, part));
-    return new RequestTraits(Stream.concat(caller, parts).toList());
+    return new RequestTraits(Stream.of(whole, caller, parts).flatMap(one -> one).toList());
   }
 
   /**
