--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/quarantine/CrashDetectorTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/quarantine/CrashDetectorTest.java
@@ -80,7 +80,7 @@
   }
 
   @Test
-  void probesEachIncarnationOnceAtATime() {
+  void runsOneProbeOfEachIncarnation() {
     assertThat(detector.addBrokenRun(100, target(1), RUN)).isTrue();
     assertThat(detector.addBrokenRun(101, target(1), RUN)).isFalse();
     assertThat(detector.addBrokenRun(102, target(2), RUN)).isTrue();
