Send nothing more to a target whose answer announces that it is leaving

What callers saw: nothing yet; the rule is new. A server that leaves says so in all its answers (Server-Leaving: 1), and the gateway passed the header on unread. During a store outage it would have sent requests to a server that had told it so. Cause: leaving was learned from the store, reports and other daemons only. Change: the dialect reads the header, and the event LeavingAnnounced marks the incarnation that was asked as leaving: no new calls, runs move off, other daemons are told. Only an answer that names the request counts, as for stated rates. DispatchReducerTest covers a target that was replaced since. Store reachability is not consulted. Not covered: answers to orders to copy a run; their source is known to leave already.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/AnswerHead.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/AnswerHead.java
@@ -17,6 +17,7 @@
  * @param idleUntilMs the time until which the idle connection can be reused, in milliseconds of the
  *     monotonic clock; empty if not stated
  * @param acceptedRate the rate of requests that the target accepts from all daemons together
+ * @param leaving whether the target announces that it is leaving
  */
 public record AnswerHead(
     Optional<String> requestId,
@@ -27,4 +28,5 @@
     boolean stream,
     long retryAfterMs,
     Optional<Long> idleUntilMs,
-    StatedRate acceptedRate) {}
+    StatedRate acceptedRate,
+    boolean leaving) {}
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -164,6 +164,9 @@
     }
     if (assessment.isFromAddressedTarget()) {
       exchange.onRateStated(this, sendCall.target(), head.acceptedRate());
+      if (head.leaving()) {
+        exchange.onLeavingAnnounced(sendCall.target());
+      }
     }
     if (assessment.isDiscarded()) {
       mode = Mode.DISCARDED;
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -290,6 +290,11 @@
     }
   }
 
+  /** Posts that a target announces in its answer that it is leaving. */
+  void onLeavingAnnounced(RoutedTarget target) {
+    post(new DispatchEvent.LeavingAnnounced(MonotonicClock.nowMs(), target, requestId()));
+  }
+
   void forwardPart(ByteBuf part) {
     response.sendContent(part);
   }
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/AnswerAssessmentTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/AnswerAssessmentTest.java
@@ -49,7 +49,8 @@
             false,
             0,
             Optional.empty(),
-            StatedRate.NONE);
+            StatedRate.NONE,
+            false);
 
     AnswerAssessment assessment = AnswerAssessment.of(head, REQUEST);
 
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
@@ -273,7 +273,8 @@
           true,
           0,
           Optional.empty(),
-          StatedRate.NONE);
+          StatedRate.NONE,
+          false);
     }
 
     @Override
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -25,6 +25,7 @@
   @JsonSubTypes.Type(DispatchEvent.TargetChanged.class),
   @JsonSubTypes.Type(DispatchEvent.TargetRemoved.class),
   @JsonSubTypes.Type(DispatchEvent.TargetLeaves.class),
+  @JsonSubTypes.Type(DispatchEvent.LeavingAnnounced.class),
   @JsonSubTypes.Type(DispatchEvent.NobodyThere.class),
   @JsonSubTypes.Type(DispatchEvent.StoreSeen.class),
   @JsonSubTypes.Type(DispatchEvent.StoreRestored.class),
@@ -95,6 +96,16 @@
    */
   record TargetLeaves(long nowMs, String targetId) implements DispatchEvent {}
 
+  /**
+   * A target announced in an answer that it is leaving.
+   *
+   * @param nowMs when it was observed
+   * @param target the target, in the incarnation to which the request was sent
+   * @param requestId the request that it answered
+   */
+  record LeavingAnnounced(long nowMs, RoutedTarget target, String requestId)
+      implements DispatchEvent {}
+
   /**
    * No process listens at a target's address.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
@@ -65,6 +65,8 @@
       applyChange(nowMs, targets.remove(nowMs, removed.revision(), removed.targetId()));
     } else if (event instanceof DispatchEvent.TargetLeaves leaves) {
       markLeaving(nowMs, leaves.targetId());
+    } else if (event instanceof DispatchEvent.LeavingAnnounced announced) {
+      onLeavingAnnounced(announced);
     } else if (event instanceof DispatchEvent.NobodyThere nobody) {
       onNobodyThere(nowMs, nobody.targetId());
     } else if (event instanceof DispatchEvent.StoreSeen seen) {
@@ -91,6 +93,20 @@
     }
   }
 
+  /** Marks a target as leaving unless it has been replaced since the request was sent. */
+  private void onLeavingAnnounced(DispatchEvent.LeavingAnnounced event) {
+    context
+        .targets()
+        .find(event.target().id())
+        .filter(event.target()::isSameIncarnation)
+        .flatMap(target -> context.targets().markLeaving(target.id()))
+        .ifPresent(
+            target -> {
+              context.logDecision("leaving-announced", event.requestId(), "", target.id(), "");
+              handleLeaving(event.nowMs(), target);
+            });
+  }
+
   /** Marks a target as leaving if the store is unreachable and cannot report its removal. */
   private void onNobodyThere(long nowMs, String targetId) {
     if (context.targets().isStoreUnreachable()) {
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
@@ -23,6 +23,7 @@
 import org.sequoiareach.model.platform.VmKind;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
+import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.model.route.RoutingSheet;
 import org.sequoiareach.model.route.TargetUse;
 import org.sequoiareach.model.sheet.SheetStatus;
@@ -414,6 +415,29 @@
     assertThat(used).isEqualTo(!marked);
   }
 
+  @ParameterizedTest
+  @CsvSource({"1, true", "2, false"})
+  void migratesRunOffEngineThatAnnouncesLeavingUnlessItWasReplacedSince(
+      long listedIncarnation, boolean leaves) {
+    String call = fixture.generate(1_000, 500);
+    fixture.started(call);
+    RoutedTarget engine = fixture.lastSend(call).target();
+    RoutedTarget listed =
+        new RoutedTarget(
+            engine.id(),
+            listedIncarnation,
+            engine.service(),
+            engine.address(),
+            engine.zone(),
+            engine.slots(),
+            false);
+    fixture.apply(new DispatchEvent.TargetChanged(fixture.nowMs(), 11, listed));
+
+    fixture.apply(new DispatchEvent.LeavingAnnounced(fixture.nowMs(), engine, "r0"));
+
+    assertThat(fixture.copies(call)).hasSize(leaves ? 1 : 0);
+  }
+
   @Test
   void movesOtherRunsAndTellsPeersIfFailedAttemptShowsThatEngineHasLeft() {
     joinPeer();
