Send nothing to a target until the time that it states with a 503 has passed

What callers saw: nothing yet; the rule is new. A server that turns a request away with 503 and Retry-After wants nothing from that VM for so long. The time only went into the refusal of the one call; the next call was sent to the same target at once. Cause: the delay was kept with the failed attempt, not with the target. Change: the event BackoffRequested is posted at the head of such an answer, or with such an answer to the request for a report, and BackoffRegistry keeps the end of the backoff by target. Until then the target is no candidate for calls, permits, moves or reports. A run whose memory only this target holds may use one of two exceptions. DispatchFuzzTest now lets targets ask for backoffs and counts what is sent to them. Not covered: the answers to orders to copy a run.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/EngineControl.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/EngineControl.java
@@ -26,6 +26,15 @@
     UNKNOWN
   }
 
+  /**
+   * The answer to a query of an engine's state.
+   *
+   * @param state the state
+   * @param retryAfterMs the time for which the engine asks to be sent nothing, in milliseconds; 0
+   *     if it does not ask for it
+   */
+  record EngineReport(EngineState state, long retryAfterMs) {}
+
   /**
    * Copies the memory of a run to another engine.
    *
@@ -48,9 +57,9 @@
    *
    * @param address the address of the engine
    * @param deadlineMs the deadline, in milliseconds of the monotonic clock
-   * @return the state; the future never completes exceptionally
+   * @return the report; the future never completes exceptionally
    */
-  CompletableFuture<EngineState> queryState(String address, long deadlineMs);
+  CompletableFuture<EngineReport> queryState(String address, long deadlineMs);
 
   /**
    * Releases a copy at both engines.
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -167,6 +167,9 @@
       if (head.leaving()) {
         exchange.onLeavingAnnounced(sendCall.target());
       }
+      if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE) && retryAfterMs > 0) {
+        exchange.onBackoffRequested(sendCall.target(), nowMs + retryAfterMs);
+      }
     }
     if (assessment.isDiscarded()) {
       mode = Mode.DISCARDED;
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -295,6 +295,13 @@
     post(new DispatchEvent.LeavingAnnounced(MonotonicClock.nowMs(), target, requestId()));
   }
 
+  /** Posts that a target asks in its answer to be sent nothing until a time. */
+  void onBackoffRequested(RoutedTarget target, long untilMs) {
+    post(
+        new DispatchEvent.BackoffRequested(
+            MonotonicClock.nowMs(), target.id(), untilMs, requestId()));
+  }
+
   void forwardPart(ByteBuf part) {
     response.sendContent(part);
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
@@ -164,9 +164,16 @@
     engines
         .queryState(target.address(), MonotonicClock.nowMs() + ENGINE_STATE_TIMEOUT_MS)
         .thenAccept(
-            state -> {
+            report -> {
               long nowMs = MonotonicClock.nowMs();
-              switch (state) {
+              if (report.retryAfterMs() > 0) {
+                context
+                    .events()
+                    .post(
+                        new DispatchEvent.BackoffRequested(
+                            nowMs, target.id(), nowMs + report.retryAfterMs(), "report"));
+              }
+              switch (report.state()) {
                 case LEAVING ->
                     context.events().post(new DispatchEvent.TargetLeaves(nowMs, target.id()));
                 case NOBODY_THERE ->
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.sequoiareach.model.quarantine.Quarantine;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
@@ -257,7 +258,7 @@
 
   @Override
   public void onPermitStarted(long nowMs, PermitWait wait) {
-    if (context.targets().isAvailable(wait.target().id(), nowMs)) {
+    if (context.acceptsCalls(nowMs, wait.target().id())) {
       String inputs = wait.why() + " " + limits.describe(nowMs, wait.target());
       calls.send(nowMs, wait.call(), wait.target(), Optional.empty(), inputs);
       return;
@@ -366,6 +367,14 @@
       refuseForLimit(nowMs, call, failure);
       return;
     }
+    OptionalLong backoffEndMs =
+        choice.all().isEmpty()
+            ? context.findBackoffEndMs(nowMs, call.service())
+            : OptionalLong.empty();
+    if (backoffEndMs.isPresent()) {
+      refuseForBackoff(nowMs, call, backoffEndMs.getAsLong(), failure);
+      return;
+    }
     calls.refuse(
         call,
         choice.all().isEmpty() ? Reason.NO_TARGET : Reason.NO_CAPACITY,
@@ -386,6 +395,22 @@
     calls.refuse(call, Reason.NO_CAPACITY, message, retryAfterMs(returnMs));
   }
 
+  /** Refuses a call because all targets asked to be sent nothing for now. */
+  private void refuseForBackoff(
+      long nowMs,
+      ActiveCall call,
+      long backoffEndMs,
+      Optional<DispatchEvent.AttemptFailed> failure) {
+    // Callers that return at the same moment would overload the target again.
+    long returnMs = backoffEndMs - nowMs + context.randomBetween(0, MIN_RETRY_AFTER_MS);
+    if (failure.isPresent()) {
+      giveUp(failure.get(), call, returnMs);
+      return;
+    }
+    String message = "the targets of service " + call.service() + " accept nothing for now";
+    calls.refuse(call, Reason.NO_CAPACITY, message, retryAfterMs(returnMs));
+  }
+
   private void retryOrFail(DispatchEvent.AttemptFailed event, ActiveCall call) {
     boolean repeatable = call.verdict() == Verdict.NOT_RUN || mayRepeat(call);
     boolean worthwhile =
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
@@ -6,8 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.fleet.BackoffRegistry;
 import org.sequoiareach.decision.fleet.OutcomeTracker;
 import org.sequoiareach.decision.fleet.TargetTable;
 import org.sequoiareach.decision.fleet.TargetUseTracker;
@@ -43,6 +45,7 @@
   private final TargetTable targets = new TargetTable();
   private final TargetUseTracker targetUse = new TargetUseTracker();
   private final OutcomeTracker outcomes = new OutcomeTracker();
+  private final BackoffRegistry backoffs = new BackoffRegistry();
   private final OutlierEjection ejection = new OutlierEjection(EJECTION);
   private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
   private DispatchSettings settings;
@@ -89,6 +92,10 @@
     return outcomes;
   }
 
+  BackoffRegistry backoffs() {
+    return backoffs;
+  }
+
   OutlierEjection ejection() {
     return ejection;
   }
@@ -172,10 +179,26 @@
     return index.flatMap(known -> known.findService(service)).flatMap(RoutedService::engine);
   }
 
-  /** Returns the available targets of a service, without ejected ones. */
+  /** Returns whether new calls may be sent to a target. */
+  boolean acceptsCalls(long nowMs, String targetId) {
+    return targets.isAvailable(targetId, nowMs) && !backoffs.isInForce(nowMs, targetId);
+  }
+
+  /** Returns when the first target of a service ends its backoff; empty if none has one. */
+  OptionalLong findBackoffEndMs(long nowMs, String service) {
+    return targets.findAvailable(service, nowMs).stream()
+        .mapToLong(target -> backoffs.untilMs(nowMs, target.id()))
+        .filter(untilMs -> untilMs > nowMs)
+        .min();
+  }
+
+  /** Returns the available targets of a service, without ejected ones and those in backoff. */
   List<Candidate> candidates(String service, long nowMs) {
     Optional<EngineTraits> engine = engineTraits(service);
-    List<RoutedTarget> available = targets.findAvailable(service, nowMs);
+    List<RoutedTarget> available =
+        targets.findAvailable(service, nowMs).stream()
+            .filter(target -> !backoffs.isInForce(nowMs, target.id()))
+            .toList();
     List<TargetView> views = new ArrayList<>();
     for (RoutedTarget target : available) {
       boolean sameZone = target.zone().equals(settings.zone());
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -26,6 +26,7 @@
   @JsonSubTypes.Type(DispatchEvent.TargetRemoved.class),
   @JsonSubTypes.Type(DispatchEvent.TargetLeaves.class),
   @JsonSubTypes.Type(DispatchEvent.LeavingAnnounced.class),
+  @JsonSubTypes.Type(DispatchEvent.BackoffRequested.class),
   @JsonSubTypes.Type(DispatchEvent.NobodyThere.class),
   @JsonSubTypes.Type(DispatchEvent.StoreSeen.class),
   @JsonSubTypes.Type(DispatchEvent.StoreRestored.class),
@@ -106,6 +107,17 @@
   record LeavingAnnounced(long nowMs, RoutedTarget target, String requestId)
       implements DispatchEvent {}
 
+  /**
+   * A target asked to be sent nothing until a time.
+   *
+   * @param nowMs when it was observed
+   * @param targetId the identifier of the target
+   * @param untilMs the end of the backoff, in milliseconds
+   * @param source the request that it answered, or "report"
+   */
+  record BackoffRequested(long nowMs, String targetId, long untilMs, String source)
+      implements DispatchEvent {}
+
   /**
    * No process listens at a target's address.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
@@ -178,13 +178,19 @@
     }
     RunMigration.CompletedCopy copy = migration.latestCopy().get();
     if (migration.step() != RunMigration.Step.CONTINUING) {
+      if (!mayContinueAt(event.nowMs(), copy.holder())) {
+        return false;
+      }
       migration.startContinuation(event.nowMs());
       continueAt(event.nowMs(), migration, copy, copy.holder(), "the source engine failed");
       return true;
     }
     boolean tooLate = event.nowMs() - migration.noticedAtMs() > RunMigrator.STOP_DEADLINE_MS;
     boolean failedAtSource = failedAt.id().equals(migration.source().id());
-    if (event.fault().mayHaveRun() || failedAtSource || tooLate) {
+    if (event.fault().mayHaveRun()
+        || failedAtSource
+        || tooLate
+        || !mayContinueAt(event.nowMs(), migration.source())) {
       return false;
     }
     continueAt(
@@ -201,8 +207,12 @@
         .ifPresent(
             migration -> {
               RunMigration.CompletedCopy copy = migration.latestCopy().orElseThrow();
-              continueAt(
-                  event.nowMs(), migration, copy, copy.holder(), "the final copy is complete");
+              if (mayContinueAt(event.nowMs(), copy.holder())) {
+                continueAt(
+                    event.nowMs(), migration, copy, copy.holder(), "the final copy is complete");
+              } else {
+                endMigration(event.callId());
+              }
             });
     abortLostCall(event);
   }
@@ -240,6 +250,11 @@
             + "ms");
   }
 
+  /** Returns whether a run may continue at an engine, which may be in backoff. */
+  private boolean mayContinueAt(long nowMs, RoutedTarget engine) {
+    return context.backoffs().tryAcquire(nowMs, engine.id());
+  }
+
   private void continueAt(
       long nowMs,
       RunMigration migration,
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
@@ -67,6 +67,8 @@
       markLeaving(nowMs, leaves.targetId());
     } else if (event instanceof DispatchEvent.LeavingAnnounced announced) {
       onLeavingAnnounced(announced);
+    } else if (event instanceof DispatchEvent.BackoffRequested requested) {
+      onBackoffRequested(requested);
     } else if (event instanceof DispatchEvent.NobodyThere nobody) {
       onNobodyThere(nowMs, nobody.targetId());
     } else if (event instanceof DispatchEvent.StoreSeen seen) {
@@ -87,6 +89,7 @@
     context.targets().expire(nowMs, this::isUsed).forEach(target -> handleLeaving(nowMs, target));
     context.outcomes().retain(id -> context.targets().find(id).isPresent());
     context.ejection().retain(id -> context.targets().find(id).isPresent());
+    context.backoffs().retain(nowMs, id -> context.targets().find(id).isPresent());
     if (nowMs >= nextReportMs) {
       nextReportMs = nowMs + REPORT_INTERVAL_MS;
       requestReports(nowMs);
@@ -107,6 +110,17 @@
             });
   }
 
+  private void onBackoffRequested(DispatchEvent.BackoffRequested event) {
+    if (context.backoffs().record(event.nowMs(), event.targetId(), event.untilMs())) {
+      context.logDecision(
+          "backoff",
+          "",
+          "",
+          event.targetId(),
+          "for=" + (event.untilMs() - event.nowMs()) + "ms answer to " + event.source());
+    }
+  }
+
   /** Marks a target as leaving if the store is unreachable and cannot report its removal. */
   private void onNobodyThere(long nowMs, String targetId) {
     if (context.targets().isStoreUnreachable()) {
@@ -142,6 +156,7 @@
         .filter(service -> service.engine().filter(EngineTraits::canMoveRuns).isPresent())
         .flatMap(service -> context.targets().findAvailable(service.name(), nowMs).stream())
         .filter(target -> ownedAreDue && isOwned(target) || usedAreDue && isUsed(target.id()))
+        .filter(target -> !context.backoffs().isInForce(nowMs, target.id()))
         .filter(target -> limits.mayReport(nowMs, target))
         .forEach(target -> context.effects().add(new DispatchEffect.AskReport(target)));
   }
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFuzzTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFuzzTest.java
@@ -190,10 +190,20 @@
               call -> {
                 AttemptFault fault = FAULTS[random.nextInt(FAULTS.length)];
                 oracle.failed(call, fault);
+                if (fault == AttemptFault.REJECTED && random.nextBoolean()) {
+                  requestBackoff(fixture.lastSend(call).target());
+                }
                 fixture.failed(call, fault, started.contains(call));
               });
     }
 
+    private void requestBackoff(RoutedTarget target) {
+      long untilMs = fixture.nowMs() + 1 + random.nextInt(5_000);
+      oracle.backoffRequested(target, untilMs);
+      fixture.apply(
+          new DispatchEvent.BackoffRequested(fixture.nowMs(), target.id(), untilMs, "r0"));
+    }
+
     private void endCopy() {
       List<DispatchEffect.CopyRun> copies = fixture.all(DispatchEffect.CopyRun.class);
       if (copies.isEmpty()) {
@@ -270,6 +280,18 @@
     private final Map<String, CallState> calls = new HashMap<>();
     private final Map<String, Long> leavingSinceMs = new HashMap<>();
     private final Set<String> announced = new HashSet<>();
+    private final List<Backoff> backoffs = new ArrayList<>();
+
+    private static final class Backoff {
+      private final String targetId;
+      private final long untilMs;
+      private int sends;
+
+      private Backoff(String targetId, long untilMs) {
+        this.targetId = targetId;
+        this.untilMs = untilMs;
+      }
+    }
 
     private static final class CallState {
       private boolean repeatable;
@@ -304,6 +326,10 @@
       announced.add(target.id());
     }
 
+    private void backoffRequested(RoutedTarget target, long untilMs) {
+      backoffs.add(new Backoff(target.id(), untilMs));
+    }
+
     private void returns(RoutedTarget target) {
       leavingSinceMs.remove(target.id());
       announced.remove(target.id());
@@ -340,6 +366,16 @@
     }
 
     private void sent(long nowMs, DispatchEffect.SendCall send) {
+      backoffs.removeIf(backoff -> backoff.untilMs <= nowMs);
+      backoffs.stream()
+          .filter(backoff -> backoff.targetId.equals(send.target().id()))
+          .forEach(
+              backoff -> {
+                backoff.sends++;
+                assertThat(backoff.sends)
+                    .as("sends to %s until %d", backoff.targetId, backoff.untilMs)
+                    .isLessThanOrEqualTo(2);
+              });
       CallState seen = calls.computeIfAbsent(send.callId(), id -> new CallState());
       assertThat(seen.ended).as("%s is sent after its end", send.callId()).isFalse();
       if (send.continuation().isEmpty()) {
