--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LimitHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LimitHandler.java
@@ -30,9 +30,6 @@
   /** The interval at which unchanged limits are told again, for daemons that have missed them. */
   private static final long REFRESH_INTERVAL_MS = 1_000;
 
-  /** The maximum number of recipients per round; each recipient of a change passes it on. */
-  private static final int MAX_RECIPIENTS = 16;
-
   /**
    * The age of the latest answer after which a request is sent to a limited target although others
    * are available, since only an answer shows that the limit has changed or ended.
@@ -47,6 +44,7 @@
 
   private final DispatchContext context;
   private final ActiveCalls calls;
+  private final PeerRotation recipients;
   private final OwnershipStrategy ownership = new RendezvousOwnership();
   private final RateLimitTable limits = new RateLimitTable();
   private final Map<String, PermitPool> pools = new HashMap<>();
@@ -57,12 +55,12 @@
   private final Set<String> watched = new HashSet<>();
   private final Map<String, TargetRateLimit> changed = new LinkedHashMap<>();
   private long nextRefreshMs;
-  private int nextPeer;
   private MembershipView issuers = new MembershipView(1, List.of());
 
   LimitHandler(DispatchContext context, ActiveCalls calls) {
     this.context = context;
     this.calls = calls;
+    this.recipients = new PeerRotation(context.membership());
   }
 
   void onRateStated(DispatchEvent.RateStated event) {
@@ -362,17 +360,13 @@
   }
 
   private void tell(List<TargetRateLimit> told) {
-    List<Member> others = context.membership().livePeers();
-    if (told.isEmpty() || others.isEmpty()) {
+    if (told.isEmpty()) {
       return;
     }
-    int recipients = Math.min(MAX_RECIPIENTS, others.size());
-    for (int i = 0; i < recipients; i++) {
-      Member member = others.get((nextPeer + i) % others.size());
+    for (Member member : recipients.nextRecipients()) {
       context
           .effects()
           .add(new DispatchEffect.TellLimits(member.daemonId(), member.address(), told));
     }
-    nextPeer = (nextPeer + recipients) % others.size();
   }
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PeerSyncHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PeerSyncHandler.java
@@ -24,9 +24,6 @@
   /** The interval at which unchanged state is sent again, so that it does not expire at peers. */
   private static final long REFRESH_INTERVAL_MS = 1_000;
 
-  /** The maximum number of recipients per round, which bounds the messages of a large fleet. */
-  private static final int MAX_RECIPIENTS = 16;
-
   /** The time to wait for an update from the store before another daemon is asked for it. */
   private static final long STORE_GRACE_MS = 250;
 
@@ -34,6 +31,7 @@
   private static final long PULL_RETRY_MS = 400;
 
   private final DispatchContext context;
+  private final PeerRotation recipients;
   private final Map<String, PeerState> peers = new HashMap<>();
   private Map<String, TargetUse> lastUses = Map.of();
   private List<String> lastLeaving = List.of();
@@ -43,10 +41,10 @@
   private long nextRefreshMs;
   private long staleSinceMs = Long.MAX_VALUE;
   private long nextPullMs;
-  private int nextPeer;
 
   PeerSyncHandler(DispatchContext context) {
     this.context = context;
+    this.recipients = new PeerRotation(context.membership());
   }
 
   void onSheetLearned(DispatchEvent.SheetLearned event) {
@@ -117,10 +115,7 @@
     lastOutcomes = context.outcomes().localFailing(nowMs);
     lastSheetRevision = context.sheetRevision();
     nextRefreshMs = nowMs + REFRESH_INTERVAL_MS;
-    List<Member> others = context.membership().livePeers();
-    int recipients = Math.min(MAX_RECIPIENTS, others.size());
-    for (int i = 0; i < recipients; i++) {
-      Member member = others.get((nextPeer + i) % others.size());
+    for (Member member : recipients.nextRecipients()) {
       context
           .effects()
           .add(
@@ -133,7 +128,6 @@
                   lastLeaving,
                   lastOutcomes));
     }
-    nextPeer = others.isEmpty() ? 0 : (nextPeer + recipients) % others.size();
   }
 
   /** Asks a random daemon with newer state, after {@value #STORE_GRACE_MS} ms without update. */
