--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.sequoiareach.model.quarantine.Quarantine;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
@@ -17,11 +16,6 @@
   /** The attempts of a call that may reach a target and fail before the call is refused. */
   private static final int MAX_REACHED_ATTEMPTS = 3;
 
-  /** Bounds of the random retry delay for callers when no better estimate is available. */
-  private static final long MIN_RETRY_AFTER_MS = 300;
-
-  private static final long MAX_RETRY_AFTER_MS = 900;
-
   /** The lowest HTTP status that reports a failure of the target. */
   private static final int MIN_SERVER_ERROR_STATUS = 500;
 
@@ -35,6 +29,7 @@
   private final QuarantineHandler quarantines;
   private final PermitHandler permits;
   private final CallPlacement placement;
+  private final CallRefuser refuser;
   private final UnroutedCalls unrouted = new UnroutedCalls();
   private final ProbeWaits probeWaits = new ProbeWaits();
 
@@ -51,6 +46,7 @@
     this.limits = limits;
     this.permits = new PermitHandler(calls, limits, this);
     this.placement = new CallPlacement(context, limits, durations);
+    this.refuser = new CallRefuser(context, calls, durations);
     this.health = health;
     this.durations = durations;
     this.targets = targets;
@@ -62,7 +58,7 @@
   void onCallArrived(DispatchEvent.CallArrived event) {
     if (context.isStopped()) {
       // An attempt sent now would lose its answer with the process.
-      refuseUnresolved(event, Reason.NOT_READY, "the daemon has stopped");
+      refuser.refuseUnresolved(event, Reason.NOT_READY, "the daemon has stopped");
       return;
     }
     if (isRoutingLoaded()) {
@@ -75,7 +71,7 @@
           "hold", event.profile().requestId(), "", "", "the daemon has not loaded its routing yet");
       return;
     }
-    refuseNotLoaded(event.nowMs(), event);
+    refuser.refuseNotLoaded(event.nowMs(), event);
   }
 
   /** Resolves and places the held calls if the routing sheet and the target list are loaded. */
@@ -89,19 +85,11 @@
     return context.index().isPresent() && context.targets().hasList();
   }
 
-  private void refuseNotLoaded(long nowMs, DispatchEvent.CallArrived event) {
-    String missing = context.index().isEmpty() ? "routing sheet" : "target list";
-    refuseUnresolved(
-        event,
-        Reason.NOT_READY,
-        "the daemon has not loaded a " + missing + " yet, held=" + (nowMs - event.nowMs()) + "ms");
-  }
-
   private void resolve(DispatchEvent.CallArrived event) {
     CallResolution resolution = CallResolution.resolve(context.index().get(), event.profile());
     if (resolution.refusal().isPresent()) {
       Reason reason = resolution.refusal().get();
-      refuseUnresolved(event, reason, describeRefusal(reason));
+      refuser.refuseUnresolved(event, reason, describeRefusal(reason));
       return;
     }
     ActiveCall call = admit(event, resolution);
@@ -277,7 +265,7 @@
     boolean mayLoadSoon = !context.targets().isStoreUnreachable();
     List<DispatchEvent.CallArrived> overdue =
         mayLoadSoon ? unrouted.takeExpired(nowMs) : unrouted.takeAll();
-    overdue.forEach(call -> refuseNotLoaded(nowMs, call));
+    overdue.forEach(call -> refuser.refuseNotLoaded(nowMs, call));
     for (ActiveCall call : calls.all()) {
       if (nowMs >= call.deadlineMs()) {
         long limitMs = call.deadlineMs() - call.profile().arrivedMs();
@@ -363,52 +351,7 @@
       calls.abort(call, Reason.NO_CAPACITY, "no other target has capacity to resume the stream");
       return;
     }
-    if (call.permitReturnMs().isPresent()) {
-      refuseForLimit(nowMs, call, failure);
-      return;
-    }
-    OptionalLong backoffEndMs =
-        choice.all().isEmpty()
-            ? context.findBackoffEndMs(nowMs, call.service())
-            : OptionalLong.empty();
-    if (backoffEndMs.isPresent()) {
-      refuseForBackoff(nowMs, call, backoffEndMs.getAsLong(), failure);
-      return;
-    }
-    calls.refuse(
-        call,
-        choice.all().isEmpty() ? Reason.NO_TARGET : Reason.NO_CAPACITY,
-        "no target of service " + call.service() + " has capacity",
-        retryAfterMs(drawCapacityRetryMs(call)),
-        choice.describeLeastLoaded(call));
-  }
-
-  /** Refuses a call because the targets that are left accept no more requests in time. */
-  private void refuseForLimit(
-      long nowMs, ActiveCall call, Optional<DispatchEvent.AttemptFailed> failure) {
-    long returnMs = call.permitReturnMs().getAsLong() - nowMs;
-    if (failure.isPresent()) {
-      giveUp(failure.get(), call, returnMs);
-      return;
-    }
-    String message = "the targets of service " + call.service() + " accept no more requests now";
-    calls.refuse(call, Reason.NO_CAPACITY, message, retryAfterMs(returnMs));
-  }
-
-  /** Refuses a call because all targets asked to be sent nothing for now. */
-  private void refuseForBackoff(
-      long nowMs,
-      ActiveCall call,
-      long backoffEndMs,
-      Optional<DispatchEvent.AttemptFailed> failure) {
-    // Callers that return at the same moment would overload the target again.
-    long returnMs = backoffEndMs - nowMs + context.randomBetween(0, MIN_RETRY_AFTER_MS);
-    if (failure.isPresent()) {
-      giveUp(failure.get(), call, returnMs);
-      return;
-    }
-    String message = "the targets of service " + call.service() + " accept nothing for now";
-    calls.refuse(call, Reason.NO_CAPACITY, message, retryAfterMs(returnMs));
+    refuser.refuseUnplaced(nowMs, call, choice, failure);
   }
 
   private void retryOrFail(DispatchEvent.AttemptFailed event, ActiveCall call) {
@@ -422,26 +365,7 @@
       place(event.nowMs(), call, "after " + event.fault(), Optional.of(event));
       return;
     }
-    giveUp(event, call, event.retryAfterMs());
-  }
-
-  /** Ends a call whose latest attempt failed and that is not sent again. */
-  private void giveUp(DispatchEvent.AttemptFailed event, ActiveCall call, long returnMs) {
-    if (event.started()) {
-      calls.abort(call, Reason.TARGET_FAILED, "no other target can resume the stream");
-      return;
-    }
-    if (event.fault() == AttemptFault.SERVER_ERROR) {
-      calls.logDecision("deliver-error", call, "", event.detail());
-      context.effects().add(new DispatchEffect.DeliverHeldAnswer(call.callId()));
-      calls.end(call);
-      return;
-    }
-    if (call.verdict() == Verdict.NOT_RUN) {
-      calls.refuse(call, Reason.NO_CAPACITY, event.detail(), retryAfterMs(returnMs));
-      return;
-    }
-    calls.refuse(call, Reason.TARGET_FAILED, event.detail(), 0);
+    refuser.giveUp(event, call, event.retryAfterMs());
   }
 
   private boolean mayRepeat(ActiveCall call) {
@@ -462,36 +386,6 @@
         .tryAcquire(event.nowMs(), context.settings(), context.maxDaemons());
   }
 
-  /**
-   * Draws the delay until an engine is likely to have capacity again, between two thirds and four
-   * thirds of the estimated duration of this run. Memory is freed as similar runs end; after a
-   * burst they have all just started, so most of their duration is still to come.
-   */
-  private long drawCapacityRetryMs(ActiveCall call) {
-    long runMs = demandOf(call).map(durationsOf(call)::estimateMs).orElse(0L);
-    return context.randomBetween(runMs * 2 / 3, runMs * 4 / 3);
-  }
-
-  private long retryAfterMs(long targetRetryAfterMs) {
-    return Math.max(
-        targetRetryAfterMs, context.randomBetween(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS));
-  }
-
-  private void refuseUnresolved(DispatchEvent.CallArrived event, Reason reason, String message) {
-    long retryAfterMs = reason == Reason.NOT_READY ? retryAfterMs(0) : 0;
-    context.logDecision(
-        "refuse",
-        event.profile().requestId(),
-        "",
-        "",
-        reason.label() + " " + message + ActiveCalls.formatRetryAfter(retryAfterMs));
-    context
-        .effects()
-        .add(
-            new DispatchEffect.RefuseCall(
-                event.callId(), Verdict.NOT_RUN, reason, message, retryAfterMs));
-  }
-
   private static String describeRefusal(Reason reason) {
     return reason == Reason.NOT_FOUND
         ? "no route in the routing sheet matches this host and path"
