--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
@@ -178,7 +178,7 @@
     }
     RunMigration.CompletedCopy copy = migration.latestCopy().get();
     if (migration.step() != RunMigration.Step.CONTINUING) {
-      if (!mayContinueAt(event.nowMs(), copy.holder())) {
+      if (!acquireContinuation(event.nowMs(), copy.holder())) {
         return false;
       }
       migration.startContinuation(event.nowMs());
@@ -190,7 +190,7 @@
     if (event.fault().mayHaveRun()
         || failedAtSource
         || tooLate
-        || !mayContinueAt(event.nowMs(), migration.source())) {
+        || !acquireContinuation(event.nowMs(), migration.source())) {
       return false;
     }
     continueAt(
@@ -207,7 +207,7 @@
         .ifPresent(
             migration -> {
               RunMigration.CompletedCopy copy = migration.latestCopy().orElseThrow();
-              if (mayContinueAt(event.nowMs(), copy.holder())) {
+              if (acquireContinuation(event.nowMs(), copy.holder())) {
                 continueAt(
                     event.nowMs(), migration, copy, copy.holder(), "the final copy is complete");
               } else {
@@ -250,8 +250,8 @@
             + "ms");
   }
 
-  /** Returns whether a run may continue at an engine, which may be in backoff. */
-  private boolean mayContinueAt(long nowMs, RoutedTarget engine) {
+  /** Acquires the permission to continue a run at an engine, which may be in backoff. */
+  private boolean acquireContinuation(long nowMs, RoutedTarget engine) {
     return context.backoffs().tryAcquire(nowMs, engine.id());
   }
 
