--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
@@ -184,6 +184,13 @@
     return targets.isAvailable(targetId, nowMs) && !backoffs.isInForce(nowMs, targetId);
   }
 
+  /** Returns the targets of a service to which new calls may be sent. */
+  List<RoutedTarget> findAccepting(long nowMs, String service) {
+    return targets.findAvailable(service, nowMs).stream()
+        .filter(target -> !backoffs.isInForce(nowMs, target.id()))
+        .toList();
+  }
+
   /** Returns when the first target of a service ends its backoff; empty if none has one. */
   OptionalLong findBackoffEndMs(long nowMs, String service) {
     return targets.findAvailable(service, nowMs).stream()
@@ -195,12 +202,8 @@
   /** Returns the available targets of a service, without ejected ones and those in backoff. */
   List<Candidate> candidates(String service, long nowMs) {
     Optional<EngineTraits> engine = engineTraits(service);
-    List<RoutedTarget> available =
-        targets.findAvailable(service, nowMs).stream()
-            .filter(target -> !backoffs.isInForce(nowMs, target.id()))
-            .toList();
     List<TargetView> views = new ArrayList<>();
-    for (RoutedTarget target : available) {
+    for (RoutedTarget target : findAccepting(nowMs, service)) {
       boolean sameZone = target.zone().equals(settings.zone());
       views.add(new TargetView(target.id(), target.zone(), sameZone, 0, Optional.empty(), 0));
     }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
@@ -1,5 +1,6 @@
 package org.sequoiareach.decision.dispatch;
 
+import java.util.function.Predicate;
 import org.sequoiareach.decision.fleet.TargetTable;
 import org.sequoiareach.decision.membership.OwnershipStrategy;
 import org.sequoiareach.decision.membership.RendezvousOwnership;
@@ -87,9 +88,10 @@
   void tick(long nowMs) {
     context.targetUse().expirePeers(nowMs);
     context.targets().expire(nowMs, this::isUsed).forEach(target -> handleLeaving(nowMs, target));
-    context.outcomes().retain(id -> context.targets().find(id).isPresent());
-    context.ejection().retain(id -> context.targets().find(id).isPresent());
-    context.backoffs().retain(nowMs, id -> context.targets().find(id).isPresent());
+    Predicate<String> known = id -> context.targets().find(id).isPresent();
+    context.outcomes().retain(known);
+    context.ejection().retain(known);
+    context.backoffs().retain(nowMs, known);
     if (nowMs >= nextReportMs) {
       nextReportMs = nowMs + REPORT_INTERVAL_MS;
       requestReports(nowMs);
@@ -154,9 +156,8 @@
     boolean usedAreDue = context.targets().isListUnreliable(nowMs);
     context.index().get().sheet().services().stream()
         .filter(service -> service.engine().filter(EngineTraits::canMoveRuns).isPresent())
-        .flatMap(service -> context.targets().findAvailable(service.name(), nowMs).stream())
+        .flatMap(service -> context.findAccepting(nowMs, service.name()).stream())
         .filter(target -> ownedAreDue && isOwned(target) || usedAreDue && isUsed(target.id()))
-        .filter(target -> !context.backoffs().isInForce(nowMs, target.id()))
         .filter(target -> limits.mayReport(nowMs, target))
         .forEach(target -> context.effects().add(new DispatchEffect.AskReport(target)));
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/BackoffRegistry.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/BackoffRegistry.java
@@ -28,11 +28,10 @@
    */
   public boolean record(long nowMs, String targetId, long untilMs) {
     Check.hasText(targetId, "targetId");
-    Backoff known = backoffs.get(targetId);
-    if (untilMs <= Math.max(nowMs, known == null ? nowMs : known.untilMs)) {
+    if (untilMs <= untilMs(nowMs, targetId)) {
       return false;
     }
-    int exceptions = isInForce(nowMs, targetId) ? known.exceptions : 0;
+    int exceptions = isInForce(nowMs, targetId) ? backoffs.get(targetId).exceptions : 0;
     backoffs.put(targetId, new Backoff(untilMs, exceptions));
     return true;
   }
