--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DeadlyRequestTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DeadlyRequestTest.java
@@ -64,7 +64,7 @@
     CrashingFleet fleet = playDeadlyPart(6, 10, 1, 3, trouble);
 
     assertBounded(fleet, "dead");
-    assertThat(fleet.servedShare("sound", FROM_MS + 2 * WINDOW_MS, END_MS)).isGreaterThan(0.95);
+    assertServesSound(fleet);
   }
 
   @ParameterizedTest
@@ -73,7 +73,7 @@
     CrashingFleet fleet = playDeadlyPart(daemons, engines, 4, 5, trouble);
 
     assertBounded(fleet, "dead");
-    assertThat(fleet.servedShare("sound", FROM_MS + 2 * WINDOW_MS, END_MS)).isGreaterThan(0.95);
+    assertServesSound(fleet);
   }
 
   private static CrashingFleet playDeadlyPart(
@@ -81,12 +81,7 @@
     CrashingFleet fleet = new CrashingFleet(daemons, engines, seed);
     fleet.setDeadly(request -> request.parts().contains("dead"));
     loadSound(fleet, load);
-    fleet.load(
-        "deadly",
-        DEADLY_PER_SECOND,
-        FROM_MS,
-        END_MS,
-        number -> List.of("shared", "dead", "own-deadly-" + number));
+    loadDeadly(fleet, DEADLY_PER_SECOND, END_MS);
     trouble.disturb(fleet);
     fleet.run(END_MS);
     return fleet;
@@ -111,7 +106,7 @@
     fleet.run(END_MS);
 
     assertBounded(fleet, "dead");
-    assertThat(fleet.servedShare("sound", FROM_MS + 2 * WINDOW_MS, END_MS)).isGreaterThan(0.95);
+    assertServesSound(fleet);
   }
 
   @Test
@@ -131,7 +126,7 @@
 
     assertBounded(fleet, "dead-1");
     assertBounded(fleet, "dead-2");
-    assertThat(fleet.servedShare("sound", FROM_MS + 2 * WINDOW_MS, END_MS)).isGreaterThan(0.95);
+    assertServesSound(fleet);
   }
 
   @Test
@@ -171,7 +166,7 @@
     fleet.run(END_MS);
 
     assertBounded(fleet, "same", FREE_CRASHES_OF_ONE_REQUEST);
-    assertThat(fleet.requests("sound")).noneMatch(CrashingFleet.Request::isQuarantined);
+    assertRefusesNoSound(fleet);
     assertThat(fleet.servedShare("sound", FROM_MS + 3 * WINDOW_MS, END_MS)).isGreaterThan(0.95);
   }
 
@@ -186,7 +181,7 @@
 
     fleet.run(END_MS);
 
-    assertThat(fleet.requests("sound")).noneMatch(CrashingFleet.Request::isQuarantined);
+    assertRefusesNoSound(fleet);
   }
 
   @ParameterizedTest
@@ -201,7 +196,7 @@
 
     fleet.run(END_MS);
 
-    assertThat(fleet.requests("sound")).noneMatch(CrashingFleet.Request::isQuarantined);
+    assertRefusesNoSound(fleet);
   }
 
   @ParameterizedTest
@@ -215,7 +210,7 @@
 
     fleet.run(END_MS);
 
-    assertThat(fleet.requests("sound")).noneMatch(CrashingFleet.Request::isQuarantined);
+    assertRefusesNoSound(fleet);
   }
 
   @ParameterizedTest
@@ -225,12 +220,7 @@
     CrashingFleet fleet = new CrashingFleet(6, 10, seed);
     fleet.setDeadly(request -> request.parts().contains("dead"));
     loadSound(fleet, 1);
-    fleet.load(
-        "deadly",
-        random.nextDouble(0.5, 4),
-        FROM_MS,
-        END_MS,
-        number -> List.of("shared", "dead", "own-deadly-" + number));
+    loadDeadly(fleet, random.nextDouble(0.5, 4), END_MS);
     for (long atMs = FROM_MS; atMs < END_MS; atMs += random.nextLong(1_000, 6_000)) {
       fleet.at(atMs, fleet::crashRandomEngine);
     }
@@ -238,7 +228,7 @@
     fleet.run(END_MS);
 
     assertBounded(fleet, "dead");
-    assertThat(fleet.requests("sound")).noneMatch(CrashingFleet.Request::isQuarantined);
+    assertRefusesNoSound(fleet);
   }
 
   @Test
@@ -248,8 +238,7 @@
     CrashingFleet fleet = new CrashingFleet(6, 10, 13);
     fleet.setDeadly(request -> request.parts().contains("dead") && fleet.elapsedMs() < mendedAtMs);
     loadSound(fleet, 1);
-    fleet.load(
-        "deadly", 1, FROM_MS, endMs, number -> List.of("shared", "dead", "own-deadly-" + number));
+    loadDeadly(fleet, 1, endMs);
 
     fleet.run(endMs);
 
@@ -265,6 +254,23 @@
         number -> List.of("shared", "subject-" + number % 40, "own-" + number));
   }
 
+  private static void loadDeadly(CrashingFleet fleet, double perSecond, long untilMs) {
+    fleet.load(
+        "deadly",
+        perSecond,
+        FROM_MS,
+        untilMs,
+        number -> List.of("shared", "dead", "own-deadly-" + number));
+  }
+
+  private static void assertServesSound(CrashingFleet fleet) {
+    assertThat(fleet.servedShare("sound", FROM_MS + 2 * WINDOW_MS, END_MS)).isGreaterThan(0.95);
+  }
+
+  private static void assertRefusesNoSound(CrashingFleet fleet) {
+    assertThat(fleet.requests("sound")).noneMatch(CrashingFleet.Request::isQuarantined);
+  }
+
   private static void assertBounded(CrashingFleet fleet, String part) {
     assertBounded(fleet, part, FREE_CRASHES);
   }
