Skip odd entries of servers whatever they contain

Report of another operator: one odd entry among those of the servers ended the machines that read the list, or they stopped following it. Messages held the whole value. An Error thrown while an entry was read would have ended the watch without a line, and an exception in a listener repeated the same read; both seen by reading, not by a run. Ruled out: nesting of 5,000 and 200,000 is refused by the parser, 500 and 990 are parsed without recursion.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreWatcher.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreWatcher.java
@@ -44,7 +44,7 @@
    */
   public StoreWatcher(
       PrefixStore store, StoreLayout layout, EventSink events, ScheduledExecutorService timer) {
-    this.layout = Check.notNull(layout, "layout");
+    this.layout = new FaultContainingLayout(Check.notNull(layout, "layout"));
     this.events = Check.notNull(events, "events");
     this.availability = new StoreAvailabilityMonitor(events);
     this.sheetWatcher =
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixWatcher.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixWatcher.java
@@ -138,8 +138,9 @@
           () -> {
             try {
               task.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | StackOverflowError e) {
               LOGGER.error("Failed to process the keys under prefix {}", prefix, e);
+              revision = Optional.empty();
               timer.schedule(this::readOrAwaitChanges, MAX_BACKOFF_MS, TimeUnit.MILLISECONDS);
             }
           });
