--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreAvailabilityMonitor.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreAvailabilityMonitor.java
@@ -31,6 +31,11 @@
     return (reachable, detail) -> onOutcome(kind, reachable, detail);
   }
 
+  /** Forgets failed calls that are not repeated, because other daemons read the store. */
+  void reset() {
+    failing.clear();
+  }
+
   private void onOutcome(String kind, boolean reachable, String detail) {
     boolean wasUnreachable = !failing.isEmpty();
     boolean changed = reachable ? failing.remove(kind) : failing.add(kind);
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreWatcher.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreWatcher.java
@@ -4,35 +4,41 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.sequoiareach.daemon.control.EffectHandler;
 import org.sequoiareach.daemon.control.EventSink;
+import org.sequoiareach.daemon.exchange.SuspensionDetector;
+import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.decision.dispatch.DispatchEvent;
+import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.route.RoutedTarget;
+import org.sequoiareach.model.route.TargetUpdate;
 import org.sequoiareach.store.prefix.PrefixEntry;
 import org.sequoiareach.store.prefix.PrefixListener;
 import org.sequoiareach.store.prefix.PrefixSnapshot;
 import org.sequoiareach.store.prefix.PrefixStore;
 import org.sequoiareach.store.prefix.PrefixWatcher;
 import org.sequoiareach.store.prefix.ReachabilityListener;
-import org.sequoiareach.store.prefix.StorePosition;
 import org.sequoiareach.store.time.MonotonicClock;
 
 /**
- * Watches the routing sheet and the targets in the store and posts their current values and changes
- * as events.
+ * Reads the routing sheet and the targets in the store, once or by watching them as the reducer
+ * decides, and posts their current values and changes as events.
  */
-public final class StoreWatcher {
+public final class StoreWatcher implements EffectHandler {
 
-  /** Sheets rarely change, a long poll is cheap, and keep-alive probes detect a dead connection. */
-  private static final long SHEET_LONG_POLL_MS = 8_000;
-
-  private static final long TARGETS_LONG_POLL_MS = 8_000;
+  /** How often the clocks are compared, in milliseconds. */
+  private static final long SUSPENSION_CHECK_MS = 100;
 
   private final StoreLayout layout;
   private final EventSink events;
   private final PrefixWatcher sheetWatcher;
   private final PrefixWatcher targetWatcher;
   private final StoreAvailabilityMonitor availability;
+  private final ScheduledExecutorService timer;
+  private final SuspensionDetector suspensions = new SuspensionDetector();
+  private long suspendedMs;
 
   /**
    * Creates a watcher that is not started.
@@ -46,25 +52,55 @@
       PrefixStore store, StoreLayout layout, EventSink events, ScheduledExecutorService timer) {
     this.layout = new FaultContainingLayout(Check.notNull(layout, "layout"));
     this.events = Check.notNull(events, "events");
+    this.timer = Check.notNull(timer, "timer");
     this.availability = new StoreAvailabilityMonitor(events);
-    this.sheetWatcher =
-        new PrefixWatcher(
-            store, layout.sheetPrefix(), SHEET_LONG_POLL_MS, timer, new SheetListener());
+    this.sheetWatcher = new PrefixWatcher(store, layout.sheetPrefix(), timer, new SheetListener());
     this.targetWatcher =
-        new PrefixWatcher(
-            store, layout.targetPrefix(), TARGETS_LONG_POLL_MS, timer, new TargetListener());
+        new PrefixWatcher(store, layout.targetPrefix(), timer, new TargetListener());
   }
 
-  /** Starts reading and watching. */
+  /** Reads the sheet and the targets for the first time. */
   public void start() {
-    sheetWatcher.start();
-    targetWatcher.start();
+    sheetWatcher.readOnce();
+    targetWatcher.readOnce();
+    timer.scheduleWithFixedDelay(
+        this::reportSuspension, SUSPENSION_CHECK_MS, SUSPENSION_CHECK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void handle(Effect effect) {
+    if (effect instanceof DispatchEffect.AccessStore access) {
+      switch (access.access().mode()) {
+        case WATCH -> {
+          sheetWatcher.watch(access.access().pollMs());
+          targetWatcher.watch(access.access().pollMs());
+        }
+        case READ_ONCE -> {
+          sheetWatcher.readOnce();
+          targetWatcher.readOnce();
+        }
+        case FOLLOW -> {
+          sheetWatcher.stop();
+          targetWatcher.stop();
+          timer.execute(availability::reset);
+        }
+        default -> throw new IllegalArgumentException("Unknown access: " + access);
+      }
+    }
+  }
+
+  private void reportSuspension() {
+    long totalMs = suspensions.totalSuspendedMs();
+    if (totalMs > suspendedMs) {
+      suspendedMs = totalMs;
+      events.post(new DispatchEvent.ClockSuspended(MonotonicClock.nowMs()));
+    }
   }
 
   private final class SheetListener extends AbstractPrefixListener {
 
     private SheetListener() {
-      super("sheet");
+      super("sheet", true);
     }
 
     @Override
@@ -87,15 +123,12 @@
 
   private final class TargetListener extends AbstractPrefixListener {
 
-    private OptionalLong lastPosition = OptionalLong.empty();
-
     private TargetListener() {
-      super("targets");
+      super("targets", false);
     }
 
     @Override
     public void onSnapshot(PrefixSnapshot snapshot) {
-      reportRestore(snapshot.revision());
       List<RoutedTarget> listed =
           snapshot.entries().stream().map(layout::readTarget).flatMap(Optional::stream).toList();
       events.post(
@@ -105,44 +138,35 @@
 
     @Override
     public void onChanges(List<PrefixEntry> changes) {
-      changes.forEach(this::onChange);
-    }
-
-    /** Posts that the store was restored, if a position is of a later era than the last one. */
-    private void reportRestore(long position) {
-      if (lastPosition.isPresent()
-          && StorePosition.eraOf(position) > StorePosition.eraOf(lastPosition.getAsLong())) {
-        events.post(
-            new DispatchEvent.StoreRestored(
-                MonotonicClock.nowMs(),
-                StorePosition.format(lastPosition.getAsLong()),
-                StorePosition.format(position)));
-      }
-      lastPosition = OptionalLong.of(position);
+      List<TargetUpdate> updates = changes.stream().map(this::toUpdate).toList();
+      events.post(
+          new DispatchEvent.TargetsUpdated(
+              MonotonicClock.nowMs(), OptionalLong.empty(), updates, "store"));
     }
 
-    private void onChange(PrefixEntry entry) {
-      long nowMs = MonotonicClock.nowMs();
+    private TargetUpdate toUpdate(PrefixEntry entry) {
       Optional<RoutedTarget> target =
           entry.value().isEmpty() ? Optional.empty() : layout.readTarget(entry);
-      if (target.isPresent()) {
-        events.post(new DispatchEvent.TargetChanged(nowMs, entry.revision(), target.get()));
-        return;
-      }
-      String targetId = layout.targetIdOf(entry.key());
-      events.post(new DispatchEvent.TargetRemoved(nowMs, entry.revision(), targetId));
+      return new TargetUpdate(entry.revision(), layout.targetIdOf(entry.key()), target);
     }
   }
 
-  /** Reports the outcome of the calls for one prefix to the availability monitor. */
+  /** Reports the outcome of the calls for one prefix, and when they confirmed what is known. */
   private abstract class AbstractPrefixListener implements PrefixListener {
 
     private final ReachabilityListener reachabilityListener;
+    private final boolean ofSheet;
 
-    private AbstractPrefixListener(String kind) {
+    private AbstractPrefixListener(String kind, boolean ofSheet) {
+      this.ofSheet = ofSheet;
       this.reachabilityListener = availability.createListener(kind);
     }
 
+    @Override
+    public final void onCurrent(long asOfMs) {
+      events.post(new DispatchEvent.StoreRead(MonotonicClock.nowMs(), ofSheet, asOfMs));
+    }
+
     @Override
     public final void onCallCompleted(boolean reachable, String detail) {
       reachabilityListener.onCallCompleted(reachable, detail);
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
@@ -149,7 +149,16 @@
     metrics.register("sheet.revision", (Gauge<Long>) reducer::sheetRevision);
     metrics.register("targets", (Gauge<Integer>) reducer::targetCount);
     metrics.register("targets.limited", (Gauge<Integer>) reducer::limitCount);
+    metrics.register("store.watching", (Gauge<Integer>) () -> reducer.isWatchingStore() ? 1 : 0);
+    metrics.register(
+        "store.age.ms", (Gauge<Long>) () -> reducer.holdingsAgeMs(MonotonicClock.nowMs()));
     metrics.register("quarantines", (Gauge<Integer>) reducer::quarantineCount);
+    StoreWatcher storeWatcher =
+        new StoreWatcher(
+            binding.createStore(http, settings.storeAddress()),
+            binding.layout(),
+            controlLoop,
+            timer);
     controlLoop.start(
         reducer,
         List.of(
@@ -160,16 +169,12 @@
             peerState.join(),
             peerLimits.join(),
             quarantines.join(),
+            storeWatcher,
             effect -> handleLocalEffect(effect, membership)));
     postSeedPeers();
     this.callerChannel = callerServer.accept(callerSocket);
     // The responses of the store arrive while the remaining servers are created.
-    new StoreWatcher(
-            binding.createStore(http, settings.storeAddress()),
-            binding.layout(),
-            controlLoop,
-            timer)
-        .start();
+    storeWatcher.start();
     servers.add(startReadinessServer());
     servers.add(startMetricsServer());
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettings.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettings.java
@@ -21,6 +21,10 @@
  * @param retryWindowSeconds the time window over which requests and retries are counted
  * @param retryExtra the number of retries per window that all daemons together may send in addition
  *     to the ratio
+ * @param sheetBoundMs the time within which a sheet in the store has to be in force, in
+ *     milliseconds
+ * @param leavingBoundMs the time within which a target that is leaving according to the store must
+ *     get no more requests, in milliseconds
  */
 public record GatewaySettings(
     String name,
@@ -34,7 +38,9 @@
     double gracePeriodSeconds,
     double retryRatio,
     double retryWindowSeconds,
-    double retryExtra) {
+    double retryExtra,
+    double sheetBoundMs,
+    double leavingBoundMs) {
 
   /**
    * The load balancer stops sending connections after two failed checks, which are a second apart,
@@ -62,6 +68,8 @@
     requirePositive(retryWindowSeconds, "retryWindowSeconds");
     Check.isTrue(retryRatio >= 0, "'retryRatio' must not be negative but is " + retryRatio + ".");
     Check.isTrue(retryExtra >= 0, "'retryExtra' must not be negative but is " + retryExtra + ".");
+    requirePositive(sheetBoundMs, "sheetBoundMs");
+    requirePositive(leavingBoundMs, "leavingBoundMs");
   }
 
   /**
@@ -77,7 +85,8 @@
         retryRatio,
         Math.round(retryWindowSeconds * MS_PER_SECOND),
         retryExtra,
-        Math.min(DRAIN_NOTICE_MS, drainMs()));
+        Math.min(DRAIN_NOTICE_MS, drainMs()),
+        Math.round(Math.min(sheetBoundMs, leavingBoundMs)));
   }
 
   /**
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettingsReader.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettingsReader.java
@@ -60,7 +60,9 @@
         readNumber(tree, "gracePeriodSeconds"),
         readNumber(tree, "retryRatio"),
         readNumber(tree, "retryWindowSeconds"),
-        readNumber(tree, "retryExtra"));
+        readNumber(tree, "retryExtra"),
+        readNumber(tree, "sheetBoundMs"),
+        readNumber(tree, "leavingBoundMs"));
   }
 
   /** Returns the text of a field, or an empty text if the field is absent. */
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewayTrainingRun.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewayTrainingRun.java
@@ -21,6 +21,7 @@
  */
 public final class GatewayTrainingRun {
 
+  private static final int CHANGE_BOUND_MS = 2_000;
   private static final int PORTS_PER_GATEWAY = 4;
   private static final int ROUNDS = 20;
   private static final long READY_TIMEOUT_MS = 10_000;
@@ -113,7 +114,9 @@
         1,
         0,
         1,
-        0);
+        0,
+        CHANGE_BOUND_MS,
+        CHANGE_BOUND_MS);
   }
 
   private static List<String> findFreeAddresses() throws IOException {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/PeerStateBridge.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/PeerStateBridge.java
@@ -35,7 +35,14 @@
               tell.targetsRevision(),
               tell.uses(),
               tell.leaving(),
-              tell.outcomes()));
+              tell.outcomes(),
+              tell.sheetVersion(),
+              tell.sum()));
+    } else if (effect instanceof DispatchEffect.TellStoreNews tell) {
+      sender.send(
+          tell.daemonId(),
+          tell.address(),
+          new StateMessage.StoreNewsAnnouncement(MonotonicClock.nowMs(), tell.news()));
     } else if (effect instanceof DispatchEffect.PullState pull) {
       sender.send(
           pull.daemonId(),
@@ -64,7 +71,11 @@
               announced.targetsRevision(),
               announced.uses(),
               announced.leaving(),
-              announced.outcomes()));
+              announced.outcomes(),
+              announced.sheetVersion(),
+              announced.sum()));
+    } else if (message instanceof StateMessage.StoreNewsAnnouncement told) {
+      events.post(new DispatchEvent.StoreNewsTold(nowMs, fromDaemon, told.sentMs(), told.news()));
     } else if (message instanceof StateMessage.StatePull pull) {
       events.post(new DispatchEvent.PeerPulled(nowMs, fromDaemon, pull.sheet(), pull.targets()));
     } else if (message instanceof StateMessage.StateSnapshot held) {
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/gateway/GatewaySettingsReaderTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/gateway/GatewaySettingsReaderTest.java
@@ -16,7 +16,8 @@
           + "\"readyAddress\":\"10.0.0.1:81\",\"peerAddress\":\"10.0.0.1:82\","
           + "\"metricsAddress\":\"10.0.0.1:83\",\"seedAddresses\":[\"10.0.0.2:82\"],"
           + "\"storeAddress\":\"10.0.0.9:84\",\"gracePeriodSeconds\":8,\"retryRatio\":0.2,"
-          + "\"retryWindowSeconds\":10,\"retryExtra\":54}";
+          + "\"retryWindowSeconds\":10,\"retryExtra\":54,\"sheetBoundMs\":2000,"
+          + "\"leavingBoundMs\":4000}";
 
   @Test
   void readsAllFields() {
@@ -34,7 +35,9 @@
                 8,
                 0.2,
                 10,
-                54));
+                54,
+                2_000,
+                4_000));
   }
 
   @ParameterizedTest
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
@@ -22,6 +22,7 @@
 import org.sequoiareach.model.route.RoutedService;
 import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.model.route.RoutingSheet;
+import org.sequoiareach.model.route.StoreHoldings;
 
 /** State and services shared by the handlers of the {@link DispatchReducer}. Not thread-safe. */
 final class DispatchContext {
@@ -116,6 +117,11 @@
     return index.map(known -> known.sheet().version()).orElse(0L);
   }
 
+  /** Returns what this daemon holds of the store. */
+  StoreHoldings holdings() {
+    return new StoreHoldings(sheetVersion(), sheetRevision(), targets.revision());
+  }
+
   long randomLong() {
     return random.nextLong();
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.follow.StoreAccess;
 import org.sequoiareach.model.quarantine.CrashReport;
 import org.sequoiareach.model.quarantine.Quarantine;
 import org.sequoiareach.model.request.Reason;
@@ -12,6 +13,7 @@
 import org.sequoiareach.model.route.RouteKind;
 import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.model.route.RoutingSheet;
+import org.sequoiareach.model.route.StoreNews;
 import org.sequoiareach.model.route.TargetOutcomes;
 import org.sequoiareach.model.route.TargetRateLimit;
 import org.sequoiareach.model.route.TargetUse;
@@ -41,6 +43,8 @@
   @JsonSubTypes.Type(DispatchEffect.AnswerPermit.class),
   @JsonSubTypes.Type(DispatchEffect.ReportSpentPermit.class),
   @JsonSubTypes.Type(DispatchEffect.TellPeer.class),
+  @JsonSubTypes.Type(DispatchEffect.AccessStore.class),
+  @JsonSubTypes.Type(DispatchEffect.TellStoreNews.class),
   @JsonSubTypes.Type(DispatchEffect.PullState.class),
   @JsonSubTypes.Type(DispatchEffect.AnswerPull.class)
 })
@@ -244,6 +248,22 @@
   record ReportSpentPermit(String daemonId, String address, TargetRateLimit limit)
       implements DispatchEffect {}
 
+  /**
+   * Changes how this daemon accesses the store, or reads it once.
+   *
+   * @param access the access
+   */
+  record AccessStore(StoreAccess access) implements DispatchEffect {}
+
+  /**
+   * Passes on what this daemon learned of the store.
+   *
+   * @param daemonId the identifier of the other daemon
+   * @param address the address of the other daemon
+   * @param news what it learned
+   */
+  record TellStoreNews(String daemonId, String address, StoreNews news) implements DispatchEffect {}
+
   /**
    * Sends the state of this daemon to another one.
    *
@@ -254,6 +274,9 @@
    * @param uses the use of targets by this daemon, by target identifier
    * @param leaving the identifiers of targets recently seen to be leaving
    * @param outcomes the recent outcomes of the targets that failed, by target identifier
+   * @param sheetVersion the version of this daemon's routing sheet; 0 for none
+   * @param sum whether uses and outcomes are those of all daemons but the receiver, as added up by
+   *     a relay, rather than those of one daemon or zone
    */
   record TellPeer(
       String daemonId,
@@ -262,7 +285,9 @@
       long targetsRevision,
       Map<String, TargetUse> uses,
       List<String> leaving,
-      Map<String, TargetOutcomes> outcomes)
+      Map<String, TargetOutcomes> outcomes,
+      long sheetVersion,
+      boolean sum)
       implements DispatchEffect {}
 
   /**
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -4,14 +4,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.sequoiareach.decision.event.Event;
 import org.sequoiareach.model.quarantine.CrashReport;
 import org.sequoiareach.model.quarantine.Quarantine;
 import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.model.route.RoutingSheet;
 import org.sequoiareach.model.route.StatedRate;
+import org.sequoiareach.model.route.StoreNews;
 import org.sequoiareach.model.route.TargetOutcomes;
 import org.sequoiareach.model.route.TargetRateLimit;
+import org.sequoiareach.model.route.TargetUpdate;
 import org.sequoiareach.model.route.TargetUse;
 
 /**
@@ -47,6 +50,10 @@
   @JsonSubTypes.Type(DispatchEvent.PermitSpent.class),
   @JsonSubTypes.Type(DispatchEvent.RunCopied.class),
   @JsonSubTypes.Type(DispatchEvent.PeerStateTold.class),
+  @JsonSubTypes.Type(DispatchEvent.TargetsUpdated.class),
+  @JsonSubTypes.Type(DispatchEvent.StoreRead.class),
+  @JsonSubTypes.Type(DispatchEvent.StoreNewsTold.class),
+  @JsonSubTypes.Type(DispatchEvent.ClockSuspended.class),
   @JsonSubTypes.Type(DispatchEvent.PeerPulled.class)
 })
 public interface DispatchEvent extends Event {
@@ -89,6 +96,46 @@
    */
   record TargetRemoved(long nowMs, long revision, String targetId) implements DispatchEvent {}
 
+  /**
+   * Entries of targets were written or removed.
+   *
+   * @param nowMs when it was observed
+   * @param afterRevision the position after which the updates are complete; empty if they follow
+   *     what this daemon holds
+   * @param updates the writes and removals in the order of their positions
+   * @param source their source: the store or the identifier of a daemon
+   */
+  record TargetsUpdated(
+      long nowMs, OptionalLong afterRevision, List<TargetUpdate> updates, String source)
+      implements DispatchEvent {}
+
+  /**
+   * The sheet or the targets were read from the store, after what was read was posted.
+   *
+   * @param nowMs when it was observed
+   * @param sheet whether the sheet was read; otherwise the targets
+   * @param asOfMs a time at which the store held nothing newer, in milliseconds
+   */
+  record StoreRead(long nowMs, boolean sheet, long asOfMs) implements DispatchEvent {}
+
+  /**
+   * Another daemon passed on what it learned of the store.
+   *
+   * @param nowMs when it was observed
+   * @param daemonId the identifier of the other daemon
+   * @param sentMs when it was sent, in milliseconds of the clock of the other daemon
+   * @param news what it learned
+   */
+  record StoreNewsTold(long nowMs, String daemonId, long sentMs, StoreNews news)
+      implements DispatchEvent {}
+
+  /**
+   * The VM was suspended, so that ages reckoned before are too low.
+   *
+   * @param nowMs when it was observed
+   */
+  record ClockSuspended(long nowMs) implements DispatchEvent {}
+
   /**
    * A target reported that it is leaving.
    *
@@ -352,6 +399,9 @@
    * @param uses its use of targets, by target identifier
    * @param leaving the identifiers of targets that it recently saw to be leaving
    * @param outcomes its recent outcomes of the targets that failed, by target identifier
+   * @param sheetVersion the version of its routing sheet; 0 for none
+   * @param sum whether uses and outcomes are those of all daemons but the receiver, as added up by
+   *     a relay, rather than those of one daemon or zone
    */
   record PeerStateTold(
       long nowMs,
@@ -360,7 +410,9 @@
       long targetsRevision,
       Map<String, TargetUse> uses,
       List<String> leaving,
-      Map<String, TargetOutcomes> outcomes)
+      Map<String, TargetOutcomes> outcomes,
+      long sheetVersion,
+      boolean sum)
       implements DispatchEvent {
 
     /** Copies the outcomes; recorded sessions may lack them. */
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.event.Event;
 import org.sequoiareach.decision.event.PlatformEvent;
@@ -12,6 +14,7 @@
 import org.sequoiareach.decision.quarantine.CrashHistory;
 import org.sequoiareach.decision.reducer.Reducer;
 import org.sequoiareach.model.Check;
+import org.sequoiareach.model.route.TargetDelta;
 import org.sequoiareach.model.sheet.SheetStatus;
 
 /**
@@ -21,9 +24,8 @@
  * migrates runs off leaving engines, and synchronizes its state with other daemons. The work is
  * delegated to one handler per concern; all of them share a {@link DispatchContext}.
  *
- * <p>Not thread-safe: all events must be applied on the control thread. Only {@link
- * #sheetRevision()}, {@link #targetCount()}, {@link #limitCount()} and {@link #quarantineCount()}
- * may be called from any thread.
+ * <p>Not thread-safe: all events must be applied on the control thread. Only the methods that
+ * return figures for metrics may be called from any thread.
  */
 public final class DispatchReducer implements Reducer {
 
@@ -33,6 +35,7 @@
   private final CallHandler calls;
   private final TargetHandler targets;
   private final TargetHealthHandler health;
+  private final StoreFollowHandler follow;
   private final PeerSyncHandler peerSync;
   private final LifecycleHandler lifecycle;
   private final LimitHandler limits;
@@ -42,6 +45,8 @@
   private volatile int targetCount;
   private volatile int limitCount;
   private volatile int quarantineCount;
+  private volatile boolean watchingStore;
+  private volatile long confirmedMs;
 
   /**
    * Creates a reducer without routing sheet, targets or calls.
@@ -66,7 +71,8 @@
     this.calls =
         new CallHandler(
             context, active, migrations, durations, targets, health, limits, quarantines);
-    this.peerSync = new PeerSyncHandler(context);
+    this.follow = new StoreFollowHandler(context);
+    this.peerSync = new PeerSyncHandler(context, follow);
     this.lifecycle = new LifecycleHandler(context, active, calls);
   }
 
@@ -82,6 +88,7 @@
       quarantines.tick(tick.nowMs());
       calls.tick(tick.nowMs());
       peerSync.tick(tick.nowMs());
+      follow.tick(tick.nowMs());
       lifecycle.tick(tick.nowMs());
       context.effects().addAll(membership.reduce(tick));
     } else if (event instanceof TimeEvent.DrainRequested drain) {
@@ -94,6 +101,8 @@
     targetCount = context.targets().listedCount();
     limitCount = limits.inForceCount();
     quarantineCount = quarantines.activeCount();
+    watchingStore = follow.isWatching();
+    confirmedMs = follow.confirmedMs();
     return context.effects().take();
   }
 
@@ -131,12 +140,23 @@
       migrations.onRunCopied(copied);
     } else if (event instanceof DispatchEvent.SheetLearned learned) {
       peerSync.onSheetLearned(learned);
+      follow.onHoldingsChanged();
       calls.releaseHeld(learned.nowMs());
       lifecycle.tick(learned.nowMs());
     } else if (event instanceof DispatchEvent.PeerStateTold told) {
-      peerSync.onPeerStateTold(told);
+      boolean counted = peerSync.onPeerStateTold(told);
       targets.onPeerStateTold(told);
-      health.onPeerStateTold(told);
+      if (counted) {
+        health.onPeerStateTold(told);
+      }
+    } else if (event instanceof DispatchEvent.StoreRead read) {
+      follow.onStoreRead(read);
+    } else if (event instanceof DispatchEvent.StoreNewsTold told) {
+      onStoreNewsTold(told);
+    } else if (event instanceof DispatchEvent.TargetsUpdated updated) {
+      onTargetsUpdated(updated);
+    } else if (event instanceof DispatchEvent.ClockSuspended) {
+      follow.onClockSuspended();
     } else if (event instanceof DispatchEvent.PeerPulled pulled) {
       peerSync.onPeerPulled(pulled);
     } else if (event instanceof DispatchEvent.SettingsChanged changed) {
@@ -144,11 +164,45 @@
     } else {
       crashes.onTargetsChanged(event);
       targets.apply(event);
+      follow.onHoldingsChanged();
       calls.releaseHeld(event.nowMs());
       lifecycle.tick(event.nowMs());
     }
   }
 
+  private void onStoreNewsTold(DispatchEvent.StoreNewsTold told) {
+    peerSync.onStoreNewsTold(told);
+    // The recovery of the store decides what a removal means.
+    follow.onStoreNewsTold(told);
+    told.news()
+        .delta()
+        .ifPresent(
+            delta ->
+                onTargetsUpdated(
+                    new DispatchEvent.TargetsUpdated(
+                        told.nowMs(),
+                        OptionalLong.of(delta.afterRevision()),
+                        delta.updates(),
+                        told.daemonId())));
+  }
+
+  private void onTargetsUpdated(DispatchEvent.TargetsUpdated updated) {
+    Optional<TargetDelta> unknown = follow.findUnknown(updated);
+    if (unknown.isEmpty()) {
+      return;
+    }
+    long nowMs = updated.nowMs();
+    unknown
+        .get()
+        .updates()
+        .forEach(update -> crashes.onTargetsChanged(TargetHandler.toEvent(nowMs, update)));
+    targets.apply(nowMs, unknown.get());
+    follow.onHoldingsChanged();
+    follow.tell(nowMs, unknown);
+    calls.releaseHeld(nowMs);
+    lifecycle.tick(nowMs);
+  }
+
   /**
    * Returns the revision of the current routing sheet.
    *
@@ -185,6 +239,25 @@
     return quarantineCount;
   }
 
+  /**
+   * Returns whether this daemon watches the store, rather than relying on others.
+   *
+   * @return true if it watches the store
+   */
+  public boolean isWatchingStore() {
+    return watchingStore;
+  }
+
+  /**
+   * Returns the time since the store was known to hold nothing newer than this daemon.
+   *
+   * @param nowMs the current time
+   * @return the time in milliseconds
+   */
+  public long holdingsAgeMs(long nowMs) {
+    return nowMs - confirmedMs;
+  }
+
   /** Collects the effects of one event. */
   static final class EffectList {
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchSettings.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchSettings.java
@@ -11,6 +11,8 @@
  * @param retryWindowMs the window over which requests and retries are counted, in milliseconds
  * @param retryExtra the retries that all daemons together may send per window beyond the ratio
  * @param drainNoticeMs how long a draining daemon accepts new connections, in milliseconds
+ * @param changeBoundMs the time within which a change in the store has to be in force, in
+ *     milliseconds
  */
 public record DispatchSettings(
     String zone,
@@ -18,7 +20,8 @@
     double retryRatio,
     long retryWindowMs,
     double retryExtra,
-    long drainNoticeMs) {
+    long drainNoticeMs,
+    long changeBoundMs) {
 
   /** Validates the components. */
   public DispatchSettings {
@@ -27,5 +30,6 @@
     Check.inRange(retryWindowMs, 1, Integer.MAX_VALUE, "retryWindowMs");
     Check.isTrue(retryExtra >= 0, "'retryExtra' must not be negative but is " + retryExtra + ".");
     Check.inRange(drainNoticeMs, 0, Integer.MAX_VALUE, "drainNoticeMs");
+    Check.inRange(changeBoundMs, 1, Integer.MAX_VALUE, "changeBoundMs");
   }
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PeerSyncHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PeerSyncHandler.java
@@ -1,11 +1,15 @@
 package org.sequoiareach.decision.dispatch;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
 import org.sequoiareach.decision.membership.Member;
 import org.sequoiareach.model.route.RoutingSheet;
+import org.sequoiareach.model.route.StoreHoldings;
 import org.sequoiareach.model.route.TargetOutcomes;
 import org.sequoiareach.model.route.TargetUse;
 
@@ -24,15 +28,29 @@
   /** The interval at which unchanged state is sent again, so that it does not expire at peers. */
   private static final long REFRESH_INTERVAL_MS = 1_000;
 
+  /** The interval at which a relay sends unchanged sums; several fit into the silence allowed. */
+  private static final long RELAY_REFRESH_INTERVAL_MS = 400;
+
   /** The time to wait for an update from the store before another daemon is asked for it. */
   private static final long STORE_GRACE_MS = 250;
 
+  /** The time to wait for an update from other daemons that was not requested. */
+  private static final long NEWS_GRACE_MS = 100;
+
+  /**
+   * The sheets that are sent on request within {@link #PULL_RETRY_MS}, so that a large sheet does
+   * not fill the link of the first daemons that hold it; who gets none asks another holder then.
+   */
+  private static final int MAX_SHEETS_SENT = 4;
+
   /** The time to wait for the answer of a daemon before another one is asked. */
   private static final long PULL_RETRY_MS = 400;
 
   private final DispatchContext context;
   private final PeerRotation recipients;
-  private final Map<String, PeerState> peers = new HashMap<>();
+  private final ZoneRelays relays;
+  private final StoreFollowHandler follow;
+  private final Map<String, StoreHoldings> peers = new HashMap<>();
   private Map<String, TargetUse> lastUses = Map.of();
   private List<String> lastLeaving = List.of();
   private Map<String, TargetOutcomes> lastOutcomes = Map.of();
@@ -41,10 +59,14 @@
   private long nextRefreshMs;
   private long staleSinceMs = Long.MAX_VALUE;
   private long nextPullMs;
+  private long sheetsSentSinceMs = Long.MIN_VALUE / 2;
+  private int sheetsSent;
 
-  PeerSyncHandler(DispatchContext context) {
+  PeerSyncHandler(DispatchContext context, StoreFollowHandler follow) {
     this.context = context;
+    this.follow = follow;
     this.recipients = new PeerRotation(context.membership());
+    this.relays = new ZoneRelays(context.membership(), context.settings().zone());
   }
 
   void onSheetLearned(DispatchEvent.SheetLearned event) {
@@ -62,18 +84,45 @@
     sendState(event.nowMs());
   }
 
-  /**
-   * Returns whether a sheet replaces the current one. Its version decides, as a store that was
-   * restored from an older copy returns an older sheet at a later position.
-   */
+  /** Returns whether a sheet replaces the current one. */
   private boolean isNewer(RoutingSheet sheet) {
-    return sheet.version() > context.sheetVersion()
-        || sheet.version() == context.sheetVersion() && sheet.revision() > context.sheetRevision();
+    return new StoreHoldings(sheet.version(), sheet.revision(), 0)
+        .hasNewerSheetThan(context.holdings());
   }
 
-  void onPeerStateTold(DispatchEvent.PeerStateTold event) {
+  /**
+   * Processes the state of another daemon.
+   *
+   * @return whether its use and outcomes count: only a relay adds up what single daemons report,
+   *     and the others count the sums that relays tell
+   */
+  boolean onPeerStateTold(DispatchEvent.PeerStateTold event) {
+    rememberHoldings(event);
+    if (event.sum()) {
+      relays.onSumHeard(event.nowMs(), event.daemonId());
+      if (relays.isSelf()) {
+        return false;
+      }
+      context.targetUse().updateAllPeers(event.nowMs(), event.daemonId(), event.uses());
+      context.outcomes().retainPeer(event.daemonId());
+      return true;
+    }
+    if (relays.isNeeded() && !relays.isSelf()) {
+      return false;
+    }
+    relays.onReportHeard(event.nowMs(), event.daemonId());
     context.targetUse().updatePeer(event.nowMs(), event.daemonId(), event.uses());
-    peers.put(event.daemonId(), new PeerState(event.sheetRevision(), event.targetsRevision()));
+    return true;
+  }
+
+  private void rememberHoldings(DispatchEvent.PeerStateTold event) {
+    peers.put(
+        event.daemonId(),
+        new StoreHoldings(event.sheetVersion(), event.sheetRevision(), event.targetsRevision()));
+  }
+
+  void onStoreNewsTold(DispatchEvent.StoreNewsTold event) {
+    peers.put(event.daemonId(), event.news().holdings());
   }
 
   void onPeerPulled(DispatchEvent.PeerPulled event) {
@@ -82,21 +131,35 @@
       return;
     }
     boolean sendTargets = event.targets() && context.targets().hasList();
+    boolean sendSheet = event.sheet() && maySendSheet(event.nowMs());
+    if (!sendSheet && !sendTargets) {
+      return;
+    }
     context
         .effects()
         .add(
             new DispatchEffect.AnswerPull(
                 event.daemonId(),
                 requester.get().address(),
-                event.sheet() ? context.index().map(RouteIndex::sheet) : Optional.empty(),
+                sendSheet ? context.index().map(RouteIndex::sheet) : Optional.empty(),
                 context.targets().revision(),
                 sendTargets ? Optional.of(context.targets().listed()) : Optional.empty()));
   }
 
+  private boolean maySendSheet(long nowMs) {
+    if (nowMs - sheetsSentSinceMs >= PULL_RETRY_MS) {
+      sheetsSentSinceMs = nowMs;
+      sheetsSent = 0;
+    }
+    sheetsSent++;
+    return sheetsSent <= MAX_SHEETS_SENT;
+  }
+
   void tick(long nowMs) {
+    relays.tick(nowMs);
     if (nowMs >= nextSendMs) {
       nextSendMs = nowMs + SEND_INTERVAL_MS;
-      Map<String, TargetUse> uses = context.targetUse().localUses();
+      Map<String, TargetUse> uses = usesToTell();
       boolean changed =
           !uses.equals(lastUses)
               || lastSheetRevision != context.sheetRevision()
@@ -109,71 +172,116 @@
     pullIfStale(nowMs);
   }
 
+  private Map<String, TargetUse> usesToTell() {
+    return relays.isSelf()
+        ? context.targetUse().sumOf(daemonId -> true)
+        : context.targetUse().localUses();
+  }
+
   private void sendState(long nowMs) {
-    lastUses = context.targetUse().localUses();
+    lastUses = usesToTell();
     lastLeaving = context.recentlyLeaving(nowMs);
     lastOutcomes = context.outcomes().localFailing(nowMs);
     lastSheetRevision = context.sheetRevision();
-    nextRefreshMs = nowMs + REFRESH_INTERVAL_MS;
-    for (Member member : recipients.nextRecipients()) {
-      context
-          .effects()
-          .add(
-              new DispatchEffect.TellPeer(
-                  member.daemonId(),
-                  member.address(),
-                  lastSheetRevision,
-                  context.targets().revision(),
-                  lastUses,
-                  lastLeaving,
-                  lastOutcomes));
+    nextRefreshMs = nowMs + (relays.isSelf() ? RELAY_REFRESH_INTERVAL_MS : REFRESH_INTERVAL_MS);
+    if (relays.isSelf()) {
+      sendSums(nowMs);
+      return;
     }
+    List<Member> told =
+        relays.isNeeded()
+            ? relays.own().map(List::of).orElse(List.of())
+            : recipients.nextRecipients();
+    told.forEach(member -> tell(member, lastUses, lastOutcomes, false));
+  }
+
+  /**
+   * Tells each daemon of the zone the sum of all others, and the relays of other zones that of this
+   * zone.
+   */
+  private void sendSums(long nowMs) {
+    Set<String> zoneMembers = new HashSet<>();
+    for (Member member : context.membership().livePeers()) {
+      if (!relays.isOfZone(member)) {
+        continue;
+      }
+      zoneMembers.add(member.daemonId());
+      Predicate<String> others = daemonId -> !daemonId.equals(member.daemonId());
+      tell(
+          member,
+          context.targetUse().sumOf(others),
+          context.outcomes().sumOfFailing(nowMs, others),
+          true);
+    }
+    Map<String, TargetUse> uses = context.targetUse().sumOf(zoneMembers::contains);
+    Map<String, TargetOutcomes> outcomes =
+        context.outcomes().sumOfFailing(nowMs, zoneMembers::contains);
+    relays.others().forEach(relay -> tell(relay, uses, outcomes, false));
+  }
+
+  private void tell(
+      Member member,
+      Map<String, TargetUse> uses,
+      Map<String, TargetOutcomes> outcomes,
+      boolean sum) {
+    context
+        .effects()
+        .add(
+            new DispatchEffect.TellPeer(
+                member.daemonId(),
+                member.address(),
+                lastSheetRevision,
+                context.targets().revision(),
+                uses,
+                lastLeaving,
+                outcomes,
+                context.sheetVersion(),
+                sum));
   }
 
-  /** Asks a random daemon with newer state, after {@value #STORE_GRACE_MS} ms without update. */
+  /** Asks a random daemon with newer state, if what it holds does not arrive by itself. */
   private void pullIfStale(long nowMs) {
-    boolean sheet = peers.values().stream().anyMatch(peer -> peer.hasNewerSheet(context));
-    boolean targets = peers.values().stream().anyMatch(peer -> peer.hasNewerTargets(context));
+    StoreHoldings own = context.holdings();
+    peers.keySet().removeIf(id -> !context.membership().isLivePeer(id));
+    boolean sheet = peers.values().stream().anyMatch(peer -> peer.hasNewerSheetThan(own));
+    boolean targets = peers.values().stream().anyMatch(peer -> peer.hasNewerTargetsThan(own));
     if (!sheet && !targets) {
       staleSinceMs = Long.MAX_VALUE;
       return;
     }
     staleSinceMs = Math.min(staleSinceMs, nowMs);
-    if (nowMs - staleSinceMs < STORE_GRACE_MS || nowMs < nextPullMs) {
+    if (nowMs - staleSinceMs < graceMs(sheet) || nowMs < nextPullMs) {
       return;
     }
     nextPullMs = nowMs + PULL_RETRY_MS;
-    List<Member> holders =
-        context.membership().livePeers().stream()
-            .filter(member -> peers.containsKey(member.daemonId()))
+    List<String> holders =
+        peers.entrySet().stream()
             .filter(
-                member ->
-                    sheet && peers.get(member.daemonId()).hasNewerSheet(context)
-                        || targets && peers.get(member.daemonId()).hasNewerTargets(context))
+                peer ->
+                    sheet && peer.getValue().hasNewerSheetThan(own)
+                        || !sheet && peer.getValue().hasNewerTargetsThan(own))
+            .map(Map.Entry::getKey)
+            .sorted()
             .toList();
-    if (holders.isEmpty()) {
-      return;
-    }
-    Member holder = holders.get((int) Long.remainderUnsigned(context.randomLong(), holders.size()));
+    String holder = holders.get((int) Long.remainderUnsigned(context.randomLong(), holders.size()));
     context.logDecision(
-        "pull",
-        "",
-        "",
-        "",
-        "from=" + holder.daemonId() + " sheet=" + sheet + " targets=" + targets);
+        "pull", "", "", "", "from=" + holder + " sheet=" + sheet + " targets=" + targets);
     context
-        .effects()
-        .add(new DispatchEffect.PullState(holder.daemonId(), holder.address(), sheet, targets));
+        .membership()
+        .find(holder)
+        .map(Member::address)
+        .ifPresent(
+            address ->
+                context
+                    .effects()
+                    .add(new DispatchEffect.PullState(holder, address, sheet, targets)));
   }
 
-  private record PeerState(long sheetRevision, long targetsRevision) {
-
-    private boolean hasNewerSheet(DispatchContext context) {
-      return sheetRevision > context.sheetRevision();
-    }
-
-    private boolean hasNewerTargets(DispatchContext context) {
-      return targetsRevision > context.targets().revision();
+  /** Returns how long to wait for news: a sheet is only announced, but targets are passed on. */
+  private long graceMs(boolean sheet) {
+    if (!follow.reliesOnReaders()) {
+      return STORE_GRACE_MS;
     }
+    return sheet ? 0 : NEWS_GRACE_MS;
   }
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
@@ -6,6 +6,9 @@
 import org.sequoiareach.decision.membership.RendezvousOwnership;
 import org.sequoiareach.model.route.EngineTraits;
 import org.sequoiareach.model.route.RoutedTarget;
+import org.sequoiareach.model.route.StorePosition;
+import org.sequoiareach.model.route.TargetDelta;
+import org.sequoiareach.model.route.TargetUpdate;
 
 /** Handles changes of the targets and requests reports from engines. Not thread-safe. */
 final class TargetHandler {
@@ -56,6 +59,7 @@
               + listed.targets().size()
               + " from="
               + listed.source());
+      noticeRestore(nowMs, listed.revision());
       applyChange(nowMs, targets.replaceAll(nowMs, listed.revision(), listed.targets()));
     } else if (event instanceof DispatchEvent.TargetChanged changed) {
       logTarget("target-changed", changed.target(), changed.revision());
@@ -85,6 +89,34 @@
     }
   }
 
+  /** Applies changes of targets, whether they come from the store or another daemon. */
+  void apply(long nowMs, TargetDelta delta) {
+    noticeRestore(nowMs, delta.revision());
+    for (TargetUpdate update : delta.updates()) {
+      apply(toEvent(nowMs, update));
+    }
+  }
+
+  static DispatchEvent toEvent(long nowMs, TargetUpdate update) {
+    return update
+        .target()
+        .<DispatchEvent>map(
+            target -> new DispatchEvent.TargetChanged(nowMs, update.revision(), target))
+        .orElseGet(
+            () -> new DispatchEvent.TargetRemoved(nowMs, update.revision(), update.targetId()));
+  }
+
+  /** Notices from a position of a later era that the store was restored from an older copy. */
+  private void noticeRestore(long nowMs, long position) {
+    long known = context.targets().revision();
+    if (known == 0 || StorePosition.eraOf(position) <= StorePosition.eraOf(known)) {
+      return;
+    }
+    apply(
+        new DispatchEvent.StoreRestored(
+            nowMs, StorePosition.format(known), StorePosition.format(position)));
+  }
+
   void tick(long nowMs) {
     context.targetUse().expirePeers(nowMs);
     context.targets().expire(nowMs, this::isUsed).forEach(target -> handleLeaving(nowMs, target));
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/OutcomeTracker.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/OutcomeTracker.java
@@ -69,6 +69,35 @@
         .toList();
   }
 
+  /**
+   * Forgets what all daemons but one have reported.
+   *
+   * @param daemonId the identifier of the daemon
+   */
+  public void retainPeer(String daemonId) {
+    peers.keySet().removeIf(id -> !id.equals(daemonId));
+  }
+
+  /**
+   * Adds up the recent outcomes of the targets that failed, of this daemon and a part of the
+   * others.
+   *
+   * @param nowMs the current time
+   * @param included selects the daemons whose reports are included
+   * @return the outcomes by target
+   */
+  public Map<String, TargetOutcomes> sumOfFailing(long nowMs, Predicate<String> included) {
+    Map<String, TargetOutcomes> sum = localFailing(nowMs);
+    peers.forEach(
+        (daemonId, report) -> {
+          if (included.test(daemonId) && nowMs - report.receivedAtMs <= REPORT_TTL_MS) {
+            report.outcomes.forEach(
+                (targetId, outcomes) -> sum.merge(targetId, outcomes, TargetOutcomes::plus));
+          }
+        });
+    return sum;
+  }
+
   /**
    * Returns the recent outcomes of a target, as seen by all daemons.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetTable.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetTable.java
@@ -88,6 +88,27 @@
     storeUnreachable = !reachable;
   }
 
+  /**
+   * Records when the store was reachable again for another daemon.
+   *
+   * @param recoveredMs the time in milliseconds
+   */
+  public void recordStoreRecovery(long recoveredMs) {
+    storeRecoveredMs = Math.max(storeRecoveredMs, recoveredMs);
+  }
+
+  /**
+   * Returns the time since the store was reachable again, while entries that expired in its outage
+   * may still be missing.
+   *
+   * @param nowMs the current time
+   * @return the time in milliseconds; empty if it was longer ago or never
+   */
+  public Optional<Long> recoveredAgoMs(long nowMs) {
+    long agoMs = nowMs - storeRecoveredMs;
+    return agoMs < RECOVERY_MS ? Optional.of(Math.max(0, agoMs)) : Optional.empty();
+  }
+
   /**
    * Records that the store was restored from an older copy. Its next list may lack new targets,
    * which write their entries again, and may contain targets that are gone, which stay unavailable.
@@ -134,6 +155,7 @@
       return Change.NONE;
     }
     listReceived = true;
+    revision = Math.max(revision, atRevision);
     Set<String> ids = new HashSet<>();
     listed.forEach(target -> ids.add(target.id()));
     List<RoutedTarget> leaving = new ArrayList<>();
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetUseTracker.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetUseTracker.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.route.TargetUse;
 
@@ -83,6 +84,36 @@
     uses.forEach((targetId, use) -> peerTotals.merge(targetId, use, TargetUse::plus));
   }
 
+  /**
+   * Replaces the reported use of targets by all other daemons.
+   *
+   * @param nowMs the current time
+   * @param daemonId the identifier of the daemon that added it up
+   * @param uses the use by target identifier; targets that are missing have none
+   */
+  public void updateAllPeers(long nowMs, String daemonId, Map<String, TargetUse> uses) {
+    peerReports.clear();
+    peerTotals.clear();
+    updatePeer(nowMs, daemonId, uses);
+  }
+
+  /**
+   * Adds up the use of targets by this daemon and by a part of the others.
+   *
+   * @param included selects the daemons whose reports are included
+   * @return the use by target identifier, without targets that have none
+   */
+  public Map<String, TargetUse> sumOf(Predicate<String> included) {
+    Map<String, TargetUse> sum = localUses();
+    peerReports.forEach(
+        (daemonId, report) -> {
+          if (included.test(daemonId)) {
+            report.uses.forEach((targetId, use) -> sum.merge(targetId, use, TargetUse::plus));
+          }
+        });
+    return sum;
+  }
+
   /**
    * Removes expired reports of other daemons.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipReducer.java
@@ -130,6 +130,16 @@
         .toList();
   }
 
+  /**
+   * Returns whether an identity is that of another daemon that is not considered dead.
+   *
+   * @param daemonId the identity of the daemon
+   * @return true if the daemon is known and may be alive
+   */
+  public boolean isLivePeer(String daemonId) {
+    return table.find(daemonId).filter(member -> member.state() != MemberState.DEAD).isPresent();
+  }
+
   /**
    * Returns whether an identity is that of the local daemon.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipView.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipView.java
@@ -16,7 +16,7 @@
     owners = List.copyOf(owners);
   }
 
-  /** Returns this view if endpoints and addresses are unchanged, else the next version. */
+  /** Returns this view if identities, addresses and zones are unchanged, else the next version. */
   MembershipView withOwners(List<Member> newOwners) {
     return endpoints(newOwners).equals(endpoints(owners))
         ? this
@@ -24,6 +24,8 @@
   }
 
   private static List<String> endpoints(List<Member> members) {
-    return members.stream().map(member -> member.daemonId() + "@" + member.address()).toList();
+    return members.stream()
+        .map(member -> member.daemonId() + "@" + member.address() + "/" + member.zone())
+        .toList();
   }
 }
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/AbstractFleet.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/AbstractFleet.java
@@ -50,6 +50,14 @@
   /** Performs an effect that is not a message about state or membership. */
   abstract void perform(Daemon daemon, Effect effect);
 
+  /** Returns the time within which a change in the store has to be in force. */
+  long changeBoundMs() {
+    return 2_000;
+  }
+
+  /** Observes that a daemon tells its state to another one. */
+  void onStateTold(Daemon daemon, DispatchEffect.TellPeer tell) {}
+
   final VirtualClock clock() {
     return clock;
   }
@@ -134,7 +142,7 @@
       this.zone = "z" + number % 3;
       this.reducer =
           new DispatchReducer(
-              new DispatchSettings(zone, number, 0.2, 10_000, 52, 3_500),
+              new DispatchSettings(zone, number, 0.2, 10_000, 52, 3_500, changeBoundMs()),
               new MembershipSettings(id, id, zone, clock.nowMs(), number));
     }
 
@@ -162,6 +170,18 @@
       return id;
     }
 
+    int number() {
+      return number;
+    }
+
+    boolean isAlive() {
+      return alive;
+    }
+
+    boolean isFrozen() {
+      return clock.nowMs() < frozenUntilMs;
+    }
+
     String zone() {
       return zone;
     }
@@ -188,6 +208,7 @@
 
     private void perform(Effect effect) {
       if (effect instanceof DispatchEffect.TellPeer tell) {
+        onStateTold(this, tell);
         deliver(
             tell.daemonId(),
             at ->
@@ -198,7 +219,9 @@
                     tell.targetsRevision(),
                     tell.uses(),
                     tell.leaving(),
-                    tell.outcomes()));
+                    tell.outcomes(),
+                    tell.sheetVersion(),
+                    tell.sum()));
         return;
       }
       AbstractFleet.this.perform(this, effect);
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFixture.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFixture.java
@@ -41,7 +41,7 @@
   DispatchFixture() {
     this.reducer =
         new DispatchReducer(
-            new DispatchSettings("z0", 7, 0.2, 10_000, 52, 3_500),
+            new DispatchSettings("z0", 7, 0.2, 10_000, 52, 3_500, 2_000),
             new MembershipSettings("10.0.0.1:1", "10.0.0.1:1", "z0", 1, 7));
   }
 
@@ -129,6 +129,22 @@
     return callId;
   }
 
+  /** Creates a request for a generation with a prompt of 3,000 tokens. */
+  static DispatchEvent.CallArrived generation(long nowMs, String callId, String key) {
+    return new DispatchEvent.CallArrived(
+        nowMs,
+        callId,
+        new CallProfile(
+            "r-" + callId,
+            HOST,
+            "/draft/1",
+            Optional.of(key),
+            nowMs,
+            nowMs + 39_000,
+            Optional.of(new GenerationDemand("m", 3_000, 500, OptionalLong.empty(), List.of()))),
+        Optional.empty());
+  }
+
   String generate(long promptTokens, long maxOutput) {
     return generate("draft", promptTokens, maxOutput);
   }
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchMeasurement.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchMeasurement.java
@@ -23,7 +23,7 @@
 
   private final DispatchReducer reducer =
       new DispatchReducer(
-          new DispatchSettings("z0", 7, 0.2, 10_000, 52, 3_500),
+          new DispatchSettings("z0", 7, 0.2, 10_000, 52, 3_500, 2_000),
           new MembershipSettings("10.0.0.1:1", "10.0.0.1:1", "z0", 1, 7));
   private final int engines;
   private final int peers;
@@ -79,7 +79,8 @@
         uses.put(DispatchFixture.ENGINES + (peer * 7 + i) % engines, new TargetUse(1, 500, 3_000));
       }
       reducer.apply(
-          new DispatchEvent.PeerStateTold(nowMs, "peer" + peer, 1, 10, uses, List.of(), Map.of()));
+          new DispatchEvent.PeerStateTold(
+              nowMs, "peer" + peer, 1, 10, uses, List.of(), Map.of(), 1, false));
     }
   }
 
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
@@ -313,7 +313,9 @@
                   "engines1", new TargetUse(1, 3_000, 4_000),
                   "engines2", new TargetUse(1, 3_000, 4_000)),
               List.of(),
-              Map.of()));
+              Map.of(),
+              1,
+              false));
     }
 
     assertThat(fixture.lastSend(fixture.generate(3_000, 500)).target().id()).isEqualTo("engines3");
@@ -339,7 +341,7 @@
     joinPeer();
     fixture.apply(
         new DispatchEvent.PeerStateTold(
-            fixture.nowMs(), "10.0.0.2:1", 8, 10, Map.of(), List.of(), Map.of()));
+            fixture.nowMs(), "10.0.0.2:1", 8, 10, Map.of(), List.of(), Map.of(), 8, false));
     fixture.tick(100);
     assertThat(fixture.all(DispatchEffect.PullState.class)).isEmpty();
     fixture.tick(400);
@@ -371,7 +373,7 @@
     String engine = fixture.lastSend(call).target().id();
     fixture.apply(
         new DispatchEvent.PeerStateTold(
-            fixture.nowMs(), "10.0.0.2:1", 1, 10, Map.of(), List.of(engine), Map.of()));
+            fixture.nowMs(), "10.0.0.2:1", 1, 10, Map.of(), List.of(engine), Map.of(), 1, false));
 
     assertThat(fixture.copies(call)).hasSize(1);
   }
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/GreyTargetTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/GreyTargetTest.java
@@ -153,7 +153,15 @@
           DispatchFixture daemon = daemons.get(to);
           daemon.apply(
               new DispatchEvent.PeerStateTold(
-                  daemon.nowMs(), "d" + from, 1, 10, Map.of(), List.of(), told.get(from)));
+                  daemon.nowMs(),
+                  "d" + from,
+                  1,
+                  10,
+                  Map.of(),
+                  List.of(),
+                  told.get(from),
+                  1,
+                  false));
         }
       }
     }
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/session/DispatchSessionTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/session/DispatchSessionTest.java
@@ -25,7 +25,7 @@
   void producesRecordedEffects(String session) throws IOException {
     DispatchReducer reducer =
         new DispatchReducer(
-            new DispatchSettings("z0", 7, 0.2, 10_000, 52, 3_500),
+            new DispatchSettings("z0", 7, 0.2, 10_000, 52, 3_500, 2_000),
             new MembershipSettings("10.0.0.1:1", "10.0.0.1:1", "z0", 1, 7));
     GoldenSession.check("dispatch/" + session, reducer::apply);
   }
--- a/sequoiareach-model/src/main/java/org/sequoiareach/model/route/StorePosition.java
+++ b/sequoiareach-model/src/main/java/org/sequoiareach/model/route/StorePosition.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.store.prefix;
+package org.sequoiareach.model.route;
 
 import org.sequoiareach.model.Check;
 
--- a/sequoiareach-model/src/test/java/org/sequoiareach/model/route/StorePositionTest.java
+++ b/sequoiareach-model/src/test/java/org/sequoiareach/model/route/StorePositionTest.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.store.prefix;
+package org.sequoiareach.model.route;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerCodec.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerCodec.java
@@ -15,6 +15,11 @@
 import org.sequoiareach.model.platform.TargetHint;
 import org.sequoiareach.model.request.Outcome;
 import org.sequoiareach.model.request.RequestSpec;
+import org.sequoiareach.model.route.StoreHoldings;
+import org.sequoiareach.model.route.StoreNews;
+import org.sequoiareach.model.route.StoreReading;
+import org.sequoiareach.model.route.TargetDelta;
+import org.sequoiareach.model.route.TargetUpdate;
 import org.sequoiareach.model.route.TargetUse;
 import org.sequoiareach.model.sheet.SheetDigest;
 import org.sequoiareach.model.sheet.SheetManifest;
@@ -36,6 +41,11 @@
           SheetDigest.class,
           SheetStatus.class,
           SheetManifest.class,
+          StoreHoldings.class,
+          StoreNews.class,
+          StoreReading.class,
+          TargetDelta.class,
+          TargetUpdate.class,
           TargetUse.class);
 
   private static final ObjectMapper MAPPER = createMapper();
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerMessage.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerMessage.java
@@ -33,6 +33,7 @@
   @JsonSubTypes.Type(value = StateMessage.StateAnnouncement.class, name = "40"),
   @JsonSubTypes.Type(value = StateMessage.StatePull.class, name = "41"),
   @JsonSubTypes.Type(value = StateMessage.StateSnapshot.class, name = "42"),
+  @JsonSubTypes.Type(value = StateMessage.StoreNewsAnnouncement.class, name = "43"),
   @JsonSubTypes.Type(value = LimitMessage.LimitsAnnouncement.class, name = "50"),
   @JsonSubTypes.Type(value = LimitMessage.ShareLoan.class, name = "51"),
   @JsonSubTypes.Type(value = LimitMessage.PermitRequest.class, name = "52"),
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/StateMessage.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/StateMessage.java
@@ -6,6 +6,7 @@
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.model.route.RoutingSheet;
+import org.sequoiareach.model.route.StoreNews;
 import org.sequoiareach.model.route.TargetOutcomes;
 import org.sequoiareach.model.route.TargetUse;
 
@@ -23,13 +24,17 @@
    * @param uses the sender's use of each target, by target identity
    * @param leaving the identities of targets that the sender recently saw leaving
    * @param outcomes the sender's recent outcomes of the targets that failed, by target identity
+   * @param sheetVersion the version of the sender's sheet; 0 if it has none
+   * @param sum whether uses and outcomes are those of all daemons but the receiver
    */
   record StateAnnouncement(
       long sheetRevision,
       long targetsRevision,
       Map<String, TargetUse> uses,
       List<String> leaving,
-      Map<String, TargetOutcomes> outcomes)
+      Map<String, TargetOutcomes> outcomes,
+      long sheetVersion,
+      boolean sum)
       implements StateMessage {
 
     /** Validates the components and copies the collections. */
@@ -42,6 +47,20 @@
     }
   }
 
+  /**
+   * Passes on what the sender learned of the store.
+   *
+   * @param sentMs when it was sent, in milliseconds of the sender's monotonic clock
+   * @param news what the sender learned
+   */
+  record StoreNewsAnnouncement(long sentMs, StoreNews news) implements StateMessage {
+
+    /** Validates the components. */
+    public StoreNewsAnnouncement {
+      Check.notNull(news, "news");
+    }
+  }
+
   /**
    * Requests the receiver's state.
    *
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixChanges.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixChanges.java
@@ -1,6 +1,7 @@
 package org.sequoiareach.store.prefix;
 
 import java.util.List;
+import org.sequoiareach.model.route.StorePosition;
 
 /**
  * The changes of keys under a prefix since an earlier revision.
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixEntry.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixEntry.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.sequoiareach.model.Check;
+import org.sequoiareach.model.route.StorePosition;
 
 /**
  * The write or the removal of one key.
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixListener.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixListener.java
@@ -18,4 +18,13 @@
    * @param changes the changes, in the order of their revisions
    */
   void onChanges(List<PrefixEntry> changes);
+
+  /**
+   * Invoked after {@link #onSnapshot} and {@link #onChanges}, and when a watch ended without
+   * changes.
+   *
+   * @param asOfMs a time at which the store held nothing newer than what was reported, in
+   *     milliseconds of {@code System.nanoTime()}
+   */
+  void onCurrent(long asOfMs);
 }
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixSnapshot.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixSnapshot.java
@@ -1,6 +1,7 @@
 package org.sequoiareach.store.prefix;
 
 import java.util.List;
+import org.sequoiareach.model.route.StorePosition;
 
 /**
  * All keys under a prefix, as read by one call.
--- a/sequoiareach-store/src/test/java/org/sequoiareach/store/prefix/FakePrefixStore.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/prefix/FakePrefixStore.java
@@ -43,4 +43,9 @@
     assertThat(call.description).isEqualTo(description);
     return call;
   }
+
+  /** Returns whether a call was made that the test has not received yet. */
+  boolean hasCall() {
+    return !calls.isEmpty();
+  }
 }
--- a/sequoiareach-store/src/test/java/org/sequoiareach/store/prefix/PrefixWatcherTest.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/prefix/PrefixWatcherTest.java
@@ -3,27 +3,34 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.sequoiareach.model.route.StorePosition;
 import org.sequoiareach.store.prefix.PrefixStoreException.Kind;
+import org.sequoiareach.store.time.MonotonicClock;
 
 class PrefixWatcherTest {
 
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
   private final FakePrefixStore store = new FakePrefixStore();
   private final RecordingListener listener = new RecordingListener();
+  private PrefixWatcher watcher;
 
   @BeforeEach
   void start() {
-    new PrefixWatcher(store, "p/", 1_000, timer, listener).start();
+    watcher = new PrefixWatcher(store, "p/", timer, listener);
+    watcher.watch(1_000);
   }
 
   @AfterEach
@@ -86,14 +93,82 @@
     assertThat(listener.reachability).containsExactly(false, true);
   }
 
+  /** The response of the abandoned watch may be old by then, and must not be taken for the read. */
+  @Test
+  void abandonsPendingWatchForSingleRead() throws InterruptedException {
+    store.next("read").complete(new PrefixSnapshot(List.of(), 7));
+    final FakePrefixStore.Call watch = store.nextCall("watch 7");
+
+    watcher.readOnce();
+    CompletableFuture<Object> read = store.next("read");
+    watch.answer().complete(new PrefixChanges(List.of(entry("p/b", 9)), 9));
+    read.complete(new PrefixSnapshot(List.of(entry("p/c", 12)), 12));
+
+    await(() -> listener.events.size() == 2);
+    assertThat(listener.events).containsExactly("snapshot", "snapshot p/c");
+    assertThat(store.hasCall()).isFalse();
+  }
+
+  @Test
+  void makesNoFurtherCallAfterStop() throws InterruptedException {
+    store.next("read").complete(new PrefixSnapshot(List.of(), 7));
+    FakePrefixStore.Call watch = store.nextCall("watch 7");
+
+    watcher.stop();
+    watch.answer().complete(new PrefixChanges(List.of(entry("p/b", 9)), 9));
+
+    await(() -> listener.events.size() == 2);
+    assertThat(listener.events).containsExactly("snapshot", "change p/b");
+    assertThat(store.hasCall()).isFalse();
+  }
+
+  @Test
+  void doesNotRepeatSingleReadThatFailed() throws InterruptedException {
+    store
+        .next("read")
+        .completeExceptionally(new PrefixStoreException(Kind.UNAVAILABLE, "503", null));
+    watcher.readOnce();
+    await(() -> !listener.reachability.isEmpty());
+
+    store
+        .next("read")
+        .completeExceptionally(new PrefixStoreException(Kind.UNAVAILABLE, "503", null));
+
+    await(() -> listener.reachability.size() == 2);
+    assertThat(store.hasCall()).isFalse();
+  }
+
+  /** A change is reported as it is sent, but the store may have been asked long before. */
+  @Test
+  void reportsStartOfWatchAsTimeOfItsChanges() throws InterruptedException {
+    store.next("read").complete(new PrefixSnapshot(List.of(), 7));
+    FakePrefixStore.Call watch = store.nextCall("watch 7");
+    final long watchedMs = MonotonicClock.nowMs();
+    TimeUnit.MILLISECONDS.sleep(50);
+
+    watch.answer().complete(new PrefixChanges(List.of(entry("p/b", 9)), 9));
+
+    await(() -> listener.currentMs.size() == 2);
+    assertThat(listener.currentMs.get(1)).isLessThanOrEqualTo(watchedMs);
+  }
+
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    long deadlineMs = MonotonicClock.nowMs() + 5_000;
+    while (!condition.getAsBoolean()) {
+      assertThat(MonotonicClock.nowMs()).as("time while waiting").isLessThan(deadlineMs);
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+  }
+
   private static PrefixEntry entry(String key, long revision) {
     return new PrefixEntry(key, revision, Optional.of("v".getBytes(StandardCharsets.UTF_8)));
   }
 
   private static final class RecordingListener implements PrefixListener {
 
-    private final List<String> events = new ArrayList<>();
-    private final List<Boolean> reachability = new ArrayList<>();
+    private final List<String> events = new CopyOnWriteArrayList<>();
+    private final List<Boolean> reachability = new CopyOnWriteArrayList<>();
+    private final List<Long> currentMs = new CopyOnWriteArrayList<>();
 
     @Override
     public void onSnapshot(PrefixSnapshot snapshot) {
@@ -107,6 +182,11 @@
       changes.forEach(entry -> events.add("change " + entry.key()));
     }
 
+    @Override
+    public void onCurrent(long asOfMs) {
+      currentMs.add(asOfMs);
+    }
+
     @Override
     public void onCallCompleted(boolean reachable, String detail) {
       reachability.add(reachable);
