Tell others how many daemons were seen alive

Cause: a daemon that knows less than half of 84 daemons six seconds after the start takes two connections in place of one. Change: daemons tell the highest number of daemons that they have seen, and relays pass it on to all, so that shares of limits and budgets fit the fleet before the membership is complete.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/PeerStateBridge.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/PeerStateBridge.java
@@ -37,7 +37,8 @@
               tell.leaving(),
               tell.outcomes(),
               tell.sheetVersion(),
-              tell.sum()));
+              tell.sum(),
+              tell.daemons()));
     } else if (effect instanceof DispatchEffect.TellStoreNews tell) {
       sender.send(
           tell.daemonId(),
@@ -73,7 +74,8 @@
               announced.leaving(),
               announced.outcomes(),
               announced.sheetVersion(),
-              announced.sum()));
+              announced.sum(),
+              announced.daemons()));
     } else if (message instanceof StateMessage.StoreNewsAnnouncement told) {
       events.post(new DispatchEvent.StoreNewsTold(nowMs, fromDaemon, told.sentMs(), told.news()));
     } else if (message instanceof StateMessage.StatePull pull) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
@@ -131,7 +131,12 @@
     return random.nextLong(min, max + 1);
   }
 
-  /** Returns the highest number of daemons ever seen alive at once, including this one. */
+  /** Records how many daemons another one has seen, which may know more of the fleet. */
+  void recordDaemons(int seen) {
+    maxDaemons = Math.max(maxDaemons, seen);
+  }
+
+  /** Returns the highest number of daemons ever seen alive at once, by this daemon or others. */
   int maxDaemons() {
     maxDaemons = Math.max(maxDaemons, membership.view().owners().size());
     return maxDaemons;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
@@ -287,7 +287,8 @@
       List<String> leaving,
       Map<String, TargetOutcomes> outcomes,
       long sheetVersion,
-      boolean sum)
+      boolean sum,
+      int daemons)
       implements DispatchEffect {}
 
   /**
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -412,7 +412,8 @@
       List<String> leaving,
       Map<String, TargetOutcomes> outcomes,
       long sheetVersion,
-      boolean sum)
+      boolean sum,
+      int daemons)
       implements DispatchEvent {
 
     /** Copies the outcomes; recorded sessions may lack them. */
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PeerSyncHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PeerSyncHandler.java
@@ -98,6 +98,7 @@
    */
   boolean onPeerStateTold(DispatchEvent.PeerStateTold event) {
     rememberHoldings(event);
+    context.recordDaemons(event.daemons());
     if (event.sum()) {
       relays.onSumHeard(event.nowMs(), event.daemonId());
       if (relays.isSelf()) {
@@ -236,7 +237,8 @@
                 lastLeaving,
                 outcomes,
                 context.sheetVersion(),
-                sum));
+                sum,
+                context.maxDaemons()));
   }
 
   /** Asks a random daemon with newer state, if what it holds does not arrive by itself. */
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/StateMessage.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/StateMessage.java
@@ -26,6 +26,7 @@
    * @param outcomes the sender's recent outcomes of the targets that failed, by target identity
    * @param sheetVersion the version of the sender's sheet; 0 if it has none
    * @param sum whether uses and outcomes are those of all daemons but the receiver
+   * @param daemons the highest number of daemons that the sender has seen alive at once
    */
   record StateAnnouncement(
       long sheetRevision,
@@ -34,7 +35,8 @@
       List<String> leaving,
       Map<String, TargetOutcomes> outcomes,
       long sheetVersion,
-      boolean sum)
+      boolean sum,
+      int daemons)
       implements StateMessage {
 
     /** Validates the components and copies the collections. */
