Draw among engines of about the same delay in a large fleet

Load: many daemons place long prompts on the sums that relays tell. CrowdingTest plays it: 95 daemons, 42 engines, prompts of 214 ms. At 16 and 40 prompts a second the mean wait behind others was 99 and 251 ms (37 and 58 % of the prompts waited); the second broke the test's bound of a tenth of the aim. Cause: each daemon took the one best engine, and ties were broken by the exclusive or of a draw with the hash of the identity, which prefers some identities. Change: in a fleet of more than 17 daemons the choice is drawn, evenly, among the engines within 32 ms of the best; smaller fleets draw evenly among equals. After, in trials of 24, 40 and 64 ms: 8.7, 9.8 and 8.4 ms at 16 a second, 39, 22 and 27 ms at 40; with six daemons 17 ms before and 10 ms after. Drawing by the exclusive or among those within 40 ms gave 31 and 72 ms.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallPlacement.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallPlacement.java
@@ -100,7 +100,8 @@
     Optional<GenerationDemand> demand = call.profile().generation();
     PlacementStrategy strategy =
         demand.isPresent()
-            ? new PrefillPlacement(durations.getEstimator(call.service()))
+            ? new PrefillPlacement(
+                durations.getEstimator(call.service()), context.placementToleranceMs())
             : serviceStrategy;
     return strategy.choose(demand, candidates, context.randomLong());
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
@@ -40,6 +40,9 @@
    */
   private static final long LEAVING_REPORT_MS = 3_000;
 
+  /** The delay of a few calls in progress, far below that of one prompt to read. */
+  private static final double LARGE_FLEET_TOLERANCE_MS = 32;
+
   private final MembershipReducer membership;
   private final SplittableRandom random;
   private final DispatchReducer.EffectList effects = new DispatchReducer.EffectList();
@@ -131,6 +134,14 @@
     return random.nextLong(min, max + 1);
   }
 
+  /**
+   * Returns the difference of delays that counts for nothing in the placing of a call. In a large
+   * fleet many daemons decide on the same sums before they know of each other's choices.
+   */
+  double placementToleranceMs() {
+    return maxDaemons() > ZoneRelays.MAX_DIRECT_PEERS + 1 ? LARGE_FLEET_TOLERANCE_MS : 0;
+  }
+
   /** Records how many daemons another one has seen, which may know more of the fleet. */
   void recordDaemons(int seen) {
     maxDaemons = Math.max(maxDaemons, seen);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PrefillPlacement.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PrefillPlacement.java
@@ -1,7 +1,9 @@
 package org.sequoiareach.decision.dispatch;
 
-import java.util.Comparator;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.sequoiareach.model.route.EngineTraits;
 
@@ -48,19 +50,43 @@
   private static final long SHORT_DECODE_MS = 1_800;
 
   private final RunDurationEstimator durations;
+  private final double toleranceMs;
 
   /** Creates a strategy for a service whose engines have the observed durations. */
   PrefillPlacement(RunDurationEstimator durations) {
+    this(durations, 0);
+  }
+
+  /**
+   * Creates a strategy that draws among engines of about the same delay.
+   *
+   * @param durations the observed durations of the engines
+   * @param toleranceMs how much longer than on the best engine the delay may be, in milliseconds:
+   *     daemons that decide at the same time on the same figures would all choose that one
+   */
+  PrefillPlacement(RunDurationEstimator durations, double toleranceMs) {
     this.durations = durations;
+    this.toleranceMs = toleranceMs;
   }
 
   @Override
   public Optional<Candidate> choose(
       Optional<GenerationDemand> demand, List<Candidate> candidates, long draw) {
-    Comparator<Candidate> order =
-        Comparator.comparingLong((Candidate candidate) -> estimateCostTokens(candidate, demand))
-            .thenComparingLong(candidate -> candidate.target().id().hashCode() ^ draw);
-    return candidates.stream().filter(candidate -> hasCapacity(candidate, demand)).min(order);
+    Map<Candidate, Long> costs = new LinkedHashMap<>();
+    candidates.stream()
+        .filter(candidate -> hasCapacity(candidate, demand))
+        .forEach(candidate -> costs.put(candidate, estimateCostTokens(candidate, demand)));
+    if (costs.isEmpty()) {
+      return Optional.empty();
+    }
+    long tolerated =
+        Collections.min(costs.values()) + Math.round(toleranceMs * durations.prefillTokensPerMs());
+    List<Candidate> best =
+        costs.entrySet().stream()
+            .filter(entry -> entry.getValue() <= tolerated)
+            .map(Map.Entry::getKey)
+            .toList();
+    return Optional.of(best.get((int) Long.remainderUnsigned(draw, best.size())));
   }
 
   private boolean hasCapacity(Candidate candidate, Optional<GenerationDemand> demand) {
