Read the store before the reducer decides on the access to it

Cause: the first read was ordered after the control loop had started; a daemon alone decides to watch at its first tick, and the late order 'read once' then ended that watch, while the reducer took it for going on. Ruled out: slowness, as the waits ended after 10 s without a call. Change: the first read is ordered before the loop starts, so that orders to the watchers come from one thread, in order.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
@@ -159,6 +159,9 @@
             binding.layout(),
             controlLoop,
             timer);
+    // Before the reducer decides on the access to the store, and so that the responses arrive while
+    // the servers are created.
+    storeWatcher.start();
     controlLoop.start(
         reducer,
         List.of(
@@ -173,8 +176,6 @@
             effect -> handleLocalEffect(effect, membership)));
     postSeedPeers();
     this.callerChannel = callerServer.accept(callerSocket);
-    // The responses of the store arrive while the remaining servers are created.
-    storeWatcher.start();
     servers.add(startReadinessServer());
     servers.add(startMetricsServer());
   }
