Let a relay tell its sums to daemons whose zone it does not know yet

Cause: a daemon known from the list of seeds only has a guessed zone until it answers a probe, so its relay took it for one of another zone and sent it no sums. Change: a relay tells its sums also to such a daemon if it reports; a daemon ignores sums from other zones.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PeerSyncHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PeerSyncHandler.java
@@ -100,8 +100,7 @@
     rememberHoldings(event);
     context.recordDaemons(event.daemons());
     if (event.sum()) {
-      relays.onSumHeard(event.nowMs(), event.daemonId());
-      if (relays.isSelf()) {
+      if (!relays.onSumHeard(event.nowMs(), event.daemonId()) || relays.isSelf()) {
         return false;
       }
       context.targetUse().updateAllPeers(event.nowMs(), event.daemonId(), event.uses());
@@ -203,10 +202,12 @@
   private void sendSums(long nowMs) {
     Set<String> zoneMembers = new HashSet<>();
     for (Member member : context.membership().livePeers()) {
-      if (!relays.isOfZone(member)) {
+      if (!relays.tellsSumsTo(member)) {
         continue;
       }
-      zoneMembers.add(member.daemonId());
+      if (relays.isOfZone(member)) {
+        zoneMembers.add(member.daemonId());
+      }
       Predicate<String> others = daemonId -> !daemonId.equals(member.daemonId());
       tell(
           member,
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ZoneRelays.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ZoneRelays.java
@@ -83,10 +83,24 @@
     return member.incarnation() > 0 && member.zone().equals(zone);
   }
 
-  /** Records that a daemon told the sum of all others. */
-  void onSumHeard(long nowMs, String daemonId) {
+  /** Returns whether a relay tells its sums to a daemon, which may turn out to be of its zone. */
+  boolean tellsSumsTo(Member member) {
+    return isOfZone(member)
+        || member.incarnation() == 0 && zoneSumHeardMs.containsKey(member.daemonId());
+  }
+
+  /**
+   * Records that a daemon told the sum of all others.
+   *
+   * @return false if the daemon is of another zone, and so not the relay of this one
+   */
+  boolean onSumHeard(long nowMs, String daemonId) {
+    if (membership.find(daemonId).filter(this::isOfZone).isEmpty()) {
+      return false;
+    }
     sumHeardMs.put(daemonId, nowMs);
     avoidedUntilMs.remove(daemonId);
+    return true;
   }
 
   /** Records that a daemon told its own use or, if it is of another zone, that of its zone. */
