--- a/sequoiareach-store/src/test/java/org/sequoiareach/store/prefix/PrefixWatcherTest.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/prefix/PrefixWatcherTest.java
@@ -127,8 +127,8 @@
     store
         .next("read")
         .completeExceptionally(new PrefixStoreException(Kind.UNAVAILABLE, "503", null));
-    watcher.readOnce();
     await(() -> !listener.reachability.isEmpty());
+    watcher.readOnce();
 
     store
         .next("read")
