--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/StoreFleet.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/StoreFleet.java
@@ -275,19 +275,7 @@
               access,
               number,
               () -> {
-                var sheet = DispatchFixture.sheet(version, KEY);
-                daemon.apply(
-                    at ->
-                        new DispatchEvent.SheetLearned(
-                            at,
-                            new RoutingSheet(
-                                versionRevision,
-                                version,
-                                sheet.routes(),
-                                sheet.services(),
-                                sheet.limits(),
-                                sheet.organisations()),
-                            "store"));
+                learnSheet(daemon, version, versionRevision);
                 daemon.apply(at -> new DispatchEvent.TargetsListed(at, position, listed, "store"));
                 access.position = position;
                 confirm(daemon, askedMs);
@@ -343,19 +331,7 @@
         number,
         () -> {
           if (sheetChanged) {
-            var sheet = DispatchFixture.sheet(version, KEY);
-            daemon.apply(
-                at ->
-                    new DispatchEvent.SheetLearned(
-                        at,
-                        new RoutingSheet(
-                            versionRevision,
-                            version,
-                            sheet.routes(),
-                            sheet.services(),
-                            sheet.limits(),
-                            sheet.organisations()),
-                        "store"));
+            learnSheet(daemon, version, versionRevision);
           }
           if (!updates.isEmpty()) {
             daemon.apply(
@@ -371,6 +347,19 @@
         });
   }
 
+  private static void learnSheet(Daemon daemon, long version, long position) {
+    RoutingSheet sheet = DispatchFixture.sheet(version, KEY);
+    RoutingSheet stored =
+        new RoutingSheet(
+            position,
+            version,
+            sheet.routes(),
+            sheet.services(),
+            sheet.limits(),
+            sheet.organisations());
+    daemon.apply(at -> new DispatchEvent.SheetLearned(at, stored, "store"));
+  }
+
   private void confirm(Daemon daemon, long asOfMs) {
     daemon.apply(at -> new DispatchEvent.StoreRead(at, true, asOfMs));
     daemon.apply(at -> new DispatchEvent.StoreRead(at, false, asOfMs));
