--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p review/target
-javac --release 17 -d review/target review/src/*.java
+javac --release 17 -d review/target review/java/*.java
--- a/review/src/Case.java
+++ b/review/java/Case.java
@@ -11,6 +11,9 @@
   static final int BROKEN = 1;
   static final int NOT_RUN = 2;
 
+  /** The time after which a case is given up; it may run for 120 seconds. */
+  private static final long TIMEOUT_MS = 110_000;
+
   final Recorder recorder;
   final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
   private final Path temporary;
@@ -25,6 +28,13 @@
   abstract boolean holds() throws Exception;
 
   final void runAndExit() {
+    Runtime.getRuntime().addShutdownHook(new Thread(this::closeAll));
+    Threads.start(
+        () -> {
+          Thread.sleep(TIMEOUT_MS);
+          recorder.log("the case did not end in time");
+          exit(NOT_RUN);
+        });
     int exit = NOT_RUN;
     try {
       exit = holds() ? HELD : BROKEN;
@@ -33,6 +43,16 @@
       recorder.log("the case could not run: %s", e);
       e.printStackTrace();
     }
+    exit(exit);
+  }
+
+  private void exit(int exit) {
+    closeAll();
+    deleteTemporary();
+    Runtime.getRuntime().halt(exit);
+  }
+
+  private synchronized void closeAll() {
     while (!opened.isEmpty()) {
       try {
         opened.pop().close();
@@ -40,11 +60,9 @@
         e.printStackTrace();
       }
     }
-    deleteTemporary();
-    Runtime.getRuntime().halt(exit);
   }
 
-  <T extends AutoCloseable> T open(T resource) {
+  synchronized <T extends AutoCloseable> T open(T resource) {
     opened.push(resource);
     return resource;
   }
