Take a connection out of its pool when this side closes it

Cause: the pool closed expired connections but forgot them only once the channel reported its end, and handed them out in between. The time for reuse started with the head of an answer, so each long stream left such a connection. A request of which nothing was written was taken for possibly run.

Change: a connection leaves its pool as it is closed, whatever closes it; an inactive one is never handed out. The time for reuse starts with the end of the answer, or with the last suspension of reading. An attempt whose head was not written is NOT_SENT, and on a kept connection goes on with another one.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -295,6 +295,19 @@
     onFailure(detail);
   }
 
+  @Override
+  public void onNotSent(String detail) {
+    if (done) {
+      return;
+    }
+    boolean reused = connection.filter(used -> used.sentRequests() > 1).isPresent();
+    connection = Optional.empty();
+    if (exchange.onNotSent(this, sendCall, reused, detail)) {
+      return;
+    }
+    fail(AttemptFault.NOT_SENT, 0, detail);
+  }
+
   /**
    * Ends the attempt as failed; what the caller receives is decided by the reducer.
    *
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -151,13 +151,44 @@
           AttemptFault.OUTDATED, 0, "not sent: an event without an id cannot be resumed after");
       return;
     }
+    connect(sendCall, next);
+  }
+
+  private void connect(DispatchEffect.SendCall sendCall, AttemptResponseHandler attempt) {
     context
         .connections()
         .acquire(
             sendCall.target(),
             requestId(),
             sendCall.maxConnections(),
-            (connection, problem) -> onConnected(sendCall, next, connection, problem));
+            (connection, problem) -> onConnected(sendCall, attempt, connection, problem));
+  }
+
+  /**
+   * Records that an attempt was not written, and sends it on another connection if its own had been
+   * kept from an earlier request: that such a connection has ended says nothing about the target.
+   *
+   * @return whether the attempt goes on
+   */
+  boolean onNotSent(
+      AttemptResponseHandler attempt,
+      DispatchEffect.SendCall sendCall,
+      boolean reused,
+      String detail) {
+    unprovenAttempts--;
+    context.metrics().meter("connections.closed-before-write").mark();
+    boolean current = currentAttempt.filter(latest -> latest == attempt).isPresent();
+    if (!reused || ended || !current) {
+      return false;
+    }
+    LOGGER.info(
+        "Sending attempt {} of request {} to {} on another connection: {}",
+        attempt.number(),
+        requestId(),
+        sendCall.target().id(),
+        detail);
+    connect(sendCall, attempt);
+    return true;
   }
 
   private void onConnected(
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/ResponseListener.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/ResponseListener.java
@@ -5,7 +5,7 @@
 
 /**
  * Receives the response to one request. Called on the event loop; {@link #onComplete}, {@link
- * #onFailure} or {@link #onDisconnected} is the last call.
+ * #onFailure}, {@link #onDisconnected} or {@link #onNotSent} is the last call.
  */
 public interface ResponseListener {
 
@@ -43,4 +43,12 @@
    * @param detail a description of the failure
    */
   void onDisconnected(String detail);
+
+  /**
+   * Called when the connection broke off before the request head was written, so that the target
+   * cannot have run the request.
+   *
+   * @param detail a description of the failure
+   */
+  void onNotSent(String detail);
 }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
@@ -24,6 +24,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
@@ -56,6 +57,7 @@
   private final Set<String> refusedRequests = new HashSet<>();
   private Channel channel;
   private Optional<ResponseListener> listener = Optional.empty();
+  private Optional<ChannelFuture> headWritten = Optional.empty();
   private Optional<ChannelFuture> written = Optional.empty();
   private ResponseFraming framing = ResponseFraming.CONNECTION;
   private boolean interimResponse;
@@ -66,6 +68,8 @@
   private boolean singleUse;
   private boolean headRequest;
   private long reusableUntilMs;
+  private long headReceivedMs;
+  private OptionalLong readSuspendedMs = OptionalLong.empty();
   private int sentRequests;
   private int interimResponses;
   private long unusedBytes;
@@ -93,18 +97,19 @@
     discarding = false;
     skipping = false;
     headReceived = false;
+    readSuspendedMs = OptionalLong.empty();
     interimResponses = 0;
     unusedBytes = 0;
     headRequest = HttpMethod.HEAD.equals(request.method());
     sentRequests++;
-    channel.write(request);
+    headWritten = Optional.of(channel.write(request));
     ChannelFuture write = channel.writeAndFlush(new DefaultLastHttpContent(body));
     written = Optional.of(write);
     write.addListener(
         ignored -> {
           if (!write.isSuccess()) {
             disconnect("the request was not written completely: " + write.cause());
-            channel.close();
+            close();
           }
         });
   }
@@ -128,7 +133,7 @@
   /** Closes the connection without notifying the listener. */
   public void abort() {
     listener = Optional.empty();
-    channel.close();
+    close();
   }
 
   /**
@@ -153,7 +158,7 @@
         .schedule(
             () -> {
               if (discarding && sentRequests == discardedRequest) {
-                channel.close();
+                close();
               }
             },
             Math.max(0, deadlineMs - MonotonicClock.nowMs()),
@@ -183,7 +188,9 @@
   }
 
   /**
-   * Sets the time up to which the connection may be reused after the response is complete.
+   * Sets the time up to which the connection may be reused if the response ends with its head. The
+   * target counts the idle time from the end of the response, so a body extends the time by as long
+   * as it takes.
    *
    * @param timeMs the time in milliseconds of the monotonic clock
    */
@@ -198,8 +205,12 @@
    * @param enabled whether to read
    */
   public void setReadEnabled(boolean enabled) {
-    if (listener.isPresent()) {
-      channel.config().setAutoRead(enabled);
+    if (listener.isEmpty()) {
+      return;
+    }
+    channel.config().setAutoRead(enabled);
+    if (!enabled) {
+      readSuspendedMs = OptionalLong.of(MonotonicClock.nowMs());
     }
   }
 
@@ -211,7 +222,9 @@
     return refusedRequests.contains(requestId);
   }
 
+  /** Closes the connection and removes it from its pool, so that no request is sent on it. */
   void close() {
+    pool.remove(this);
     channel.close();
   }
 
@@ -234,7 +247,7 @@
     try {
       if (!isResponseExpected()) {
         // Bytes that do not belong to any request.
-        channel.close();
+        close();
         return;
       }
       read((HttpObject) message);
@@ -245,7 +258,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
-    pool.onClosed(this);
+    pool.remove(this);
     disconnect("the target closed the connection before the response was complete");
   }
 
@@ -256,37 +269,38 @@
     } else {
       fail(String.valueOf(cause.getMessage()));
     }
-    channel.close();
+    close();
   }
 
   private void read(HttpObject message) {
     if (message.decoderResult().isFailure()) {
       failDecoding(message.decoderResult().cause());
-      channel.close();
+      close();
       return;
     }
     if (message instanceof HttpResponse response) {
       if (isJoinedHead(response)) {
         fail("the response is malformed: its head contains a second status line");
-        channel.close();
+        close();
         return;
       }
       Optional<String> coding = findUnsupportedCoding(response);
       if (coding.isPresent()) {
         fail("the transfer coding '" + coding.get() + "' of the response is not supported");
-        channel.close();
+        close();
         return;
       }
       interimResponse = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
       if (interimResponse && ++interimResponses > MAX_INTERIM_RESPONSES) {
         fail("more than " + MAX_INTERIM_RESPONSES + " interim responses were received");
-        channel.close();
+        close();
         return;
       }
       if (!interimResponse) {
         framing = headRequest ? ResponseFraming.LENGTH : ResponseFraming.of(response);
         reusable = HttpUtil.isKeepAlive(response) && framing != ResponseFraming.CONNECTION;
         headReceived = true;
+        headReceivedMs = MonotonicClock.nowMs();
         listener.ifPresent(responseListener -> responseListener.onHead(response));
       }
     }
@@ -297,7 +311,7 @@
       unusedBytes += part.content().readableBytes();
       if (unusedBytes > MAX_UNUSED_BYTES) {
         fail("a response that is not used is longer than " + MAX_UNUSED_BYTES + " bytes");
-        channel.close();
+        close();
         return;
       }
     }
@@ -323,6 +337,9 @@
     listener = Optional.empty();
     discarding = false;
     channel.config().setAutoRead(true);
+    // A response that was not read for a while may have ended since then.
+    long idleSinceMs = readSuspendedMs.orElseGet(MonotonicClock::nowMs);
+    reusableUntilMs += Math.max(0, idleSinceMs - headReceivedMs);
     boolean requestWritten = written.filter(ChannelFuture::isSuccess).isPresent();
     if (reusable
         && !singleUse
@@ -331,7 +348,7 @@
         && channel.isActive()) {
       pool.release(this);
     } else {
-      channel.close();
+      close();
     }
     ended.ifPresent(responseListener -> responseListener.onComplete(framing));
   }
@@ -348,8 +365,18 @@
     }
   }
 
+  /** Reports a connection that broke off, and that is closed if it is not yet. */
   private void disconnect(String detail) {
-    takeListener().ifPresent(responseListener -> responseListener.onDisconnected(detail));
+    boolean sent = headWritten.filter(ChannelFuture::isSuccess).isPresent();
+    takeListener()
+        .ifPresent(
+            responseListener -> {
+              if (sent) {
+                responseListener.onDisconnected(detail);
+              } else {
+                responseListener.onNotSent(detail);
+              }
+            });
   }
 
   private Optional<ResponseListener> takeListener() {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnectionManager.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnectionManager.java
@@ -146,8 +146,7 @@
       RoutedTarget target,
       int maxConnections,
       BiConsumer<TargetConnection, IOException> done) {
-    if (pool.size() >= maxConnections) {
-      pool.closeOldestIdle();
+    if (!pool.makeRoom(maxConnections)) {
       done.accept(
           null,
           new IOException(
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnectionPool.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnectionPool.java
@@ -7,7 +7,10 @@
 import java.util.Set;
 import org.sequoiareach.store.time.MonotonicClock;
 
-/** The connections to one incarnation of a target. Not thread-safe; confined to the event loop. */
+/**
+ * The connections to one incarnation of a target. A connection leaves the pool as soon as this side
+ * closes it, before the channel reports so. Not thread-safe; confined to the event loop.
+ */
 final class TargetConnectionPool {
 
   private final Deque<TargetConnection> idle = new ArrayDeque<>();
@@ -27,9 +30,16 @@
     return usable;
   }
 
-  /** Closes the idle connection that was not used for the longest time, if there is one. */
-  void closeOldestIdle() {
-    Optional.ofNullable(idle.pollLast()).ifPresent(TargetConnection::close);
+  /**
+   * Closes idle connections, the least recently used first, until another one may be opened.
+   *
+   * @return whether another connection may be opened
+   */
+  boolean makeRoom(int maxConnections) {
+    while (size() >= maxConnections && !idle.isEmpty()) {
+      idle.peekLast().close();
+    }
+    return size() < maxConnections;
   }
 
   int size() {
@@ -57,7 +67,8 @@
     idle.addFirst(connection);
   }
 
-  void onClosed(TargetConnection connection) {
+  /** Removes a connection that was closed, or that the caller closes now. */
+  void remove(TargetConnection connection) {
     open.remove(connection);
     idle.remove(connection);
   }
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionReuseTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionReuseTest.java
@@ -19,6 +19,8 @@
 /** Tests which connections are reused and that they carry one request at a time. */
 class TargetConnectionReuseTest extends AbstractTargetConnectionTest {
 
+  private static final long REUSE_MS = 1_000;
+
   @Test
   void doesNotReuseConnectionWhoseRequestIsNotWrittenCompletely() throws Exception {
     RecordingListener listener = new RecordingListener();
@@ -205,6 +207,67 @@
     assertThat(taken).doesNotHaveDuplicates().contains(first, second);
   }
 
+  /** Guards against runs that are lost because their request was sent on a closed connection. */
+  @Test
+  void doesNotHandOutConnectionThatItClosesAsExpired() throws Exception {
+    TargetConnection connection = acquire();
+    exchange(connection, "GET");
+
+    onLoop(run(() -> connection.setReusableUntil(MonotonicClock.nowMs())));
+    TargetConnection next = acquire();
+
+    assertThat(next).isNotSameAs(connection);
+    startExchange(next, "GET", new RecordingListener());
+  }
+
+  /** Guards against connections that are given up, or believed lost, at the end of long answers. */
+  @ParameterizedTest
+  @CsvSource({"true, true", "false, false"})
+  void countsTimeForReuseFromTheLatestKnownEndOfTheResponse(boolean readAll, boolean reused)
+      throws Exception {
+    final RecordingListener listener = new RecordingListener();
+    TargetConnection connection = acquire();
+    listener.connection = connection;
+    listener.reuseMs = REUSE_MS;
+    final RawServer.Connection accepted = startExchange(connection, "GET", listener);
+    accepted.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no");
+    listener.awaitHead();
+
+    onLoop(run(() -> connection.setReadEnabled(readAll)));
+    TimeUnit.MILLISECONDS.sleep(REUSE_MS + ARRIVAL_MS);
+    onLoop(run(() -> connection.setReadEnabled(true)));
+    accepted.send("k");
+    assertThat(listener.await()).isEqualTo("complete");
+
+    assertThat(acquire() == connection).isEqualTo(reused);
+  }
+
+  /** Guards against attempts of which nothing was written and that are taken for possible runs. */
+  @Test
+  void reportsRequestOnClosedConnectionAsNotSent() throws Exception {
+    TargetConnection connection = acquire();
+    RecordingListener listener = new RecordingListener();
+
+    onLoop(run(connection::close));
+    send(connection, "POST", "x", listener);
+
+    assertThat(listener.await()).startsWith("not sent: ");
+  }
+
+  @Test
+  void freesPlaceOfConnectionAsSoonAsItIsClosed() throws Exception {
+    TargetConnection connection = acquire();
+
+    int left =
+        onLoop(
+            () -> {
+              connection.close();
+              return manager.connectionCount();
+            });
+
+    assertThat(left).isZero();
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"idle", "in use", "opening", "released"})
   void doesNotReuseConnectionOfRetiredTarget(String state) throws Exception {
