Admit a call in a drain only if its deadline lies before the stop

Cause: DrainAdmission took the mean duration of runs for a bound, and was asked about new streams only. Plain requests, second sends and requests that had waited for a permit were passed on whatever time was left.

Change: after the time in which callers cannot know of the drain, a call of any kind is admitted only if its deadline lies before the stop; each send of a call that has not run asks again. Refusals state when to come back.

Replaced, as they asserted the fault: admitsOnlyStreamsThatEndInTimeAfterDiscoveryTime and the columns of DrainAdmissionTest, now by deadlines and for all kinds. estimateMaxMs is gone; its assertions check estimateDecodeMs and estimateMs instead.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -95,14 +95,10 @@
     ActiveCall call = admit(event, resolution);
     calls.add(call);
     context.retryBudget(call.service()).recordRequest(event.nowMs());
-    Optional<Long> drainRetryAfterMs = findDrainRetryAfterMs(event.nowMs(), call);
     if (event.nowMs() >= call.deadlineMs()) {
       String message =
           "the deadline passed " + (event.nowMs() - call.deadlineMs()) + " ms before placement";
       calls.refuse(call, Reason.DEADLINE, message, 0);
-    } else if (drainRetryAfterMs.isPresent()) {
-      String message = "the daemon is draining and stops before the stream is expected to end";
-      calls.refuse(call, Reason.NOT_READY, message, drainRetryAfterMs.get());
     } else {
       place(event.nowMs(), call, "arrived", Optional.empty());
     }
@@ -246,6 +242,9 @@
 
   @Override
   public void onPermitStarted(long nowMs, PermitWait wait) {
+    if (refuseForDrain(nowMs, wait.call())) {
+      return;
+    }
     if (context.acceptsCalls(nowMs, wait.target().id())) {
       String inputs = wait.why() + " " + limits.describe(nowMs, wait.target());
       calls.send(nowMs, wait.call(), wait.target(), Optional.empty(), inputs);
@@ -288,21 +287,37 @@
         || fault == AttemptFault.NOBODY_THERE && context.targets().isStoreUnreachable();
   }
 
-  private Optional<Long> findDrainRetryAfterMs(long nowMs, ActiveCall call) {
-    Optional<DrainAdmission> drain = context.drain();
-    if (drain.isEmpty() || !call.route().kind().isStreaming()) {
-      return Optional.empty();
-    }
-    return demandOf(call)
-        .flatMap(
-            demand ->
-                drain
-                    .get()
-                    .findRetryAfter(
-                        nowMs,
-                        durationsOf(call).estimateMs(demand),
-                        durationsOf(call).estimateMaxMs(demand),
-                        context.zoneDaemonCounts()));
+  /**
+   * Refuses a call that the stop of this daemon might cut. A call that may have run goes on,
+   * because its caller could not repeat it.
+   *
+   * @return whether the call was refused
+   */
+  private boolean refuseForDrain(long nowMs, ActiveCall call) {
+    if (call.verdict() != Verdict.NOT_RUN) {
+      return false;
+    }
+    long expectedMs = demandOf(call).map(durationsOf(call)::estimateMs).orElse(0L);
+    Optional<Long> retryAfterMs =
+        context
+            .drain()
+            .flatMap(
+                drain ->
+                    drain.findRetryAfter(
+                        nowMs, nowMs + expectedMs, call.deadlineMs(), context.zoneDaemonCounts()));
+    if (retryAfterMs.isEmpty()) {
+      return false;
+    }
+    String message =
+        "the daemon is draining and may stop before the call ends: stopIn="
+            + (context.drain().get().endMs() - nowMs)
+            + "ms deadlineIn="
+            + (call.deadlineMs() - nowMs)
+            + "ms expected="
+            + expectedMs
+            + "ms";
+    calls.refuse(call, Reason.NOT_READY, message, retryAfterMs.get());
+    return true;
   }
 
   private ActiveCall admit(DispatchEvent.CallArrived event, CallResolution resolution) {
@@ -330,6 +345,9 @@
    */
   private void place(
       long nowMs, ActiveCall call, String why, Optional<DispatchEvent.AttemptFailed> failure) {
+    if (refuseForDrain(nowMs, call)) {
+      return;
+    }
     Optional<Quarantine> quarantine =
         call.isStarted() ? Optional.empty() : quarantines.findRefusal(nowMs, call);
     if (quarantine.isPresent()) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunDurationEstimator.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunDurationEstimator.java
@@ -47,11 +47,6 @@
     return estimatePrefillMs(demand) + estimateDecodeMs(demand);
   }
 
-  /** Estimates the duration of a run with the maximum output, in milliseconds. */
-  long estimateMaxMs(GenerationDemand demand) {
-    return estimatePrefillMs(demand) + decodeMs(demand.maxOutputTokens());
-  }
-
   /** Estimates the time from the first event of a run to its end, in milliseconds. */
   long estimateDecodeMs(GenerationDemand demand) {
     return decodeMs(demand.estimatedOutputTokens());
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFixture.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFixture.java
@@ -111,6 +111,10 @@
   }
 
   String call(String route, String key, Optional<GenerationDemand> demand) {
+    return call(route, key, demand, demand.isPresent() ? 39_000 : 1_500);
+  }
+
+  private String call(String route, String key, Optional<GenerationDemand> demand, long timeoutMs) {
     sequence++;
     String callId = "c" + sequence;
     apply(
@@ -123,7 +127,7 @@
                 "/" + route + "/1",
                 Optional.of(key),
                 nowMs,
-                nowMs + (demand.isPresent() ? 39_000 : 1_500),
+                nowMs + timeoutMs,
                 demand),
             Optional.empty()));
     return callId;
@@ -150,11 +154,22 @@
   }
 
   String generate(String route, long promptTokens, long maxOutput) {
-    return call(
-        route,
-        "k1",
-        Optional.of(
-            new GenerationDemand("m", promptTokens, maxOutput, OptionalLong.empty(), List.of())));
+    return call(route, "k1", demand(promptTokens, maxOutput));
+  }
+
+  /** Submits a generation whose caller waits for the given time. */
+  String generateWithin(long timeoutMs, long promptTokens, long maxOutput) {
+    return call("draft", "k1", demand(promptTokens, maxOutput), timeoutMs);
+  }
+
+  /** Submits a call whose caller waits for the given time. */
+  String callWithin(String route, long timeoutMs, boolean plain) {
+    return call(route, "k1", plain ? Optional.empty() : demand(100, 10), timeoutMs);
+  }
+
+  private static Optional<GenerationDemand> demand(long promptTokens, long maxOutput) {
+    return Optional.of(
+        new GenerationDemand("m", promptTokens, maxOutput, OptionalLong.empty(), List.of()));
   }
 
   void started(String callId) {
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchReducerTest.java
@@ -536,14 +536,31 @@
     assertThat(refusal(fixture.generate(3_000, 8_000)).retryAfterMs()).isBetween(minMs, maxMs);
   }
 
-  @Test
-  void admitsOnlyStreamsThatEndInTimeAfterDiscoveryTime() {
-    fixture.apply(new TimeEvent.DrainRequested(fixture.nowMs(), fixture.nowMs() + 7_600));
+  @ParameterizedTest
+  @CsvSource({"10, false", "5000, false", "5001, true", "39000, true"})
+  void admitsOnlyStreamsWhoseDeadlineLiesBeforeTheStopAfterDiscoveryTime(
+      long deadlineMs, boolean refused) {
+    long stopMs = fixture.nowMs() + 5_000 + DrainAdmission.DISCOVERY_MS;
+    fixture.apply(new TimeEvent.DrainRequested(fixture.nowMs(), stopMs));
     fixture.tick(DrainAdmission.DISCOVERY_MS);
-    long tokens = (7_600 - DrainAdmission.DISCOVERY_MS) / 7;
 
-    assertThat(fixture.refusal(fixture.generate(70, tokens - 10))).isEmpty();
-    assertThat(fixture.refusal(fixture.generate(70, tokens + 1))).isPresent();
+    String call = fixture.generateWithin(deadlineMs, 70, 10);
+
+    assertThat(fixture.refusal(call).isPresent()).isEqualTo(refused);
+    assertThat(fixture.sends(call).isEmpty()).isEqualTo(refused);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"6700, false", "6900, true"})
+  void admitsOnlyPlainCallsWhoseTimeLimitEndsBeforeTheStop(long afterMs, boolean refused) {
+    fixture.generate(1_000, 500);
+    fixture.apply(new TimeEvent.DrainRequested(fixture.nowMs(), fixture.nowMs() + 7_600));
+    fixture.tick(afterMs);
+
+    String call = fixture.call("booking");
+
+    assertThat(fixture.refusal(call).isPresent()).isEqualTo(refused);
+    assertThat(fixture.sends(call).isEmpty()).isEqualTo(refused);
   }
 
   private void joinPeer() {
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DrainAdmissionTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DrainAdmissionTest.java
@@ -12,33 +12,43 @@
 
   private final DrainAdmission admission = new DrainAdmission(STARTED_MS, STARTED_MS + 7_600);
 
-  // Columns: time since the start of the drain, expected and maximum duration of the stream (ms),
-  // other daemons of the zone that accept callers, and the highest number of daemons seen there.
+  // Columns: time since the start of the drain, expected duration of the call and time to its
+  // deadline (ms), other daemons of the zone that accept callers, and the highest number of daemons
+  // seen there.
   @ParameterizedTest
   @CsvSource({
     "500, 2000, 4000, 1, 2",
     "500, 2000, 4000, 0, 1",
     "5000, 1000, 2500, 0, 2",
+    "5000, 9000, 2600, 0, 2",
   })
-  void admitsStreamThatEndsInTime(long after, long expected, long longest, int taking, int most) {
-    assertThat(retryAfter(after, expected, longest, taking, most)).isEmpty();
+  void admitsCallWhoseDeadlineLiesBeforeTheStop(
+      long after, long expected, long deadline, int taking, int most) {
+    assertThat(retryAfter(after, expected, deadline, taking, most)).isEmpty();
   }
 
   @ParameterizedTest
-  @CsvSource({"500, 7000, 15000, 1, 2", "2900, 4000, 15000, 0, 1"})
-  void admitsStreamExpectedToEndInTimeDuringDiscoveryTime(
-      long after, long expected, long longest, int taking, int most) {
-    assertThat(retryAfter(after, expected, longest, taking, most)).isEmpty();
+  @CsvSource({"500, 7000, 15000, 1, 2", "2400, 4000, 15000, 0, 1"})
+  void admitsCallExpectedToEndInTimeDuringDiscoveryTime(
+      long after, long expected, long deadline, int taking, int most) {
+    assertThat(retryAfter(after, expected, deadline, taking, most)).isEmpty();
   }
 
   @ParameterizedTest
   @CsvSource({"500, 9000, 15000, 1, 2", "2000, 9000, 15000, 2, 3", "4000, 9000, 15000, 1, 2"})
-  void refersLongStreamToOtherDaemonsOfZone(
-      long after, long expected, long longest, int taking, int most) {
-    assertThat(retryAfter(after, expected, longest, taking, most))
+  void refersLongCallToOtherDaemonsOfZone(
+      long after, long expected, long deadline, int taking, int most) {
+    assertThat(retryAfter(after, expected, deadline, taking, most))
         .hasValueSatisfying(delayMs -> assertThat(delayMs).isLessThan(100));
   }
 
+  /** Guards against late calls that are cut because their average duration would have fitted. */
+  @ParameterizedTest
+  @CsvSource({"2500, 0, 5101", "3000, 10, 39000", "5000, 1000, 2601", "7500, 0, 101"})
+  void refusesLateCallWhoseDeadlineLiesBehindTheStop(long after, long expected, long deadline) {
+    assertThat(retryAfter(after, expected, deadline, 1, 2)).isPresent();
+  }
+
   @ParameterizedTest
   @CsvSource({
     // Callers of the zone go to other zones once the load balancer has excluded its daemons.
@@ -46,17 +56,19 @@
     "4000, 9000, 25000, 0, 2, 20",
     // Callers of the zone reach draining daemons until those have restarted.
     "4000, 9000, 25000, 1, 3, 5100",
-    // The stream is expected to end in time, but a caller that could know of the drain must not
+    // The call is expected to end in time, but a caller that could know of the drain must not
     // lose it.
     "4000, 3000, 25000, 1, 3, 5100",
   })
   void returnsDelayUntilCallerCanBeServed(
-      long after, long expected, long longest, int taking, int most, long retryAfterMs) {
-    assertThat(retryAfter(after, expected, longest, taking, most)).hasValue(retryAfterMs);
+      long after, long expected, long deadline, int taking, int most, long retryAfterMs) {
+    assertThat(retryAfter(after, expected, deadline, taking, most)).hasValue(retryAfterMs);
   }
 
-  private Optional<Long> retryAfter(long after, long expected, long longest, int taking, int most) {
+  private Optional<Long> retryAfter(
+      long after, long expected, long deadline, int taking, int most) {
+    long nowMs = STARTED_MS + after;
     return admission.findRetryAfter(
-        STARTED_MS + after, expected, longest, new ZoneDaemonCounts(taking, most));
+        nowMs, nowMs + expected, nowMs + deadline, new ZoneDaemonCounts(taking, most));
   }
 }
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunDurationEstimatorTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunDurationEstimatorTest.java
@@ -28,10 +28,10 @@
 
     assertThat(durations.estimateMs(longRun))
         .isCloseTo(Math.round((400 + 900 * 7) * slowdown), CLOSE);
-    assertThat(durations.estimateMaxMs(longRun))
-        .isCloseTo(Math.round((400 + 1_800 * 7) * slowdown), CLOSE);
-    assertThat(durations.estimateMaxMs(shortRun))
-        .isCloseTo(Math.round((300 + 24 * 7) * slowdown), CLOSE);
+    assertThat(durations.estimateDecodeMs(longRun))
+        .isCloseTo(Math.round(900 * 7 * slowdown), CLOSE);
+    assertThat(durations.estimateMs(shortRun))
+        .isCloseTo(Math.round((300 + 12 * 7) * slowdown), CLOSE);
     assertThat(durations.prefillTokensPerMs()).isCloseTo(7 / slowdown, CLOSE);
   }
 
