Stop a run whose answer is lost before another engine goes on with it

Cause: after a failed attempt the run was continued from its latest copy, whatever the failure was; the lost response to an order to stop was believed as well.

Change: the source is ordered to stop the run. Another engine goes on once the source has acknowledged that, does not know the run, or accepts no connection (CopyOutcome.UNREACHABLE). A refused order, or one whose response is lost, is repeated; after 3 s without any of these the run is given up.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CopyOutcome.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CopyOutcome.java
@@ -10,6 +10,8 @@
   BUSY,
   /** The destination has no free memory or is unreachable. */
   NO_ROOM,
-  /** No response was received, so the state of the copy is unknown. */
+  /** No connection to the source could be established, so it is gone or out of reach. */
+  UNREACHABLE,
+  /** No response was received, so the state of the copy, and of an order to stop, is unknown. */
   UNKNOWN
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
@@ -75,6 +75,7 @@
 
   /** Starts the copies that are due. */
   void startDueCopies(long nowMs) {
+    abortOverdue(nowMs);
     releaseReservations();
     migrator.startDueCopies(
         nowMs,
@@ -85,6 +86,22 @@
         });
   }
 
+  private void abortOverdue(long nowMs) {
+    for (RunMigration migration : migrator.findOverdue(nowMs)) {
+      calls
+          .find(migration.call().callId())
+          .filter(call -> call.target().isEmpty())
+          .ifPresent(
+              call ->
+                  calls.abort(
+                      call,
+                      Reason.TARGET_FAILED,
+                      "engine "
+                          + migration.source().id()
+                          + " lost the answer and did not confirm that the run has ended"));
+    }
+  }
+
   /** Returns the engines that can receive a run: those without a rate limit if there are any. */
   private List<Candidate> findDestinations(long nowMs, ActiveCall call) {
     List<Candidate> all = context.candidates(call.service(), nowMs);
@@ -150,8 +167,9 @@
   }
 
   /**
-   * Tries to continue a run after a failed attempt from the latest copy of its memory. Ends its
-   * migration otherwise: a new run of the call must not be replaced by copies of the old one.
+   * Tries to continue a run after a failed attempt from the latest copy of its memory. A lost
+   * answer does not show that the run has ended, so its engine is ordered to stop it first. Ends
+   * the migration otherwise: a new run of the call must not be replaced by copies of the old one.
    *
    * @return true if the run continues or waits for its final copy, false if it is lost
    */
@@ -171,18 +189,28 @@
       DispatchEvent.AttemptFailed event, RunMigration migration, RoutedTarget failedAt) {
     if (migration.step() == RunMigration.Step.STOPPING) {
       // The source ends its answer when it stops the run; the final copy is still to come.
+      migrator.onAnswerLost(event.nowMs(), migration);
       return true;
     }
     if (migration.latestCopy().isEmpty()) {
       return false;
     }
     RunMigration.CompletedCopy copy = migration.latestCopy().get();
-    if (migration.step() != RunMigration.Step.CONTINUING) {
+    boolean atSource = migration.step() != RunMigration.Step.CONTINUING;
+    if (atSource && !migration.hasRunEnded()) {
+      calls.logDecision(
+          "stop-lost-run", migration.call(), migration.source().id(), "after " + event.fault());
+      context.effects().add(migrator.stopLostRun(event.nowMs(), migration));
+      reserveDestination(event.callId());
+      return true;
+    }
+    if (atSource) {
       if (!acquireContinuation(event.nowMs(), copy.holder())) {
         return false;
       }
       migration.startContinuation(event.nowMs());
-      continueAt(event.nowMs(), migration, copy, copy.holder(), "the source engine failed");
+      continueAt(
+          event.nowMs(), migration, copy, copy.holder(), "the source engine has no such run");
       return true;
     }
     boolean tooLate = event.nowMs() - migration.noticedAtMs() > RunMigrator.STOP_DEADLINE_MS;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigration.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigration.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.sequoiareach.model.route.RoutedTarget;
 
@@ -40,6 +41,9 @@
   private int failures;
   private long stepStartedMs;
   private long retryAtMs;
+  private boolean stopUnconfirmed;
+  private boolean runEnded;
+  private OptionalLong giveUpAtMs = OptionalLong.empty();
 
   RunMigration(ActiveCall call, RoutedTarget source, long noticedAtMs, boolean concurrent) {
     this.call = call;
@@ -136,6 +140,48 @@
     latestCopy = Optional.of(new CompletedCopy(destination.orElseThrow(), handle));
   }
 
+  /**
+   * Records that the answer of the source ended without the end of its run, which may go on.
+   *
+   * @param atMs when the run is given up unless its engine has confirmed that it has ended
+   */
+  void loseAnswer(long atMs) {
+    if (giveUpAtMs.isEmpty()) {
+      giveUpAtMs = OptionalLong.of(atMs);
+    }
+  }
+
+  boolean isAnswerLost() {
+    return giveUpAtMs.isPresent();
+  }
+
+  /** Returns whether the run is to be given up, because no engine is known to work on it alone. */
+  boolean isOverdue(long nowMs) {
+    return step == Step.WAITING && giveUpAtMs.isPresent() && giveUpAtMs.getAsLong() <= nowMs;
+  }
+
+  /** Records that the response to an order to stop the run was lost. */
+  void leaveStopUnconfirmed() {
+    stopUnconfirmed = true;
+  }
+
+  /**
+   * Returns whether each further copy must stop the run: another engine may continue it only once
+   * the source has confirmed that it no longer works on it.
+   */
+  boolean mustStop() {
+    return stopUnconfirmed || isAnswerLost();
+  }
+
+  /** Records that the source does not know the run any more. */
+  void endRun() {
+    runEnded = true;
+  }
+
+  boolean hasRunEnded() {
+    return runEnded;
+  }
+
   void startContinuation(long nowMs) {
     step = Step.CONTINUING;
     stepStartedMs = nowMs;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigrator.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigrator.java
@@ -52,6 +52,9 @@
   /** Runs of an engine that still works this long after its notice are not copied any more. */
   private static final long MIGRATION_TIMEOUT_MS = 6_000;
 
+  /** Time for two orders to stop a run whose answer was lost; then the run is given up. */
+  private static final long LOST_RUN_TIMEOUT_MS = 2 * COPY_TIMEOUT_MS;
+
   private static final double BITS_PER_BYTE = 8;
   private static final double BITS_PER_MS_PER_MBPS = 1_000;
 
@@ -96,7 +99,8 @@
       Consumer<DispatchEffect.CopyRun> onStarted) {
     for (RunMigration migration : List.copyOf(migrations.values())) {
       boolean timedOut = nowMs - migration.noticedAtMs() > MIGRATION_TIMEOUT_MS;
-      boolean mayCopy = migration.isConcurrent() || !isSourceBusy(migration.source());
+      boolean mayCopy =
+          migration.isConcurrent() || migration.mustStop() || !isSourceBusy(migration.source());
       if (timedOut
           && migration.step() == RunMigration.Step.WAITING
           && migration.latestCopy().isEmpty()) {
@@ -137,7 +141,7 @@
     return switch (event.outcome()) {
       case COPIED ->
           new CopyFollowUp(Optional.of(nextCopy(event.nowMs(), migration)), Optional.empty());
-      case BUSY, NO_RUN -> scheduleRetry(event.nowMs(), migration, false);
+      case BUSY, NO_RUN, UNREACHABLE -> scheduleRetry(event.nowMs(), migration, false);
       case NO_ROOM -> scheduleRetry(event.nowMs(), migration, true);
       case UNKNOWN ->
           scheduleRetry(
@@ -145,12 +149,23 @@
     };
   }
 
+  /**
+   * Continues the run only if it no longer runs at its source: the source has acknowledged the
+   * order to stop, does not know the run, or cannot be reached after its answer was lost.
+   */
   private CopyFollowUp onFinalCopyEnded(DispatchEvent.RunCopied event, RunMigration migration) {
-    boolean endedByItself =
-        event.outcome() == CopyOutcome.NO_RUN
-            && migration.call().isAssignedTo(migration.source().id());
-    if (event.outcome() == CopyOutcome.BUSY || endedByItself) {
-      // The end of a run that ended by itself is still on its way to this daemon.
+    boolean stopped = event.outcome() == CopyOutcome.COPIED || !event.handle().isEmpty();
+    boolean answering = migration.call().isAssignedTo(migration.source().id());
+    boolean ended =
+        event.outcome() == CopyOutcome.NO_RUN || event.outcome() == CopyOutcome.UNREACHABLE;
+    if (event.outcome() == CopyOutcome.NO_RUN) {
+      migration.endRun();
+    }
+    if (event.outcome() == CopyOutcome.UNKNOWN) {
+      migration.leaveStopUnconfirmed();
+    }
+    if (!stopped && (!ended || answering)) {
+      // While the source answers, the end of its answer may still be on its way to this daemon.
       return scheduleRetry(event.nowMs(), migration, false);
     }
     if (migration.latestCopy().isEmpty()) {
@@ -161,6 +176,32 @@
     return new CopyFollowUp(Optional.empty(), Optional.of(migration));
   }
 
+  /**
+   * Orders the source of a run whose answer was lost to stop the run, which may go on.
+   *
+   * @return the order
+   */
+  DispatchEffect.CopyRun stopLostRun(long nowMs, RunMigration migration) {
+    migration.loseAnswer(nowMs + LOST_RUN_TIMEOUT_MS);
+    return stop(nowMs, migration);
+  }
+
+  /** Records that the answer of a source that is ordered to stop its run has ended. */
+  void onAnswerLost(long nowMs, RunMigration migration) {
+    migration.loseAnswer(nowMs + LOST_RUN_TIMEOUT_MS);
+  }
+
+  /** Returns the migrations of lost runs that no engine confirmed to have ended in time. */
+  List<RunMigration> findOverdue(long nowMs) {
+    return migrations.values().stream().filter(migration -> migration.isOverdue(nowMs)).toList();
+  }
+
+  private DispatchEffect.CopyRun stop(long nowMs, RunMigration migration) {
+    RoutedTarget to =
+        migration.destination().orElseGet(() -> migration.latestCopy().orElseThrow().holder());
+    return copy(nowMs, migration, to, true);
+  }
+
   private DispatchEffect.CopyRun nextCopy(long nowMs, RunMigration migration) {
     boolean isShort = nowMs - migration.stepStartedMs() <= STOP_THRESHOLD_MS;
     boolean late = nowMs - migration.noticedAtMs() >= STOP_DEADLINE_MS;
@@ -175,6 +216,9 @@
 
   private Optional<DispatchEffect.CopyRun> startCopy(
       long nowMs, RunMigration migration, Function<ActiveCall, List<Candidate>> engines) {
+    if (migration.mustStop()) {
+      return Optional.of(stop(nowMs, migration));
+    }
     Optional<Candidate> chosen = chooseDestination(migration, engines);
     if (chosen.isEmpty()) {
       migration.clearFailedDestinations();
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MigrationVerdictTest.java
@@ -50,6 +50,7 @@
     fixture.markLeaving(call);
     fixture.copied(call, 180, CopyOutcome.COPIED, "h1");
     fixture.failed(call, AttemptFault.REJECTED, false);
+    fixture.copied(call, 1, CopyOutcome.NO_RUN, "");
     fixture.failed(call, AttemptFault.REJECTED, false);
     fixture.failed(call, AttemptFault.REJECTED, false);
 
@@ -96,12 +97,18 @@
     String call = fixture.generate(3_000, 2_000);
     fixture.markLeaving(call);
     fixture.copied(call, 600, CopyOutcome.COPIED, "h1");
+    final int lostRound = fixture.lastCopy(call).round();
     fixture.failed(call, AttemptFault.LOST, false);
-    fixture.copied(call, 5, outcome, outcome == CopyOutcome.COPIED ? "h1" : "");
+    String handle = outcome == CopyOutcome.COPIED ? "h1" : "";
+    fixture.advance(5);
+    fixture.apply(new DispatchEvent.RunCopied(fixture.nowMs(), call, lostRound, outcome, handle));
+    fixture.tick(300);
+    assertThat(fixture.sends(call)).hasSize(1);
+    fixture.copied(call, 1, CopyOutcome.UNREACHABLE, "");
     fixture.tick(300);
 
     assertThat(fixture.sends(call)).hasSize(2);
-    assertThat(fixture.copies(call)).hasSize(2);
+    assertThat(fixture.copies(call)).hasSize(3);
     fixture.started(call);
     fixture.delivered(call);
     assertThat(fixture.all(DispatchEffect.ReleaseCopy.class)).isEmpty();
@@ -129,15 +136,16 @@
     fixture.copied(call, 600, CopyOutcome.COPIED, "h1");
     final int lostRound = fixture.lastCopy(call).round();
     fixture.failed(call, AttemptFault.LOST, false);
+    fixture.copied(call, 1, CopyOutcome.UNREACHABLE, "");
     fixture.started(call);
     fixture.markLeaving(call);
     fixture.copied(call, 600, CopyOutcome.COPIED, "h2");
-    assertThat(fixture.copies(call)).hasSize(4);
+    assertThat(fixture.copies(call)).hasSize(5);
 
     fixture.apply(
         new DispatchEvent.RunCopied(fixture.nowMs(), call, lostRound, CopyOutcome.COPIED, "h1"));
 
-    assertThat(fixture.copies(call)).hasSize(4);
+    assertThat(fixture.copies(call)).hasSize(5);
   }
 
   /** The caller receives the first event in the 40 ms for which a stopped engine may answer. */
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMigratorTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/RunMigratorTest.java
@@ -76,17 +76,69 @@
     assertThat(fixture.sends(call)).hasSize(2);
   }
 
-  @Test
-  void continuesFromCopyWhenSourceFails() {
+  /**
+   * Guards against runs that go on at two engines because a lost answer was taken for their end.
+   */
+  @ParameterizedTest
+  @EnumSource(
+      value = CopyOutcome.class,
+      names = {"COPIED", "NO_RUN", "UNREACHABLE"})
+  void continuesRunOfLostAnswerOnceItsSourceNoLongerRunsIt(CopyOutcome confirmation) {
     String call = startRun();
     markLeaving(call);
     copied(call, 700, CopyOutcome.COPIED, "h1");
     fixture.failed(call, AttemptFault.BROKEN_ANSWER, true);
+    fixture.tick(300);
+
+    assertThat(fixture.sends(call)).hasSize(1);
+    assertThat(lastCopy(call).stop()).isTrue();
+
+    copied(call, 100, confirmation, confirmation == CopyOutcome.COPIED ? "h1" : "");
 
     assertThat(fixture.wasCut(call)).isFalse();
     assertThat(fixture.lastSend(call).continuation()).isPresent();
   }
 
+  /** The order to stop is refused, or its response is lost. */
+  @ParameterizedTest
+  @CsvSource({"BUSY, true", "BUSY, false", "NO_ROOM, true", "UNKNOWN, true", "UNKNOWN, false"})
+  void repeatsOrderToStopUntilItIsConfirmed(CopyOutcome outcome, boolean answerLost) {
+    String call = startRun();
+    markLeaving(call);
+    copied(call, 30, CopyOutcome.COPIED, "h1");
+    assertThat(lastCopy(call).stop()).isTrue();
+    if (answerLost) {
+      fixture.failed(call, AttemptFault.LOST, true);
+    }
+    copied(call, 5, outcome, "");
+    fixture.tick(100);
+
+    assertThat(fixture.sends(call)).hasSize(1);
+    assertThat(fixture.copies(call)).hasSize(3);
+    boolean mayBeStopped = answerLost || outcome == CopyOutcome.UNKNOWN;
+    assertThat(lastCopy(call).stop()).isEqualTo(mayBeStopped);
+
+    copied(call, 90, CopyOutcome.COPIED, "h2");
+    if (mayBeStopped) {
+      assertContinues(call, lastCopy(call).destinationAddress(), "h2");
+    }
+  }
+
+  @Test
+  void cutsRunOfLostAnswerIfNothingConfirmsItsEnd() {
+    String call = startRun();
+    markLeaving(call);
+    copied(call, 700, CopyOutcome.COPIED, "h1");
+    fixture.failed(call, AttemptFault.LOST, true);
+    copied(call, 1_500, CopyOutcome.UNKNOWN, "");
+    fixture.tick(100);
+    copied(call, 1_500, CopyOutcome.UNKNOWN, "");
+    fixture.tick(50);
+
+    assertThat(fixture.sends(call)).hasSize(1);
+    assertThat(fixture.wasCut(call)).isTrue();
+  }
+
   /** The engine fails while a later copy waits for its link. */
   @ParameterizedTest
   @EnumSource(
@@ -99,6 +151,7 @@
     copied(call, 600, CopyOutcome.COPIED, "h1");
     copied(call, 350, outcome, "");
     fixture.failed(call, AttemptFault.BROKEN_ANSWER, true);
+    copied(call, 1, CopyOutcome.UNREACHABLE, "");
 
     assertThat(fixture.wasCut(call)).isFalse();
     assertContinues(call, holder, "h1");
@@ -140,6 +193,7 @@
     copied(call, 200, CopyOutcome.COPIED, "h2");
     final String holder = lastCopy(call).destinationAddress();
     fixture.failed(call, AttemptFault.BROKEN_ANSWER, true);
+    copied(call, 1, CopyOutcome.UNREACHABLE, "");
 
     assertContinues(call, holder, "h2");
   }
@@ -186,7 +240,7 @@
   @ParameterizedTest
   @EnumSource(
       value = CopyOutcome.class,
-      names = {"NO_RUN", "BUSY", "NO_ROOM", "UNKNOWN"})
+      names = {"NO_RUN", "BUSY", "NO_ROOM", "UNREACHABLE", "UNKNOWN"})
   void retriesFailedCopy(CopyOutcome outcome) {
     String call = startRun();
     markLeaving(call);
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/SimulatedTargets.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/SimulatedTargets.java
@@ -40,7 +40,10 @@
     /** The target will never run this attempt. */
     NEVER_RUNS,
     RUNNING,
-    STOPPED
+    /** The target has stopped the run on order and keeps its memory. */
+    STOPPED,
+    /** The run ended with its answer or its target. */
+    ENDED
   }
 
   private static final class Attempt {
@@ -115,6 +118,8 @@
               AttemptFault fault = drawFault(attempt);
               if (!fault.mayHaveRun()) {
                 attempt.state = State.NEVER_RUNS;
+              } else if (attempt.state == State.RUNNING && random.nextBoolean()) {
+                attempt.state = State.ENDED;
               }
               attempt.reported = true;
               fixture.apply(
@@ -147,18 +152,21 @@
       return;
     }
     DispatchEffect.CopyRun copy = copies.remove(random.nextInt(copies.size()));
-    Optional<Attempt> run =
+    List<Attempt> runs =
         calls.get(copy.callId()).attempts.stream()
             .filter(attempt -> attempt.send.target().address().equals(copy.sourceAddress()))
             .filter(attempt -> attempt.state == State.RUNNING || attempt.state == State.STOPPED)
-            .findFirst();
-    CopyOutcome outcome = drawOutcome(run.isPresent());
-    boolean noResponse = outcome == CopyOutcome.UNKNOWN && random.nextBoolean();
-    if (copy.stop() && outcome != CopyOutcome.BUSY && !noResponse) {
-      run.ifPresent(attempt -> attempt.state = State.STOPPED);
+            .toList();
+    CopyOutcome outcome = drawOutcome(!runs.isEmpty());
+    boolean ignored =
+        outcome == CopyOutcome.BUSY
+            || outcome == CopyOutcome.UNKNOWN && random.nextBoolean()
+            || outcome == CopyOutcome.NO_ROOM && random.nextBoolean();
+    if (copy.stop() && !ignored) {
+      runs.forEach(attempt -> attempt.state = State.STOPPED);
     }
     boolean hasHandle =
-        outcome == CopyOutcome.COPIED || outcome == CopyOutcome.NO_ROOM && copy.stop();
+        outcome == CopyOutcome.COPIED || outcome == CopyOutcome.NO_ROOM && copy.stop() && !ignored;
     fixture.apply(
         new DispatchEvent.RunCopied(
             fixture.nowMs(), copy.callId(), copy.round(), outcome, hasHandle ? "h" : ""));
@@ -166,7 +174,8 @@
 
   private CopyOutcome drawOutcome(boolean runExists) {
     if (!runExists) {
-      return random.nextBoolean() ? CopyOutcome.NO_RUN : CopyOutcome.UNKNOWN;
+      CopyOutcome[] absent = {CopyOutcome.NO_RUN, CopyOutcome.UNREACHABLE, CopyOutcome.UNKNOWN};
+      return absent[random.nextInt(absent.length)];
     }
     if (random.nextBoolean()) {
       return CopyOutcome.COPIED;
@@ -238,6 +247,13 @@
           .as("address of the attempt at %s that its continuation replaces", send.callId())
           .isEqualTo(send.continuation().get().holderAddress());
     }
+    String sourceAddress = send.continuation().get().holderAddress();
+    if (!send.target().address().equals(sourceAddress)) {
+      assertThat(call.attempts)
+          .as("runs of %s at %s while another engine goes on", send.callId(), sourceAddress)
+          .filteredOn(attempt -> attempt.send.target().address().equals(sourceAddress))
+          .noneMatch(attempt -> attempt.state == State.RUNNING);
+    }
   }
 
   private static int maxTargetsOf(RouteKind kind) {
