Limit the bytes of request bodies that a daemon holds in sum

Cause: only the length of each body was limited. All bodies together could use up the direct memory, and each chunk was kept as an object of its own.

What does not fit is refused at once with 503, not-run and the time to come back. Bodies are copied into one buffer each.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
@@ -1,7 +1,6 @@
 package org.sequoiareach.daemon.front;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -10,7 +9,9 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -30,9 +31,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.OptionalLong;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import org.sequoiareach.daemon.dialect.InvalidCallException;
 import org.sequoiareach.decision.dispatch.CallProfile;
+import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.route.CallerLimits;
 import org.sequoiareach.store.time.MonotonicClock;
 
@@ -64,6 +67,11 @@
   /** Time for the caller to read the response; a few round trips are enough. */
   private static final long LINGER_MS = 1_000;
 
+  /** Bounds of the random time after which callers return that were refused for lack of memory. */
+  private static final long MIN_RETRY_AFTER_MS = 300;
+
+  private static final long MAX_RETRY_AFTER_MS = 900;
+
   private final GatewayHttpServer server;
   private final Deque<HttpObject> pipelined = new ArrayDeque<>();
   private Channel channel;
@@ -71,7 +79,8 @@
   private long deadlineMs;
   private HttpRequest request;
   private CallProfile profile;
-  private CompositeByteBuf body;
+  private ByteBuf body;
+  private long reservedBytes;
   private CallResponseWriter responseWriter;
   private Runnable onDisconnect = () -> {};
 
@@ -121,6 +130,7 @@
     pipelined.forEach(ReferenceCountUtil::release);
     pipelined.clear();
     releaseBody();
+    releaseReserved();
     if (phase == Phase.RESPONDING) {
       responseWriter.ended = true;
       onDisconnect.run();
@@ -182,7 +192,12 @@
       reject(HttpResponseStatus.BAD_REQUEST, e.getMessage());
       return;
     }
-    body = channel.alloc().compositeBuffer(Integer.MAX_VALUE);
+    int length = (int) HttpUtil.getContentLength(head, 0L);
+    if (!tryReserve(length)) {
+      rejectForMemory();
+      return;
+    }
+    body = channel.alloc().buffer(length);
     enter(Phase.READING_BODY, Math.max(profile.deadlineMs(), nowMs + limits().headerTimeoutMs()));
     if (HttpUtil.is100ContinueExpected(head)) {
       channel.writeAndFlush(
@@ -196,9 +211,13 @@
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, bodyTooLong());
       return;
     }
-    if (part.content().isReadable()) {
-      body.addComponent(true, part.content().retain());
+    // Copied, because callers choose the size of chunks, and each one kept would cost its objects.
+    long missingBytes = body.readableBytes() + part.content().readableBytes() - reservedBytes;
+    if (missingBytes > 0 && !tryReserve(missingBytes)) {
+      rejectForMemory();
+      return;
     }
+    body.writeBytes(part.content());
     if (part instanceof LastHttpContent) {
       final ByteBuf requestBody = body;
       body = null;
@@ -213,6 +232,31 @@
     return "the request body is longer than " + limits().bodyBytes() + " bytes";
   }
 
+  private boolean tryReserve(long bytes) {
+    if (!server.bodyMemory().tryReserve(reservedBytes, bytes)) {
+      return false;
+    }
+    reservedBytes += bytes;
+    return true;
+  }
+
+  private void releaseReserved() {
+    server.bodyMemory().release(reservedBytes);
+    reservedBytes = 0;
+  }
+
+  private void rejectForMemory() {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set("Sequoiareach-Verdict", Verdict.NOT_RUN.label());
+    long retryAfterMs =
+        ThreadLocalRandom.current().nextLong(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
+    server.dialect().setRetryAfter(headers, retryAfterMs);
+    reject(
+        HttpResponseStatus.SERVICE_UNAVAILABLE,
+        "the bodies of other requests leave no memory for this one",
+        headers);
+  }
+
   private void rejectMalformed(Throwable cause) {
     if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException) {
       reject(
@@ -225,11 +269,17 @@
 
   /** Responds with an error to a request that was not read completely and closes the connection. */
   private void reject(HttpResponseStatus status, String detail) {
+    reject(status, detail, EmptyHttpHeaders.INSTANCE);
+  }
+
+  private void reject(HttpResponseStatus status, String detail, HttpHeaders headers) {
     server.requestRejected(profile, status.code(), detail);
     releaseBody();
+    releaseReserved();
     ByteBuf text = Unpooled.copiedBuffer(detail + "\n", StandardCharsets.UTF_8);
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text);
+    response.headers().set(headers);
     response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes());
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -242,6 +292,7 @@
   }
 
   private void onResponseEnded(boolean keepAlive) {
+    releaseReserved();
     responseWriter = null;
     onDisconnect = () -> {};
     profile = null;
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/GatewayHttpServer.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/GatewayHttpServer.java
@@ -49,6 +49,7 @@
   private final RequestHandler requestHandler;
   private final MetricRegistry metrics;
   private final EventLoop loop;
+  private final BodyMemory bodyMemory;
   private final Set<CallerConnection> connections = new HashSet<>();
   private volatile CallerLimits limits = CallerLimits.INITIAL;
   private volatile boolean draining;
@@ -63,6 +64,16 @@
    */
   public GatewayHttpServer(
       CallDialect dialect, RequestHandler requestHandler, MetricRegistry metrics, EventLoop loop) {
+    this(dialect, requestHandler, metrics, loop, BodyMemory.ofProcess());
+  }
+
+  GatewayHttpServer(
+      CallDialect dialect,
+      RequestHandler requestHandler,
+      MetricRegistry metrics,
+      EventLoop loop,
+      BodyMemory bodyMemory) {
+    this.bodyMemory = bodyMemory;
     this.dialect = Check.notNull(dialect, "dialect");
     this.requestHandler = Check.notNull(requestHandler, "requestHandler");
     this.metrics = Check.notNull(metrics, "metrics");
@@ -130,6 +141,10 @@
     return requestHandler;
   }
 
+  BodyMemory bodyMemory() {
+    return bodyMemory;
+  }
+
   CallerLimits limits() {
     return limits;
   }
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/CallerConnectionTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/CallerConnectionTest.java
@@ -49,6 +49,7 @@
   private static final long TIMEOUT_MS = 5_000;
   private static final int HEADER_BYTES = 1_000;
   private static final int BODY_BYTES = 100;
+  private static final int BODY_MEMORY_BYTES = 160;
   private static final long HEADER_TIMEOUT_MS = 300;
   private static final long IDLE_TIMEOUT_MS = 3_000;
 
@@ -61,12 +62,17 @@
   private final List<String> handedIds = new CopyOnWriteArrayList<>();
   private final AtomicInteger disconnects = new AtomicInteger();
   private final GatewayHttpServer server =
-      new GatewayHttpServer(new PlainDialect(), this::handle, new MetricRegistry(), loop);
+      new GatewayHttpServer(
+          new PlainDialect(),
+          this::handle,
+          new MetricRegistry(),
+          loop,
+          new BodyMemory(BODY_MEMORY_BYTES));
   private Channel channel;
   private Socket caller;
 
   /** A request that was handed over. */
-  private record Handed(String id, String body, ResponseWriter response) {}
+  private record Handed(String id, String body, int buffers, ResponseWriter response) {}
 
   @BeforeEach
   void start() throws IOException {
@@ -229,6 +235,66 @@
     assertThat(disconnects).hasValue(1);
   }
 
+  /**
+   * Guards against a body in tiny chunks that ends the process, as each chunk costs its objects.
+   */
+  @Test
+  void mergesChunksOfBody() throws Exception {
+    send("POST /x HTTP/1.1\r\nid: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int i = 0; i < 25; i++) {
+      send("4\r\nbody\r\n");
+    }
+    send("0\r\n\r\n");
+
+    Handed merged = next();
+
+    assertThat(merged.body()).isEqualTo("body".repeat(25));
+    assertThat(merged.buffers()).isEqualTo(1);
+  }
+
+  /** Guards against large bodies at once that use up the memory, so that nobody is answered. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"Content-Length: 100\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n64\r\n%LONG%"})
+  void refusesBodyForWhichOthersLeaveNoMemory(String large) throws Exception {
+    try (Socket other = new Socket()) {
+      other.connect(channel.localAddress());
+      other
+          .getOutputStream()
+          .write(
+              ("POST /x HTTP/1.1\r\nid: o\r\nContent-Length: 100\r\n\r\n" + "o".repeat(100))
+                  .getBytes(StandardCharsets.ISO_8859_1));
+      final Handed holder = next();
+
+      send("POST /x HTTP/1.1\r\nid: a\r\n" + unescape(large));
+
+      assertThat(readUntil("leave no memory for this one\n"))
+          .startsWith("HTTP/1.1 503")
+          .contains("retry-after-ms: ")
+          .containsIgnoringCase("sequoiareach-verdict: not-run");
+      respond(holder, "done");
+      other.getOutputStream().write(withLength("b").getBytes(StandardCharsets.ISO_8859_1));
+      assertThat(next().body()).isEqualTo("body-b");
+    }
+  }
+
+  @Test
+  void returnsMemoryOfCallersThatLeave() throws Exception {
+    for (String id : List.of("a", "b", "c")) {
+      try (Socket leaver = new Socket()) {
+        leaver.connect(channel.localAddress());
+        String head = "POST /x HTTP/1.1\r\nid: " + id + "\r\nContent-Length: 100\r\n\r\n";
+        leaver.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+        TimeUnit.MILLISECONDS.sleep(ARRIVAL_MS);
+      }
+    }
+    TimeUnit.MILLISECONDS.sleep(ARRIVAL_MS);
+
+    send("POST /x HTTP/1.1\r\nid: d\r\nContent-Length: 100\r\n\r\n" + "d".repeat(100));
+
+    assertThat(next().id()).isEqualTo("d");
+  }
+
   @Test
   void keepsServingConnectionOfCallerWhoseResponseBeganBeforeDrain() throws Exception {
     send(withLength("a"));
@@ -249,7 +315,11 @@
       CallProfile profile, HttpRequest request, ByteBuf body, ResponseWriter response) {
     handedIds.add(profile.requestId());
     handed.add(
-        new Handed(profile.requestId(), body.toString(StandardCharsets.ISO_8859_1), response));
+        new Handed(
+            profile.requestId(),
+            body.toString(StandardCharsets.ISO_8859_1),
+            body.nioBufferCount(),
+            response));
     body.release();
     return disconnects::incrementAndGet;
   }
@@ -389,7 +459,7 @@
 
     @Override
     public void setRetryAfter(HttpHeaders headers, long delayMs) {
-      throw new UnsupportedOperationException();
+      headers.set("retry-after-ms", delayMs);
     }
   }
 }
