Limit what a daemon holds of incomplete responses in sum

Cause: what is held of a response was limited for each (1 MiB of an event, 256 KiB of an answer), not in sum.

Change: BodyMemory becomes HeldBytes, and a second account holds a quarter of the direct memory for incomplete responses. An event for which others leave no memory fails its attempt; an answer is forwarded as it arrives. A quarter of the account is kept for small ones, so sound streams go on.

Test: ProxyExchangeTest.failsAttemptWhoseEventLeavesOthersNoMemory.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -12,6 +12,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.sequoiareach.daemon.dialect.AnswerHead;
+import org.sequoiareach.daemon.memory.HeldBytes;
 import org.sequoiareach.daemon.upstream.ResponseFraming;
 import org.sequoiareach.daemon.upstream.ResponseListener;
 import org.sequoiareach.daemon.upstream.TargetConnection;
@@ -72,6 +73,7 @@
   private String answeredRequestId = "";
   private long retryAfterMs;
   private long discardedBytes;
+  private long heldBytes;
   private int receivedEvents;
   private boolean done;
   private boolean disconnected;
@@ -392,6 +394,7 @@
       return;
     }
     done = true;
+    hold(0);
     splitter.ifPresent(ServerSentEventSplitter::release);
     splitter = Optional.empty();
     if (mode != Mode.PASS_THROUGH && buffered.refCnt() > 0 && buffered != Unpooled.EMPTY_BUFFER) {
@@ -419,6 +422,28 @@
     } catch (IllegalStateException e) {
       abortWithFault(AttemptFault.BROKEN_ANSWER, e.getMessage());
     }
+    if (!done && !hold(splitter.orElseThrow().remainderBytes())) {
+      abortWithFault(
+          AttemptFault.BROKEN_ANSWER,
+          "other responses leave no memory for an event of this length");
+    }
+  }
+
+  /**
+   * Accounts for what is held of the response.
+   *
+   * @param bytes all that is held now
+   * @return whether there is memory for it
+   */
+  private boolean hold(long bytes) {
+    HeldBytes memory = exchange.context().responseMemory();
+    if (bytes <= heldBytes) {
+      memory.release(heldBytes - bytes);
+    } else if (!memory.tryReserve(heldBytes, bytes - heldBytes)) {
+      return false;
+    }
+    heldBytes = bytes;
+    return true;
   }
 
   private void forwardRemainder() {
@@ -446,10 +471,12 @@
 
   private void appendToBuffer(ByteBuf part) {
     buffered.writeBytes(part);
-    if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
+    int length = buffered.readableBytes();
+    if (length > MAX_BUFFERED_BYTES || !hold(length)) {
       exchange.sendHeadOnce(this, OptionalLong.empty());
       exchange.forwardPart(buffered);
       mode = Mode.PASS_THROUGH;
+      hold(0);
     }
   }
 
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeContext.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeContext.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.sequoiareach.daemon.control.EventSink;
 import org.sequoiareach.daemon.dialect.CallDialect;
+import org.sequoiareach.daemon.memory.HeldBytes;
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
 
 /**
@@ -18,6 +19,7 @@
  * @param suspensionDetector detects suspensions of the VM
  * @param rateWatch the identities of the targets whose answers are reported also if they state no
  *     rate of requests; changed on the event loop only
+ * @param responseMemory limits what is held of incomplete responses; used on the event loop only
  */
 record ProxyExchangeContext(
     CallDialect dialect,
@@ -26,4 +28,5 @@
     MetricRegistry metrics,
     EventLoop loop,
     SuspensionDetector suspensionDetector,
-    Set<String> rateWatch) {}
+    Set<String> rateWatch,
+    HeldBytes responseMemory) {}
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
@@ -15,6 +15,7 @@
 import org.sequoiareach.daemon.dialect.EngineControl;
 import org.sequoiareach.daemon.front.RequestHandler;
 import org.sequoiareach.daemon.front.ResponseWriter;
+import org.sequoiareach.daemon.memory.HeldBytes;
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
 import org.sequoiareach.decision.dispatch.CallProfile;
 import org.sequoiareach.decision.dispatch.CopyOutcome;
@@ -35,6 +36,9 @@
   /** Engine states that arrive later than this are outdated. */
   private static final long ENGINE_STATE_TIMEOUT_MS = 600;
 
+  /** The part of the direct memory for incomplete events and answers that are not forwarded yet. */
+  private static final int RESPONSE_MEMORY_DIVISOR = 4;
+
   private final ProxyExchangeContext context;
   private final EngineControl engines;
   private final Map<String, ProxyExchange> exchanges = new HashMap<>();
@@ -59,7 +63,14 @@
       EventLoop loop) {
     this.context =
         new ProxyExchangeContext(
-            dialect, connections, events, metrics, loop, new SuspensionDetector(), new HashSet<>());
+            dialect,
+            connections,
+            events,
+            metrics,
+            loop,
+            new SuspensionDetector(),
+            new HashSet<>(),
+            HeldBytes.shareOfDirectMemory(RESPONSE_MEMORY_DIVISOR));
     this.engines = engines;
   }
 
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/GatewayHttpServer.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/GatewayHttpServer.java
@@ -25,6 +25,7 @@
 import org.apache.logging.log4j.message.StringMapMessage;
 import org.sequoiareach.daemon.control.EffectHandler;
 import org.sequoiareach.daemon.dialect.CallDialect;
+import org.sequoiareach.daemon.memory.HeldBytes;
 import org.sequoiareach.decision.dispatch.CallProfile;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.decision.effect.Effect;
@@ -45,11 +46,14 @@
   private static final int ACCEPT_BACKLOG = 1_024;
   private static final long DEADLINE_CHECK_MS = 200;
 
+  /** The part of the direct memory for request bodies; the rest is for reads and responses. */
+  private static final int BODY_MEMORY_DIVISOR = 3;
+
   private final CallDialect dialect;
   private final RequestHandler requestHandler;
   private final MetricRegistry metrics;
   private final EventLoop loop;
-  private final BodyMemory bodyMemory;
+  private final HeldBytes bodyMemory;
   private final Set<CallerConnection> connections = new HashSet<>();
   private volatile CallerLimits limits = CallerLimits.INITIAL;
   private volatile boolean draining;
@@ -64,7 +68,8 @@
    */
   public GatewayHttpServer(
       CallDialect dialect, RequestHandler requestHandler, MetricRegistry metrics, EventLoop loop) {
-    this(dialect, requestHandler, metrics, loop, BodyMemory.ofProcess());
+    this(
+        dialect, requestHandler, metrics, loop, HeldBytes.shareOfDirectMemory(BODY_MEMORY_DIVISOR));
   }
 
   GatewayHttpServer(
@@ -72,7 +77,7 @@
       RequestHandler requestHandler,
       MetricRegistry metrics,
       EventLoop loop,
-      BodyMemory bodyMemory) {
+      HeldBytes bodyMemory) {
     this.bodyMemory = bodyMemory;
     this.dialect = Check.notNull(dialect, "dialect");
     this.requestHandler = Check.notNull(requestHandler, "requestHandler");
@@ -141,7 +146,7 @@
     return requestHandler;
   }
 
-  BodyMemory bodyMemory() {
+  HeldBytes bodyMemory() {
     return bodyMemory;
   }
 
--- /dev/null
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/memory/package-info.java
@@ -0,0 +1,2 @@
+/** Limits of the memory that a daemon holds for callers and targets. */
+package org.sequoiareach.daemon.memory;
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeSendTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeSendTest.java
@@ -36,6 +36,7 @@
 import org.sequoiareach.daemon.dialect.AttemptMetadata;
 import org.sequoiareach.daemon.dialect.CallDialect;
 import org.sequoiareach.daemon.front.ResponseWriter;
+import org.sequoiareach.daemon.memory.HeldBytes;
 import org.sequoiareach.daemon.upstream.ResponseFraming;
 import org.sequoiareach.daemon.upstream.ResponseListener;
 import org.sequoiareach.daemon.upstream.TargetConnection;
@@ -55,6 +56,7 @@
 class ProxyExchangeSendTest {
 
   private static final long TIMEOUT_MS = 5_000;
+  private static final long RESPONSE_MEMORY_BYTES = 120_000;
   private static final long LONG_MS = 60_000;
 
   /** Time in which a request would arrive at the server if it was sent. */
@@ -82,7 +84,8 @@
             new MetricRegistry(),
             loop,
             detector,
-            new HashSet<>());
+            new HashSet<>(),
+            new HeldBytes(RESPONSE_MEMORY_BYTES));
     HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x");
     exchange =
         onLoop(
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
@@ -31,10 +31,13 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.sequoiareach.daemon.dialect.AnswerHead;
 import org.sequoiareach.daemon.dialect.AttemptMetadata;
 import org.sequoiareach.daemon.dialect.CallDialect;
 import org.sequoiareach.daemon.front.ResponseWriter;
+import org.sequoiareach.daemon.memory.HeldBytes;
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
 import org.sequoiareach.decision.dispatch.CallProfile;
 import org.sequoiareach.decision.dispatch.Continuation;
@@ -53,6 +56,10 @@
 class ProxyExchangeTest {
 
   private static final long TIMEOUT_MS = 5_000;
+  private static final long RESPONSE_MEMORY_BYTES = 120_000;
+
+  /** Time in which what a target sends is processed. */
+  private static final long ARRIVAL_MS = 300;
 
   private final LoopResources resources = LoopResources.create("test", 1, true);
   private final EventLoop loop = resources.onServer(false).next();
@@ -73,7 +80,8 @@
             new MetricRegistry(),
             loop,
             new SuspensionDetector(),
-            new HashSet<>());
+            new HashSet<>(),
+            new HeldBytes(RESPONSE_MEMORY_BYTES));
     long nowMs = MonotonicClock.nowMs();
     CallProfile profile =
         new CallProfile(
@@ -165,6 +173,26 @@
     assertThat(response.events).containsExactly("head 200 verdict=null", "content", "finish");
   }
 
+  /** Guards against events without end that use up the memory, so that nobody is answered. */
+  @ParameterizedTest
+  @CsvSource({"80000, true", "100000, false"})
+  void failsAttemptWhoseEventLeavesOthersNoMemory(int eventBytes, boolean held) throws Exception {
+    onLoop(() -> exchange.send(sendCall(RouteKind.STREAMING)));
+    try (Socket accepted = target.accept()) {
+      assertThat(accepted.getInputStream().read()).isPositive();
+      write(accepted, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n");
+      write(accepted, "x".repeat(eventBytes));
+      TimeUnit.MILLISECONDS.sleep(ARRIVAL_MS);
+
+      assertThat(posted).hasSize(held ? 0 : 1);
+      assertThat(posted)
+          .allSatisfy(
+              event ->
+                  assertThat(((DispatchEvent.AttemptFailed) event).detail())
+                      .contains("leave no memory"));
+    }
+  }
+
   private DispatchEffect.SendCall continuation() {
     DispatchEffect.SendCall first = sendCall(RouteKind.STREAMING);
     return new DispatchEffect.SendCall(
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/CallerConnectionTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/CallerConnectionTest.java
@@ -36,6 +36,7 @@
 import org.sequoiareach.daemon.dialect.AttemptMetadata;
 import org.sequoiareach.daemon.dialect.CallDialect;
 import org.sequoiareach.daemon.dialect.InvalidCallException;
+import org.sequoiareach.daemon.memory.HeldBytes;
 import org.sequoiareach.decision.dispatch.CallProfile;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.model.route.CallerLimits;
@@ -67,7 +68,7 @@
           this::handle,
           new MetricRegistry(),
           loop,
-          new BodyMemory(BODY_MEMORY_BYTES));
+          new HeldBytes(BODY_MEMORY_BYTES));
   private Channel channel;
   private Socket caller;
 
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/BodyMemoryTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/memory/HeldBytesTest.java
@@ -1,4 +1,4 @@
-package org.sequoiareach.daemon.front;
+package org.sequoiareach.daemon.memory;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -7,12 +7,12 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests the limit of held bodies: callers that send many large bodies and few small ones. */
-class BodyMemoryTest {
+class HeldBytesTest {
 
   private static final long LARGE_BYTES = 4 << 20;
   private static final long LIMIT_BYTES = 4 * LARGE_BYTES;
 
-  private final BodyMemory memory = new BodyMemory(LIMIT_BYTES);
+  private final HeldBytes memory = new HeldBytes(LIMIT_BYTES);
 
   @Test
   void servesSmallBodiesWhileLargeOnesAreRefused() {
@@ -23,7 +23,7 @@
 
     assertThat(admitted).isEqualTo(3);
     for (int i = 0; i < 50; i++) {
-      assertThat(memory.tryReserve(0, BodyMemory.SMALL_BODY_BYTES)).isTrue();
+      assertThat(memory.tryReserve(0, HeldBytes.SMALL_BYTES)).isTrue();
     }
   }
 
