Log and count how each answer ended that was not written whole

What callers saw: connections that ended before the answer was whole. The log could not tell whether the caller, a target, a deadline of the connection, the drain or the end of the process had ended them.

Change: at most one line "answer-ended" for each such answer, with who closed and by which path, bytes and parts passed on, bytes unsent, whether the request was read whole, the phase and age of the drain, and the sheet's version at admission and now; a meter answers.cut.PATH; and a line "callers-at-stop" with what the end of the process interrupts, written on the event loop before the close goes on (waits 100 ms at most). When connections close is unchanged.

Evidence: AnswerEndLogTest (11) and the new cases of SlowCallerTest pass, CallerConnectionTest (27), ProxyExchangeTest (7) and ProxyExchangeSendTest (15) as well. The paths idle-timeout, linger-timeout and connection-error are tested in AnswerEndLogTest only, not through a connection. The whole test suite was not run on this commit.

Seen on the way: closeIdle at the end of the process closes a connection whose finished answer has bytes unsent (countsConnectionThatFinishedAnswerLeftUnsent observes it as process-end). The fault itself is not changed here.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -427,7 +427,7 @@
           "Cutting the response to request {}, which started before it was refused: {}",
           profile.requestId(),
           message);
-      abort();
+      abort(reason);
       return;
     }
     Verdict proven = weakenToProven(verdict);
@@ -466,11 +466,11 @@
     return Verdict.MAY_HAVE_RUN;
   }
 
-  void abort() {
+  void abort(Reason reason) {
     if (ended) {
       return;
     }
-    response.abort();
+    response.abort(reason);
     stopCurrentAttempt();
     end();
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
@@ -105,7 +105,7 @@
       withExchange(deliver.callId(), ProxyExchange::deliverHeldResponse);
     } else if (effect instanceof DispatchEffect.CutCall cut) {
       context.metrics().meter("cut." + cut.reason().label()).mark();
-      withExchange(cut.callId(), ProxyExchange::abort);
+      withExchange(cut.callId(), exchange -> exchange.abort(cut.reason()));
     } else if (effect instanceof DispatchEffect.DropTarget drop) {
       context.loop().execute(() -> context.connections().retire(drop.target()));
     } else if (effect instanceof DispatchEffect.ProbeTarget probe) {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
@@ -30,11 +30,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import org.sequoiareach.daemon.dialect.InvalidCallException;
 import org.sequoiareach.decision.dispatch.CallProfile;
+import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.route.CallerLimits;
 import org.sequoiareach.store.time.MonotonicClock;
@@ -83,6 +85,8 @@
   private long reservedBytes;
   private CallResponseWriter responseWriter;
   private Runnable onDisconnect = () -> {};
+  private Optional<AnswerProgress> lastAnswer = Optional.empty();
+  private AnswerEnd closing = AnswerEnd.CALLER_LEFT;
 
   CallerConnection(GatewayHttpServer server) {
     this.server = server;
@@ -105,7 +109,8 @@
           reject(
               HttpResponseStatus.REQUEST_TIMEOUT,
               "the request was not received within its deadline");
-      case IDLE, LINGERING -> channel.close();
+      case IDLE -> close(AnswerEnd.IDLE_TIMEOUT);
+      case LINGERING -> close(AnswerEnd.LINGER_TIMEOUT);
       default -> {}
     }
   }
@@ -113,10 +118,24 @@
   /** Closes the connection if no request is in progress on it. */
   void closeIfIdle() {
     if (phase == Phase.IDLE || phase == Phase.LINGERING) {
-      channel.close();
+      close(AnswerEnd.PROCESS_END);
     }
   }
 
+  /** Returns the progress of the answer that the caller has not got whole, if there is one. */
+  Optional<AnswerProgress> incompleteAnswer() {
+    if (phase == Phase.READING_HEAD || phase == Phase.READING_BODY) {
+      String requestId = profile == null ? "" : profile.requestId();
+      return Optional.of(new AnswerProgress(requestId, false, server.sheetVersion()));
+    }
+    return lastAnswer.filter(answer -> !answer.isWhole());
+  }
+
+  private void close(AnswerEnd end) {
+    closing = end;
+    channel.close();
+  }
+
   @Override
   public void channelActive(ChannelHandlerContext ctx) {
     channel = ctx.channel();
@@ -127,6 +146,9 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     server.connectionClosed(this);
+    incompleteAnswer()
+        .ifPresent(
+            answer -> server.answerEnds().onIncomplete(answer, closing, server.sheetVersion()));
     pipelined.forEach(ReferenceCountUtil::release);
     pipelined.clear();
     releaseBody();
@@ -139,7 +161,7 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    channel.close();
+    close(AnswerEnd.CONNECTION_ERROR);
   }
 
   @Override
@@ -222,6 +244,7 @@
       final ByteBuf requestBody = body;
       body = null;
       responseWriter = new CallResponseWriter(HttpUtil.isKeepAlive(request), request.method());
+      lastAnswer = Optional.of(responseWriter.progress);
       enter(Phase.RESPONDING, Long.MAX_VALUE);
       onDisconnect =
           server.requestHandler().handleRequest(profile, request, requestBody, responseWriter);
@@ -329,6 +352,8 @@
   private final class CallResponseWriter implements ResponseWriter {
 
     private final HttpMethod method;
+    private final AnswerProgress progress =
+        new AnswerProgress(profile.requestId(), true, server.sheetVersion());
     private boolean keepAlive;
     private boolean ended;
     private Consumer<Boolean> writableListener = writable -> {};
@@ -367,7 +392,16 @@
         part.release();
         return;
       }
-      channel.writeAndFlush(new DefaultHttpContent(part));
+      int length = part.readableBytes();
+      progress.onPart(length);
+      channel
+          .writeAndFlush(new DefaultHttpContent(part))
+          .addListener(
+              written -> {
+                if (written.isSuccess()) {
+                  progress.onWritten(length);
+                }
+              });
     }
 
     @Override
@@ -377,6 +411,12 @@
       }
       ended = true;
       ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+      written.addListener(
+          outcome -> {
+            if (outcome.isSuccess()) {
+              progress.onEndWritten();
+            }
+          });
       onResponseEnded(keepAlive);
       if (!keepAlive) {
         // A slow caller may still have to take a part of the response.
@@ -386,10 +426,16 @@
 
     @Override
     public void abort() {
+      abort(Reason.INTERNAL);
+    }
+
+    @Override
+    public void abort(Reason reason) {
       if (!isOpen()) {
         return;
       }
       ended = true;
+      server.answerEnds().onIncomplete(progress, AnswerEnd.ofCut(reason), server.sheetVersion());
       linger();
       channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
     }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/GatewayHttpServer.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/GatewayHttpServer.java
@@ -45,6 +45,7 @@
   private static final Logger LOGGER = LogManager.getLogger(GatewayHttpServer.class);
   private static final int ACCEPT_BACKLOG = 1_024;
   private static final long DEADLINE_CHECK_MS = 200;
+  private static final long MAX_LOG_WAIT_MS = 100;
 
   /** The part of the direct memory for request bodies; the rest is for reads and responses. */
   private static final int BODY_MEMORY_DIVISOR = 3;
@@ -57,6 +58,8 @@
   private final Set<CallerConnection> connections = new HashSet<>();
   private volatile CallerLimits limits = CallerLimits.INITIAL;
   private volatile boolean draining;
+  private volatile long sheetVersion;
+  private final AnswerEndLog answerEnds;
 
   /**
    * Creates a server that does not listen yet.
@@ -82,6 +85,7 @@
     this.dialect = Check.notNull(dialect, "dialect");
     this.requestHandler = Check.notNull(requestHandler, "requestHandler");
     this.metrics = Check.notNull(metrics, "metrics");
+    this.answerEnds = new AnswerEndLog(metrics);
     this.loop = Check.notNull(loop, "loop");
     loop.scheduleWithFixedDelay(
         this::checkDeadlines, DEADLINE_CHECK_MS, DEADLINE_CHECK_MS, TimeUnit.MILLISECONDS);
@@ -121,12 +125,14 @@
   public void handle(Effect effect) {
     if (effect instanceof DispatchEffect.UseRoutingSheet use) {
       limits = use.sheet().limits();
+      sheetVersion = use.sheet().version();
     }
   }
 
   /** Makes each connection close after the response in progress. */
   public void drain() {
     draining = true;
+    answerEnds.onDrain(MonotonicClock.nowMs());
   }
 
   /** Closes the connections without a request in progress, once no more callers are accepted. */
@@ -134,6 +140,20 @@
     loop.execute(() -> List.copyOf(connections).forEach(CallerConnection::closeIfIdle));
   }
 
+  /** Logs the answers that the end of the process interrupts; waits a short time for that. */
+  public void logProcessEnd() {
+    loop.submit(() -> answerEnds.onProcessEnd(List.copyOf(connections), sheetVersion))
+        .awaitUninterruptibly(MAX_LOG_WAIT_MS);
+  }
+
+  AnswerEndLog answerEnds() {
+    return answerEnds;
+  }
+
+  long sheetVersion() {
+    return sheetVersion;
+  }
+
   boolean isDraining() {
     return draining;
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/ResponseWriter.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/ResponseWriter.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import org.sequoiareach.model.request.Reason;
 
 /**
  * Writes the response to one request.
@@ -45,6 +46,15 @@
    */
   void abort();
 
+  /**
+   * Cuts the response, like {@link #abort()}.
+   *
+   * @param reason why, for the log
+   */
+  default void abort(Reason reason) {
+    abort();
+  }
+
   /**
    * Sets the listener for back-pressure of the caller.
    *
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
@@ -260,6 +260,7 @@
   @Override
   public void close() {
     LOGGER.info(new StringMapMessage().with("decision", "stop").with("daemon", settings.name()));
+    callerServer.logProcessEnd();
     callerChannel.close();
     callerServer.closeIdle();
     controlLoop.close();
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/SlowCallerTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/SlowCallerTest.java
@@ -25,10 +25,14 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.sequoiareach.daemon.dialect.AnswerHead;
 import org.sequoiareach.daemon.dialect.AttemptMetadata;
 import org.sequoiareach.daemon.dialect.CallDialect;
 import org.sequoiareach.decision.dispatch.CallProfile;
+import org.sequoiareach.model.request.Reason;
+import org.sequoiareach.store.time.MonotonicClock;
 import reactor.netty.resources.LoopResources;
 
 /** Tests the end of responses that a caller is slow to read. */
@@ -45,8 +49,9 @@
   private final LoopResources resources = LoopResources.create("test", 1, true);
   private final EventLoop loop = resources.onServer(false).next();
   private final BlockingQueue<ResponseWriter> responses = new LinkedBlockingQueue<>();
+  private final MetricRegistry metrics = new MetricRegistry();
   private final GatewayHttpServer server =
-      new GatewayHttpServer(new PlainDialect(), this::handle, new MetricRegistry(), loop);
+      new GatewayHttpServer(new PlainDialect(), this::handle, metrics, loop);
   private Channel channel;
   private Socket caller;
 
@@ -100,6 +105,80 @@
     assertThat(caller.getInputStream().readAllBytes()).hasSizeLessThan(LARGE_BYTES);
   }
 
+  @Test
+  void countsAnswerThatCallerLeftBeforeItWasWritten() throws Exception {
+    ResponseWriter response = responses.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    onLoop(() -> startLargeResponse(response));
+    onLoop(response::finish);
+
+    caller.close();
+
+    assertCounted("caller-left");
+  }
+
+  @Test
+  void countsConnectionThatFinishedAnswerLeftUnsent() throws Exception {
+    ResponseWriter response = responses.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    onLoop(() -> startLargeResponse(response));
+    onLoop(response::finish);
+
+    server.closeIdle();
+
+    assertCounted("process-end");
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "NOT_READY,drain-deadline",
+    "DEADLINE,deadline",
+    "TARGET_FAILED,attempt-failed",
+    "NO_CAPACITY,other-cut"
+  })
+  void countsAnswerThatWasCutByItsReason(Reason reason, String path) throws Exception {
+    ResponseWriter response = responses.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    onLoop(() -> startLargeResponse(response));
+    onLoop(() -> response.abort(reason));
+
+    assertCounted(path);
+  }
+
+  @Test
+  void countsAnswerThatEndOfProcessInterrupts() throws Exception {
+    ResponseWriter response = responses.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    onLoop(() -> startLargeResponse(response));
+
+    server.logProcessEnd();
+
+    assertCounted("process-end");
+  }
+
+  @Test
+  void countsNothingForAnswerThatCallerReadWhole() throws Exception {
+    ResponseWriter response = responses.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    onLoop(() -> startLargeResponse(response));
+    onLoop(response::finish);
+
+    assertThat(caller.getInputStream().readAllBytes()).hasSizeGreaterThan(LARGE_BYTES);
+    server.logProcessEnd();
+
+    assertThat(metrics.getMeters()).isEmpty();
+  }
+
+  private static void startLargeResponse(ResponseWriter response) {
+    response.sendHead(
+        HttpResponseStatus.OK, new DefaultHttpHeaders(), OptionalLong.of(LARGE_BYTES));
+    response.sendContent(Unpooled.wrappedBuffer(new byte[LARGE_BYTES]));
+  }
+
+  private void assertCounted(String path) throws Exception {
+    long deadlineMs = MonotonicClock.nowMs() + TIMEOUT_MS;
+    while (metrics.getMeters().isEmpty() && MonotonicClock.nowMs() < deadlineMs) {
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+    assertThat(metrics.getMeters()).containsOnlyKeys("answers.cut." + path);
+    assertThat(metrics.meter("answers.cut." + path).getCount()).isEqualTo(1);
+  }
+
   private Runnable handle(
       CallProfile profile, HttpRequest request, ByteBuf body, ResponseWriter response) {
     body.release();
