Count idleness of a connection from the last byte that was sent

Callers saw: an answer cut although the target had answered completely and the caller was still reading it.

Cause: after the end of a response the deadline of the idle connection was counted from the hand-over of the last byte to Netty, not from when it was written. A caller that was slow to read was closed when it passed, which dropped the unsent bytes. Closing the idle connections at the end of the process did the same at once. Class: a buffer taken for the wire.

Why it works: the idle time starts when the last byte is written. While bytes are unsent, the connection is closed only if none of them was sent for 30 s. Aborted responses are still cut when the linger time passes without progress. Closing idle connections waits for what was written.

Cost: a connection with an unsent answer that its caller does not read at all now lasts 30 s rather than the idle time limit.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -67,6 +68,9 @@
   /** Time for the caller to read the response; a few round trips are enough. */
   private static final long LINGER_MS = 1_000;
 
+  /** Long, because a socket takes more bytes only once a good part of its buffer is free. */
+  private static final long UNREAD_MS = 30_000;
+
   /** Bounds of the random time after which callers return that were refused for lack of memory. */
   private static final long MIN_RETRY_AFTER_MS = 300;
 
@@ -77,6 +81,7 @@
   private Channel channel;
   private Phase phase = Phase.IDLE;
   private long deadlineMs;
+  private long unsentBytes;
   private HttpRequest request;
   private CallProfile profile;
   private ByteBuf body;
@@ -105,15 +110,34 @@
           reject(
               HttpResponseStatus.REQUEST_TIMEOUT,
               "the request was not received within its deadline");
-      case IDLE, LINGERING -> channel.close();
+      case IDLE, LINGERING -> closeUnlessCallerReads(nowMs);
       default -> {}
     }
   }
 
-  /** Closes the connection if no request is in progress on it. */
+  private void closeUnlessCallerReads(long nowMs) {
+    long leftBytes = countUnsentBytes();
+    if (leftBytes > 0 && leftBytes < unsentBytes) {
+      enter(phase, nowMs + UNREAD_MS);
+      return;
+    }
+    channel.close();
+  }
+
+  private long findIdleDeadlineMs() {
+    long limitMs = countUnsentBytes() > 0 ? UNREAD_MS : limits().idleTimeoutMs();
+    return MonotonicClock.nowMs() + limitMs;
+  }
+
+  private long countUnsentBytes() {
+    ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+    return unsent == null ? 0 : unsent.totalPendingWriteBytes() - unsent.currentProgress();
+  }
+
+  /** Closes the connection if no request is in progress on it, once its response is sent. */
   void closeIfIdle() {
     if (phase == Phase.IDLE || phase == Phase.LINGERING) {
-      channel.close();
+      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
     }
   }
 
@@ -299,16 +323,24 @@
     if (!keepAlive) {
       pipelined.forEach(ReferenceCountUtil::release);
       pipelined.clear();
-      enter(Phase.LINGERING, MonotonicClock.nowMs() + limits().idleTimeoutMs());
+      enter(Phase.LINGERING, findIdleDeadlineMs());
       return;
     }
-    enter(Phase.IDLE, MonotonicClock.nowMs() + limits().idleTimeoutMs());
+    enter(Phase.IDLE, findIdleDeadlineMs());
     while (phase != Phase.RESPONDING && !pipelined.isEmpty()) {
       bytesReceived();
       read(pipelined.poll());
     }
   }
 
+  private void onResponseSent() {
+    if (phase == Phase.LINGERING) {
+      linger();
+    } else if (phase == Phase.IDLE) {
+      enter(Phase.IDLE, MonotonicClock.nowMs() + limits().idleTimeoutMs());
+    }
+  }
+
   private void releaseBody() {
     if (body != null) {
       body.release();
@@ -319,6 +351,7 @@
   private void enter(Phase next, long untilMs) {
     phase = next;
     deadlineMs = untilMs;
+    unsentBytes = countUnsentBytes();
   }
 
   private CallerLimits limits() {
@@ -378,10 +411,8 @@
       ended = true;
       ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
       onResponseEnded(keepAlive);
-      if (!keepAlive) {
-        // A slow caller may still have to take a part of the response.
-        written.addListener(ignored -> linger());
-      }
+      // A slow caller may still have to take a part of the response.
+      written.addListener(ignored -> onResponseSent());
     }
 
     @Override
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/SlowCallerTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/SlowCallerTest.java
@@ -17,6 +17,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.BlockingQueue;
@@ -29,6 +30,9 @@
 import org.sequoiareach.daemon.dialect.AttemptMetadata;
 import org.sequoiareach.daemon.dialect.CallDialect;
 import org.sequoiareach.decision.dispatch.CallProfile;
+import org.sequoiareach.decision.dispatch.DispatchEffect;
+import org.sequoiareach.model.route.CallerLimits;
+import org.sequoiareach.model.route.RoutingSheet;
 import reactor.netty.resources.LoopResources;
 
 /** Tests the end of responses that a caller is slow to read. */
@@ -42,6 +46,8 @@
   /** Longer than a connection lingers after its last response. */
   private static final long SLOW_MS = 1_600;
 
+  private static final int STEPS = 16;
+
   private final LoopResources resources = LoopResources.create("test", 1, true);
   private final EventLoop loop = resources.onServer(false).next();
   private final BlockingQueue<ResponseWriter> responses = new LinkedBlockingQueue<>();
@@ -53,13 +59,7 @@
   @BeforeEach
   void start() throws IOException {
     channel = server.accept(GatewayHttpServer.bind(new InetSocketAddress("127.0.0.1", 0)));
-    caller = new Socket();
-    caller.connect(channel.localAddress());
-    caller.setSoTimeout((int) TIMEOUT_MS);
-    caller
-        .getOutputStream()
-        .write(
-            "GET /x HTTP/1.1\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+    caller = connect("GET /x HTTP/1.1\r\nConnection: close\r\n\r\n");
   }
 
   @AfterEach
@@ -72,18 +72,41 @@
   @Test
   void deliversLastResponseOfConnectionCompletely() throws Exception {
     ResponseWriter response = responses.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
-    onLoop(
-        () -> {
-          response.sendHead(
-              HttpResponseStatus.OK, new DefaultHttpHeaders(), OptionalLong.of(LARGE_BYTES));
-          response.sendContent(Unpooled.wrappedBuffer(new byte[LARGE_BYTES]));
-          response.finish();
-        });
+    respond(response);
     TimeUnit.MILLISECONDS.sleep(SLOW_MS);
 
     assertThat(caller.getInputStream().readAllBytes()).hasSizeGreaterThan(LARGE_BYTES);
   }
 
+  @Test
+  void doesNotCountTimeInWhichCallerTakesResponseAsIdle() throws Exception {
+    limitIdleTimeMs(SLOW_MS / 4);
+    try (Socket keptAlive = connect("GET /x HTTP/1.1\r\n\r\n")) {
+      responses.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+      ResponseWriter response = responses.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+      respond(response);
+      int bytes = 0;
+      for (int i = 0; i < STEPS; i++) {
+        bytes += keptAlive.getInputStream().readNBytes(LARGE_BYTES / STEPS).length;
+        TimeUnit.MILLISECONDS.sleep(SLOW_MS / STEPS);
+      }
+
+      assertThat(bytes).isEqualTo(LARGE_BYTES);
+    }
+  }
+
+  @Test
+  void keepsUnsentResponseWhenIdleConnectionsAreClosed() throws Exception {
+    try (Socket keptAlive = connect("GET /x HTTP/1.1\r\n\r\n")) {
+      responses.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+      ResponseWriter response = responses.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+      respond(response);
+      server.closeIdle();
+
+      assertThat(keptAlive.getInputStream().readAllBytes()).hasSizeGreaterThan(LARGE_BYTES);
+    }
+  }
+
   @Test
   void closesConnectionOfAbortedResponseThatCallerDoesNotRead() throws Exception {
     ResponseWriter response = responses.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
@@ -107,6 +130,38 @@
     return () -> {};
   }
 
+  private Socket connect(String request) throws IOException {
+    Socket socket = new Socket();
+    socket.connect(channel.localAddress());
+    socket.setSoTimeout((int) TIMEOUT_MS);
+    socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+    return socket;
+  }
+
+  private void respond(ResponseWriter response) throws Exception {
+    onLoop(
+        () -> {
+          response.sendHead(
+              HttpResponseStatus.OK, new DefaultHttpHeaders(), OptionalLong.of(LARGE_BYTES));
+          response.sendContent(Unpooled.wrappedBuffer(new byte[LARGE_BYTES]));
+          response.finish();
+        });
+  }
+
+  private void limitIdleTimeMs(long idleTimeMs) {
+    CallerLimits limits = CallerLimits.INITIAL;
+    server.handle(
+        new DispatchEffect.UseRoutingSheet(
+            new RoutingSheet(
+                1,
+                1,
+                List.of(),
+                List.of(),
+                new CallerLimits(
+                    limits.headerBytes(), limits.bodyBytes(), limits.headerTimeoutMs(), idleTimeMs),
+                List.of())));
+  }
+
   private void onLoop(Runnable task) throws Exception {
     loop.submit(task).get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
   }
