Stop only once callers have taken the answers delivered to them

Callers saw: answers cut at a planned stop, which the log showed as delivered.

Cause: a call ended when its answer was handed to Netty. A draining daemon without calls stopped and ended its process although bytes of answers were unsent, because their callers read slowly. Class: a buffer taken for the wire.

Evidence: UnsentAnswerInDrainTest failed before this change (answers were missing) and passes with it. Reducer tests in StoppedDaemonTest pass; they use the new event, so they cannot run before.

Ruled out as evidence: a first form of the test with one large answer failed before and after, because the time limit of the route cut the answer while the caller was still reading it.

Why it works: the front end posts an event when the first ended response has unsent bytes and when the last one was sent or given up. The event precedes the one that ends the call. The reducer stops the daemon only without unsent answers, or at the end of the drain.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
@@ -90,6 +90,11 @@
     return exchange::onCallerDisconnected;
   }
 
+  @Override
+  public void onResponsesUnsent(boolean unsent) {
+    context.events().post(new DispatchEvent.AnswersUnsent(MonotonicClock.nowMs(), unsent));
+  }
+
   @Override
   public void handle(Effect effect) {
     if (effect instanceof DispatchEffect.SendCall send) {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
@@ -410,6 +410,11 @@
       }
       ended = true;
       ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+      if (!written.isDone()) {
+        // Before the handler learns that the response has ended.
+        server.responseUnsent();
+        written.addListener(ignored -> server.responseSent());
+      }
       onResponseEnded(keepAlive);
       // A slow caller may still have to take a part of the response.
       written.addListener(ignored -> onResponseSent());
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/GatewayHttpServer.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/GatewayHttpServer.java
@@ -55,6 +55,7 @@
   private final EventLoop loop;
   private final HeldBytes bodyMemory;
   private final Set<CallerConnection> connections = new HashSet<>();
+  private int unsentResponses;
   private volatile CallerLimits limits = CallerLimits.INITIAL;
   private volatile boolean draining;
 
@@ -162,6 +163,22 @@
     connections.remove(connection);
   }
 
+  /** Counts a response that has ended although its caller has yet to take a part of it. */
+  void responseUnsent() {
+    unsentResponses++;
+    if (unsentResponses == 1) {
+      requestHandler.onResponsesUnsent(true);
+    }
+  }
+
+  /** Ends what {@link #responseUnsent} began. */
+  void responseSent() {
+    unsentResponses--;
+    if (unsentResponses == 0) {
+      requestHandler.onResponsesUnsent(false);
+    }
+  }
+
   /**
    * Logs and counts a request that was rejected before it was read completely.
    *
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/RequestHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/RequestHandler.java
@@ -19,4 +19,11 @@
    */
   Runnable handleRequest(
       CallProfile profile, HttpRequest request, ByteBuf body, ResponseWriter response);
+
+  /**
+   * Observes whether parts of ended responses wait for callers to read them.
+   *
+   * @param unsent true when the first response waits, false when the last one was sent or given up
+   */
+  default void onResponsesUnsent(boolean unsent) {}
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -37,6 +37,7 @@
   @JsonSubTypes.Type(DispatchEvent.CallArrived.class),
   @JsonSubTypes.Type(DispatchEvent.AnswerStarted.class),
   @JsonSubTypes.Type(DispatchEvent.AnswerDelivered.class),
+  @JsonSubTypes.Type(DispatchEvent.AnswersUnsent.class),
   @JsonSubTypes.Type(DispatchEvent.AttemptFailed.class),
   @JsonSubTypes.Type(DispatchEvent.CallerLeft.class),
   @JsonSubTypes.Type(DispatchEvent.TargetProbed.class),
@@ -242,6 +243,14 @@
     }
   }
 
+  /**
+   * Callers that read slowly left parts of delivered answers unsent, or have taken all of them.
+   *
+   * @param nowMs when it was observed
+   * @param unsent whether parts are unsent
+   */
+  record AnswersUnsent(long nowMs, boolean unsent) implements DispatchEvent {}
+
   /**
    * An attempt failed.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -132,6 +132,8 @@
       quarantines.onQuarantinesTold(told);
     } else if (event instanceof DispatchEvent.AnswerDelivered delivered) {
       calls.onAnswerDelivered(delivered);
+    } else if (event instanceof DispatchEvent.AnswersUnsent unsent) {
+      lifecycle.onAnswersUnsent(unsent);
     } else if (event instanceof DispatchEvent.AttemptFailed failed) {
       calls.onAttemptFailed(failed);
     } else if (event instanceof DispatchEvent.CallerLeft left) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LifecycleHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LifecycleHandler.java
@@ -12,6 +12,7 @@
   private final CallHandler calls;
   private Optional<Boolean> lastReady = Optional.empty();
   private long noticeEndMs;
+  private boolean answersUnsent;
 
   LifecycleHandler(DispatchContext context, ActiveCalls active, CallHandler calls) {
     this.context = context;
@@ -29,16 +30,23 @@
     updateReadiness();
   }
 
+  void onAnswersUnsent(DispatchEvent.AnswersUnsent event) {
+    answersUnsent = event.unsent();
+    tick(event.nowMs());
+  }
+
   void tick(long nowMs) {
     updateReadiness();
     Optional<DrainAdmission> drain = context.drain();
     if (drain.isEmpty() || context.isStopped()) {
       return;
     }
-    if (nowMs >= drain.get().endMs()) {
+    boolean ending = nowMs >= drain.get().endMs();
+    if (ending) {
       calls.abortAll("the daemon has reached its drain deadline");
     }
-    if (active.count() == 0 && nowMs >= noticeEndMs) {
+    boolean idle = active.count() == 0 && (ending || !answersUnsent);
+    if (idle && nowMs >= noticeEndMs) {
       context.markStopped();
       context.effects().add(new Effect.Stop());
     }
