Refuse requests that are being read when the process ends

Callers saw: a connection closed without any answer, for a request that was arriving when a planned stop ended the process.

Cause: the end of the process closed idle connections only. Requests of which a part had been read lost their connection with the process, and those read completely after the control loop had closed were posted to it and dropped. Class: work accepted by a part that is about to end.

Evidence: CallerConnectionTest.refusesRequestThatIsReadWhenServerCloses failed before this change in both cases (the server read on, up to its time limit) and passes with it. That requests read completely after the stop were dropped is from reading the code; no test shows it.

Why it works: when the process ends, requests that are being read, and those whose head is read later, are refused as not run with the time after which to come back. A stop is not delayed for them, because their callers lose nothing by a refusal and the grace period may have ended. The control loop closes only after the connections have closed, for at most 200 ms, so that the reducer refuses what has just arrived and callers can take the refusal before the connection is reset.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
@@ -71,7 +71,10 @@
   /** Long, because a socket takes more bytes only once a good part of its buffer is free. */
   private static final long UNREAD_MS = 30_000;
 
-  /** Bounds of the random time after which callers return that were refused for lack of memory. */
+  private static final String NO_MEMORY =
+      "the bodies of other requests leave no memory for this one";
+
+  /** Bounds of the random time after which callers return whose requests were not read. */
   private static final long MIN_RETRY_AFTER_MS = 300;
 
   private static final long MAX_RETRY_AFTER_MS = 900;
@@ -134,9 +137,14 @@
     return unsent == null ? 0 : unsent.totalPendingWriteBytes() - unsent.currentProgress();
   }
 
-  /** Closes the connection if no request is in progress on it, once its response is sent. */
+  /**
+   * Closes the connection if no request is in progress on it, once its response is sent. A request
+   * that is still read is refused.
+   */
   void closeIfIdle() {
-    if (phase == Phase.IDLE || phase == Phase.LINGERING) {
+    if (phase == Phase.READING_HEAD || phase == Phase.READING_BODY) {
+      rejectNotRun("the daemon is stopping");
+    } else if (phase == Phase.IDLE || phase == Phase.LINGERING) {
       channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
     }
   }
@@ -206,6 +214,10 @@
   private void readHead(HttpRequest head) {
     long nowMs = MonotonicClock.nowMs();
     request = head;
+    if (server.isClosing()) {
+      rejectNotRun("the daemon is stopping");
+      return;
+    }
     if (HttpUtil.getContentLength(head, 0L) > limits().bodyBytes()) {
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, bodyTooLong());
       return;
@@ -218,7 +230,7 @@
     }
     int length = (int) HttpUtil.getContentLength(head, 0L);
     if (!tryReserve(length)) {
-      rejectForMemory();
+      rejectNotRun(NO_MEMORY);
       return;
     }
     body = channel.alloc().buffer(length);
@@ -238,7 +250,7 @@
     // Copied, because callers choose the size of chunks, and each one kept would cost its objects.
     long missingBytes = body.readableBytes() + part.content().readableBytes() - reservedBytes;
     if (missingBytes > 0 && !tryReserve(missingBytes)) {
-      rejectForMemory();
+      rejectNotRun(NO_MEMORY);
       return;
     }
     body.writeBytes(part.content());
@@ -269,16 +281,13 @@
     reservedBytes = 0;
   }
 
-  private void rejectForMemory() {
+  private void rejectNotRun(String detail) {
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set("Sequoiareach-Verdict", Verdict.NOT_RUN.label());
     long retryAfterMs =
         ThreadLocalRandom.current().nextLong(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
     server.dialect().setRetryAfter(headers, retryAfterMs);
-    reject(
-        HttpResponseStatus.SERVICE_UNAVAILABLE,
-        "the bodies of other requests leave no memory for this one",
-        headers);
+    reject(HttpResponseStatus.SERVICE_UNAVAILABLE, detail, headers);
   }
 
   private void rejectMalformed(Throwable cause) {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/GatewayHttpServer.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/GatewayHttpServer.java
@@ -19,6 +19,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -45,6 +46,7 @@
   private static final Logger LOGGER = LogManager.getLogger(GatewayHttpServer.class);
   private static final int ACCEPT_BACKLOG = 1_024;
   private static final long DEADLINE_CHECK_MS = 200;
+  private static final long CLOSE_CHECK_MS = 5;
 
   /** The part of the direct memory for request bodies; the rest is for reads and responses. */
   private static final int BODY_MEMORY_DIVISOR = 3;
@@ -58,6 +60,7 @@
   private int unsentResponses;
   private volatile CallerLimits limits = CallerLimits.INITIAL;
   private volatile boolean draining;
+  private volatile boolean closing;
 
   /**
    * Creates a server that does not listen yet.
@@ -130,11 +133,38 @@
     draining = true;
   }
 
-  /** Closes the connections without a request in progress, once no more callers are accepted. */
+  /**
+   * Closes the connections without a request in progress, once no more callers are accepted, and
+   * refuses the requests that are being read or still arrive.
+   */
   public void closeIdle() {
+    closing = true;
     loop.execute(() -> List.copyOf(connections).forEach(CallerConnection::closeIfIdle));
   }
 
+  /**
+   * Waits until all connections have closed.
+   *
+   * @param deadlineMs when to give up, in milliseconds of the monotonic clock
+   */
+  public void awaitClosed(long deadlineMs) {
+    try {
+      while (MonotonicClock.nowMs() < deadlineMs
+          && !loop.isShuttingDown()
+          && !loop.submit(connections::isEmpty).get()) {
+        TimeUnit.MILLISECONDS.sleep(CLOSE_CHECK_MS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  boolean isClosing() {
+    return closing;
+  }
+
   boolean isDraining() {
     return draining;
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
@@ -83,6 +83,9 @@
   /** Half of the shortest usual idle timeout, because the store closes idle connections. */
   private static final Duration PLATFORM_MAX_IDLE_TIME = Duration.ofMillis(900);
 
+  /** A part of what the end of the process may take after the end of the drain. */
+  private static final long MAX_CLOSE_MS = 200;
+
   private static final int STATUS_UNAVAILABLE = 503;
 
   private volatile GatewaySettings settings;
@@ -262,6 +265,8 @@
     LOGGER.info(new StringMapMessage().with("decision", "stop").with("daemon", settings.name()));
     callerChannel.close();
     callerServer.closeIdle();
+    // Before the control loop, which refuses the requests that have just arrived.
+    callerServer.awaitClosed(MonotonicClock.nowMs() + MAX_CLOSE_MS);
     controlLoop.close();
     timer.shutdownNow();
     transport.close();
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/CallerConnectionTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/CallerConnectionTest.java
@@ -279,6 +279,23 @@
     }
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "POST /x HTTP/1.1\\r\\nid: a\\r\\nContent-Le",
+        "POST /x HTTP/1.1\\r\\nid: a\\r\\nContent-Length: 6\\r\\n\\r\\nbo"
+      })
+  void refusesRequestThatIsReadWhenServerCloses(String part) throws Exception {
+    send(unescape(part));
+    TimeUnit.MILLISECONDS.sleep(HEADER_TIMEOUT_MS / 3);
+    server.closeIdle();
+
+    String response =
+        new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    assertThat(response).startsWith("HTTP/1.1 503").contains("retry-after-ms");
+    assertThat(handed).isEmpty();
+  }
+
   @Test
   void returnsMemoryOfCallersThatLeave() throws Exception {
     for (String id : List.of("a", "b", "c")) {
