--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -69,7 +70,13 @@
   /** Time for the caller to read the response; a few round trips are enough. */
   private static final long LINGER_MS = 1_000;
 
-  /** Bounds of the random time after which callers return that were refused for lack of memory. */
+  /** Long, because a socket takes more bytes only once a good part of its buffer is free. */
+  private static final long UNREAD_MS = 30_000;
+
+  private static final String NO_MEMORY =
+      "the bodies of other requests leave no memory for this one";
+
+  /** Bounds of the random time after which callers return whose requests were not read. */
   private static final long MIN_RETRY_AFTER_MS = 300;
 
   private static final long MAX_RETRY_AFTER_MS = 900;
@@ -79,6 +86,7 @@
   private Channel channel;
   private Phase phase = Phase.IDLE;
   private long deadlineMs;
+  private long unsentBytes;
   private HttpRequest request;
   private CallProfile profile;
   private ByteBuf body;
@@ -109,16 +117,41 @@
           reject(
               HttpResponseStatus.REQUEST_TIMEOUT,
               "the request was not received within its deadline");
-      case IDLE -> close(AnswerEnd.IDLE_TIMEOUT);
-      case LINGERING -> close(AnswerEnd.LINGER_TIMEOUT);
+      case IDLE -> closeUnlessCallerReads(nowMs, AnswerEnd.IDLE_TIMEOUT);
+      case LINGERING -> closeUnlessCallerReads(nowMs, AnswerEnd.LINGER_TIMEOUT);
       default -> {}
     }
   }
 
-  /** Closes the connection if no request is in progress on it. */
+  private void closeUnlessCallerReads(long nowMs, AnswerEnd end) {
+    long leftBytes = countUnsentBytes();
+    if (leftBytes > 0 && leftBytes < unsentBytes) {
+      enter(phase, nowMs + UNREAD_MS);
+      return;
+    }
+    close(end);
+  }
+
+  private long findIdleDeadlineMs() {
+    long limitMs = countUnsentBytes() > 0 ? UNREAD_MS : limits().idleTimeoutMs();
+    return MonotonicClock.nowMs() + limitMs;
+  }
+
+  private long countUnsentBytes() {
+    ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+    return unsent == null ? 0 : unsent.totalPendingWriteBytes() - unsent.currentProgress();
+  }
+
+  /**
+   * Closes the connection if no request is in progress on it, once its response is sent. A request
+   * that is still read is refused.
+   */
   void closeIfIdle() {
-    if (phase == Phase.IDLE || phase == Phase.LINGERING) {
-      close(AnswerEnd.PROCESS_END);
+    if (phase == Phase.READING_HEAD || phase == Phase.READING_BODY) {
+      rejectNotRun("the daemon is stopping");
+    } else if (phase == Phase.IDLE || phase == Phase.LINGERING) {
+      closing = AnswerEnd.PROCESS_END;
+      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
     }
   }
 
@@ -204,6 +237,10 @@
   private void readHead(HttpRequest head) {
     long nowMs = MonotonicClock.nowMs();
     request = head;
+    if (server.isClosing()) {
+      rejectNotRun("the daemon is stopping");
+      return;
+    }
     if (HttpUtil.getContentLength(head, 0L) > limits().bodyBytes()) {
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, bodyTooLong());
       return;
@@ -216,7 +253,7 @@
     }
     int length = (int) HttpUtil.getContentLength(head, 0L);
     if (!tryReserve(length)) {
-      rejectForMemory();
+      rejectNotRun(NO_MEMORY);
       return;
     }
     body = channel.alloc().buffer(length);
@@ -236,7 +273,7 @@
     // Copied, because callers choose the size of chunks, and each one kept would cost its objects.
     long missingBytes = body.readableBytes() + part.content().readableBytes() - reservedBytes;
     if (missingBytes > 0 && !tryReserve(missingBytes)) {
-      rejectForMemory();
+      rejectNotRun(NO_MEMORY);
       return;
     }
     body.writeBytes(part.content());
@@ -268,16 +305,13 @@
     reservedBytes = 0;
   }
 
-  private void rejectForMemory() {
+  private void rejectNotRun(String detail) {
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set("Sequoiareach-Verdict", Verdict.NOT_RUN.label());
     long retryAfterMs =
         ThreadLocalRandom.current().nextLong(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
     server.dialect().setRetryAfter(headers, retryAfterMs);
-    reject(
-        HttpResponseStatus.SERVICE_UNAVAILABLE,
-        "the bodies of other requests leave no memory for this one",
-        headers);
+    reject(HttpResponseStatus.SERVICE_UNAVAILABLE, detail, headers);
   }
 
   private void rejectMalformed(Throwable cause) {
@@ -322,16 +356,24 @@
     if (!keepAlive) {
       pipelined.forEach(ReferenceCountUtil::release);
       pipelined.clear();
-      enter(Phase.LINGERING, MonotonicClock.nowMs() + limits().idleTimeoutMs());
+      enter(Phase.LINGERING, findIdleDeadlineMs());
       return;
     }
-    enter(Phase.IDLE, MonotonicClock.nowMs() + limits().idleTimeoutMs());
+    enter(Phase.IDLE, findIdleDeadlineMs());
     while (phase != Phase.RESPONDING && !pipelined.isEmpty()) {
       bytesReceived();
       read(pipelined.poll());
     }
   }
 
+  private void onResponseSent() {
+    if (phase == Phase.LINGERING) {
+      linger();
+    } else if (phase == Phase.IDLE) {
+      enter(Phase.IDLE, MonotonicClock.nowMs() + limits().idleTimeoutMs());
+    }
+  }
+
   private void releaseBody() {
     if (body != null) {
       body.release();
@@ -342,6 +384,7 @@
   private void enter(Phase next, long untilMs) {
     phase = next;
     deadlineMs = untilMs;
+    unsentBytes = countUnsentBytes();
   }
 
   private CallerLimits limits() {
@@ -417,11 +460,14 @@
               progress.onEndWritten();
             }
           });
-      onResponseEnded(keepAlive);
-      if (!keepAlive) {
-        // A slow caller may still have to take a part of the response.
-        written.addListener(ignored -> linger());
+      if (!written.isDone()) {
+        // Before the handler learns that the response has ended.
+        server.responseUnsent();
+        written.addListener(ignored -> server.responseSent());
       }
+      onResponseEnded(keepAlive);
+      // A slow caller may still have to take a part of the response.
+      written.addListener(ignored -> onResponseSent());
     }
 
     @Override
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/GatewayHttpServer.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/GatewayHttpServer.java
@@ -19,6 +19,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -46,6 +47,7 @@
   private static final int ACCEPT_BACKLOG = 1_024;
   private static final long DEADLINE_CHECK_MS = 200;
   private static final long MAX_LOG_WAIT_MS = 100;
+  private static final long CLOSE_CHECK_MS = 5;
 
   /** The part of the direct memory for request bodies; the rest is for reads and responses. */
   private static final int BODY_MEMORY_DIVISOR = 3;
@@ -56,9 +58,11 @@
   private final EventLoop loop;
   private final HeldBytes bodyMemory;
   private final Set<CallerConnection> connections = new HashSet<>();
+  private int unsentResponses;
   private volatile CallerLimits limits = CallerLimits.INITIAL;
   private volatile boolean draining;
   private volatile long sheetVersion;
+  private volatile boolean closing;
   private final AnswerEndLog answerEnds;
 
   /**
@@ -135,8 +139,12 @@
     answerEnds.onDrain(MonotonicClock.nowMs());
   }
 
-  /** Closes the connections without a request in progress, once no more callers are accepted. */
+  /**
+   * Closes the connections without a request in progress, once no more callers are accepted, and
+   * refuses the requests that are being read or still arrive.
+   */
   public void closeIdle() {
+    closing = true;
     loop.execute(() -> List.copyOf(connections).forEach(CallerConnection::closeIfIdle));
   }
 
@@ -154,6 +162,29 @@
     return sheetVersion;
   }
 
+  /**
+   * Waits until all connections have closed.
+   *
+   * @param deadlineMs when to give up, in milliseconds of the monotonic clock
+   */
+  public void awaitClosed(long deadlineMs) {
+    try {
+      while (MonotonicClock.nowMs() < deadlineMs
+          && !loop.isShuttingDown()
+          && !loop.submit(connections::isEmpty).get()) {
+        TimeUnit.MILLISECONDS.sleep(CLOSE_CHECK_MS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  boolean isClosing() {
+    return closing;
+  }
+
   boolean isDraining() {
     return draining;
   }
@@ -182,6 +213,22 @@
     connections.remove(connection);
   }
 
+  /** Counts a response that has ended although its caller has yet to take a part of it. */
+  void responseUnsent() {
+    unsentResponses++;
+    if (unsentResponses == 1) {
+      requestHandler.onResponsesUnsent(true);
+    }
+  }
+
+  /** Ends what {@link #responseUnsent} began. */
+  void responseSent() {
+    unsentResponses--;
+    if (unsentResponses == 0) {
+      requestHandler.onResponsesUnsent(false);
+    }
+  }
+
   /**
    * Logs and counts a request that was rejected before it was read completely.
    *
