Take an empty resumption that ends with its connection as broken off

What callers receive: a resumed stream that ends as complete before its last event, if the engine that resumes it closes its connection after the head of an answer without chunks or length.

Cause and class: the end of a stream was judged by the events of all attempts; an event of the engine before counted as one of this one. Premature end taken for a complete stream.

Evidence: the new case CONNECTION of BrokenOffStreamTest failed before and passes now; CHUNKS and LENGTH passed before and after.

Ruled out: answers with chunks or a length, whose end is marked.

Why it works: such an answer tells nothing of the run, so it is a failed attempt, and the stream goes on elsewhere within attempts, targets and deadline, or is cut. If the caller had the last event already, each unframed resumption is empty and the stream is cut although all of it was delivered: the two cannot be told apart, and a caller can repeat a stream that was cut.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -336,8 +336,7 @@
 
   private void completeStream(ResponseFraming framing) {
     boolean insideEvent = splitter.orElseThrow().isInsideEvent();
-    boolean hasEvents = receivedEvents > 0 || resumedAfterEventId > 0;
-    StreamEnd end = StreamEnd.of(framing, insideEvent, hasEvents, stopOrder);
+    StreamEnd end = StreamEnd.of(framing, insideEvent, receivedEvents > 0, stopOrder);
     endUndecided = end == StreamEnd.UNDECIDED;
     if (endUndecided) {
       return;
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/StreamEnd.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/StreamEnd.java
@@ -8,7 +8,7 @@
   COMPLETE("the stream is complete"),
   /** The stream broke off. */
   INSIDE_EVENT("the stream ended inside an event"),
-  /** The stream broke off, because each run has an event. */
+  /** The stream broke off, because each run has an event and none came from this engine. */
   WITHOUT_EVENT("the stream ended with its connection before the first event"),
   /** The engine has, or may have, stopped the run on order. */
   STOPPED("the stream ended with its connection after an order to stop"),
@@ -27,7 +27,7 @@
    *
    * @param framing how the end was marked
    * @param insideEvent whether bytes of an incomplete event precede the end
-   * @param hasEvents whether an event of the run was received, from this engine or from another
+   * @param hasEvents whether an event was received from this engine
    * @param stopOrder what is known of an order to stop the run
    */
   static StreamEnd of(
