Let a continuation begin only with the event after the caller's last

What callers receive: a stream whose first events are missing, if a run moves before this daemon has received any of its events, and the engine that continues it begins after those that its source had made.

Cause and class: without an event so far, any first id was accepted, also from a continuation. Missing check of a sequence at its start.

Evidence: two cases of ProxyExchangeTest (first ids 2 and 7) failed before and pass now; id 1 passed before and after. EventSequenceTest keeps its cases and has five more.

Ruled out: continuations and resumptions after an event; their ids were checked. Lower ids than asked for are dropped as before, because an engine may repeat events of the same run.

Why it works: the ids of a run count from 1, and a continuation asks for the events after 0. The first attempt keeps its leniency, because it makes all of its own stream, whose ids need not begin with 1.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -89,6 +89,11 @@
     this.resumedAfterEventId = resumedAfterEventId;
   }
 
+  /** Returns whether the attempt goes on with the run of an earlier one. */
+  boolean continuesRun() {
+    return sendCall.continuation().isPresent();
+  }
+
   int number() {
     return sendCall.attempt();
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/EventSequence.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/EventSequence.java
@@ -40,8 +40,13 @@
     return allNumbered;
   }
 
-  /** Counts an event that was received and returns its position. */
-  Position receive(ServerSentEventSplitter.Event event) {
+  /**
+   * Counts an event that was received and returns its position.
+   *
+   * @param continuesRun whether it is part of a continuation, whose first event has the next id
+   *     even if the caller has none yet
+   */
+  Position receive(ServerSentEventSplitter.Event event, boolean continuesRun) {
     bytesWithoutProgress =
         isProgress(event) ? 0 : bytesWithoutProgress + event.bytes().readableBytes();
     if (event.id().isEmpty()) {
@@ -51,7 +56,7 @@
     if (id <= lastId) {
       return Position.REPEATED;
     }
-    return lastId > 0 && id != lastId + 1 ? Position.AFTER_GAP : Position.NEXT;
+    return (continuesRun || lastId > 0) && id != lastId + 1 ? Position.AFTER_GAP : Position.NEXT;
   }
 
   /** Records that the caller is sent an event. */
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -270,7 +270,7 @@
    * @return false if ids are missing between the last forwarded event and this one
    */
   boolean forwardEvent(AttemptResponseHandler attempt, ServerSentEventSplitter.Event event) {
-    EventSequence.Position position = events.receive(event);
+    EventSequence.Position position = events.receive(event, attempt.continuesRun());
     if (ended || position != EventSequence.Position.NEXT) {
       event.bytes().release();
       return ended || position == EventSequence.Position.REPEATED;
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/EventSequenceTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/EventSequenceTest.java
@@ -16,23 +16,29 @@
 
   @ParameterizedTest
   @CsvSource({
-    "0, 1, NEXT",
-    "0, 7, NEXT",
-    "6, 7, NEXT",
-    "7, 7, REPEATED",
-    "9, 7, REPEATED",
-    "5, 7, AFTER_GAP"
+    "0, false, 1, NEXT",
+    "0, false, 7, NEXT",
+    "6, false, 7, NEXT",
+    "7, false, 7, REPEATED",
+    "9, false, 7, REPEATED",
+    "5, false, 7, AFTER_GAP",
+    "0, true, 1, NEXT",
+    "0, true, 2, AFTER_GAP",
+    "6, true, 7, NEXT",
+    "7, true, 7, REPEATED",
+    "5, true, 7, AFTER_GAP"
   })
-  void placesEventByItsId(long lastId, long id, EventSequence.Position position) {
+  void placesEventByItsId(
+      long lastId, boolean continuesRun, long id, EventSequence.Position position) {
     events.resumeAfter(lastId);
 
-    assertThat(events.receive(event(OptionalLong.of(id), true))).isEqualTo(position);
+    assertThat(events.receive(event(OptionalLong.of(id), true), continuesRun)).isEqualTo(position);
     assertThat(events.lastId()).isEqualTo(lastId);
   }
 
   @Test
   void passesEventsWithoutIdOnAndRemembersThem() {
-    assertThat(events.receive(event(OptionalLong.empty(), true)))
+    assertThat(events.receive(event(OptionalLong.empty(), true), false))
         .isEqualTo(EventSequence.Position.NEXT);
     assertThat(events.allNumbered()).isTrue();
 
@@ -47,7 +53,7 @@
     OptionalLong eventId = id == null ? OptionalLong.empty() : OptionalLong.of(id);
     events.resumeAfter(lastId);
     for (int i = 0; i < 5; i++) {
-      events.receive(event(eventId, hasContent));
+      events.receive(event(eventId, hasContent), false);
     }
 
     assertThat(events.isFlooded()).isEqualTo(flooded);
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
@@ -193,6 +193,26 @@
     }
   }
 
+  /** Guards against events that were made at the source, but reach the caller from no engine. */
+  @ParameterizedTest
+  @CsvSource({"1, true", "2, false", "7, false"})
+  void continuesRunWithoutEventOnlyAtItsFirst(long firstId, boolean forwarded) throws Exception {
+    onLoop(() -> exchange.send(continuation()));
+    try (Socket accepted = target.accept()) {
+      assertThat(accepted.getInputStream().read()).isPositive();
+      write(accepted, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nid: " + firstId + "\n\n");
+      TimeUnit.MILLISECONDS.sleep(ARRIVAL_MS);
+    }
+
+    assertThat(response.events.contains("content")).isEqualTo(forwarded);
+    assertThat(posted)
+        .filteredOn(DispatchEvent.AttemptFailed.class::isInstance)
+        .hasSize(forwarded ? 0 : 1)
+        .allSatisfy(
+            event ->
+                assertThat(((DispatchEvent.AttemptFailed) event).detail()).contains("has a gap"));
+  }
+
   private DispatchEffect.SendCall continuation() {
     DispatchEffect.SendCall first = sendCall(RouteKind.STREAMING);
     return new DispatchEffect.SendCall(
