Resume streams with comments, and continue none after an event without id

What callers receive: a resumable stream with a comment between its events is cut where it could be resumed. A moved stream that has events with data but no id begins anew at the next engine, so that the caller has them twice.

Cause and class: a comment counted as an event without an id, and the rule not to go on after such an event held for new runs, but not for continuations.

Ruled out: a line of weight versions before the id; the id is found in any line.

Why it works: only data without an id makes the place in a stream unknown, and then neither a new run nor a continuation can be asked for the rest. EventSequenceTest asks for both: a comment keeps the stream numbered, data without an id does not.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/EventSequence.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/EventSequence.java
@@ -1,7 +1,5 @@
 package org.sequoiareach.daemon.exchange;
 
-import java.util.OptionalLong;
-
 /**
  * The events of a stream as its caller receives them, by their ids and across attempts. Not
  * thread-safe.
@@ -35,7 +33,7 @@
     return lastId;
   }
 
-  /** Returns whether each accepted event had an id. */
+  /** Returns whether each accepted event with content had an id. */
   boolean allNumbered() {
     return allNumbered;
   }
@@ -60,9 +58,9 @@
   }
 
   /** Records that the caller is sent an event. */
-  void accept(OptionalLong id) {
-    id.ifPresent(number -> lastId = number);
-    allNumbered &= id.isPresent();
+  void accept(ServerSentEventSplitter.Event event) {
+    event.id().ifPresent(number -> lastId = number);
+    allNumbered &= event.id().isPresent() || !event.hasContent();
   }
 
   /** Returns whether more bytes were received without progress than a sound stream contains. */
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -146,7 +146,7 @@
       next.fail(AttemptFault.LOST, 0, "not sent: an earlier attempt of the request may have run");
       return;
     }
-    if (headSent && newRun && !events.allNumbered()) {
+    if (headSent && !events.allNumbered()) {
       next.fail(
           AttemptFault.OUTDATED, 0, "not sent: an event without an id cannot be resumed after");
       return;
@@ -277,7 +277,7 @@
     }
     sendHeadOnce(attempt, OptionalLong.empty());
     attempt.reportStart();
-    events.accept(event.id());
+    events.accept(event);
     recordEventLatency();
     response.sendContent(event.bytes());
     return true;
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/EventSequenceTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/EventSequenceTest.java
@@ -42,7 +42,11 @@
         .isEqualTo(EventSequence.Position.NEXT);
     assertThat(events.allNumbered()).isTrue();
 
-    events.accept(OptionalLong.empty());
+    events.accept(event(OptionalLong.empty(), false));
+
+    assertThat(events.allNumbered()).isTrue();
+
+    events.accept(event(OptionalLong.empty(), true));
 
     assertThat(events.allNumbered()).isFalse();
   }
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
@@ -213,6 +213,22 @@
                 assertThat(((DispatchEvent.AttemptFailed) event).detail()).contains("has a gap"));
   }
 
+  /** Guards against events without an id that the caller receives from both engines. */
+  @Test
+  void doesNotContinueRunAfterEventWithoutId() throws Exception {
+    onLoop(() -> exchange.send(sendCall(RouteKind.STREAMING)));
+    try (Socket accepted = target.accept()) {
+      assertThat(accepted.getInputStream().read()).isPositive();
+      write(accepted, "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\ndata: a\n\n");
+      TimeUnit.MILLISECONDS.sleep(ARRIVAL_MS);
+      onLoop(() -> exchange.send(continuation()));
+
+      target.setSoTimeout((int) ARRIVAL_MS);
+      assertThatThrownBy(() -> target.accept()).isInstanceOf(SocketTimeoutException.class);
+    }
+    assertThat(posted).last().isInstanceOf(DispatchEvent.AttemptFailed.class);
+  }
+
   private DispatchEffect.SendCall continuation() {
     DispatchEffect.SendCall first = sendCall(RouteKind.STREAMING);
     return new DispatchEffect.SendCall(
