Start only the latest of several continuations that wait for one source

What callers could receive: events of two attempts in one stream, if a second continuation was decided while the first one waited for the stopped engine to end. Shown at the exchange only; no decision of the reducer was seen to send two continuations in that time.

Cause and class: the end of the source ran the later continuation first, then the earlier one, which replaced it as the current attempt. Wrong order of deferred actions.

Evidence: sendsOnlyLatestOfContinuationsThatWaitForTheSameSource failed before and passes now.

Ruled out, by reading: events of an aborted attempt. Its connection has no listener any more, and a new run is only sent after its predecessor ended.

Why it works: an attempt with a lower number than the current one is never started.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -132,7 +132,7 @@
   }
 
   private void startAttempt(DispatchEffect.SendCall sendCall) {
-    if (ended) {
+    if (ended || currentAttempt.filter(at -> at.number() > sendCall.attempt()).isPresent()) {
       return;
     }
     AttemptResponseHandler next = new AttemptResponseHandler(this, sendCall, events.lastId());
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
@@ -229,11 +229,41 @@
     assertThat(posted).last().isInstanceOf(DispatchEvent.AttemptFailed.class);
   }
 
+  /** Guards against two attempts at once, whose events would mix. */
+  @Test
+  void sendsOnlyLatestOfContinuationsThatWaitForTheSameSource() throws Exception {
+    onLoop(() -> exchange.send(sendCall(RouteKind.STREAMING)));
+    try (Socket source = target.accept()) {
+      assertThat(source.getInputStream().read()).isPositive();
+      onLoop(
+          () -> {
+            exchange.send(continuation(2));
+            exchange.send(continuation(3));
+          });
+      try (Socket latest = target.accept()) {
+        assertThat(latest.getInputStream().read()).isPositive();
+        write(latest, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nid: 1\n\n");
+        TimeUnit.MILLISECONDS.sleep(ARRIVAL_MS);
+      }
+    }
+
+    assertThat(response.events).containsExactly("head 200 verdict=null", "content", "finish");
+    assertThat(posted)
+        .filteredOn(DispatchEvent.AnswerDelivered.class::isInstance)
+        .singleElement()
+        .satisfies(
+            event -> assertThat(((DispatchEvent.AnswerDelivered) event).attempt()).isEqualTo(3));
+  }
+
   private DispatchEffect.SendCall continuation() {
+    return continuation(2);
+  }
+
+  private DispatchEffect.SendCall continuation(int attempt) {
     DispatchEffect.SendCall first = sendCall(RouteKind.STREAMING);
     return new DispatchEffect.SendCall(
         first.callId(),
-        2,
+        attempt,
         first.target(),
         first.kind(),
         first.organisation(),
