--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -89,6 +89,11 @@
     this.resumedAfterEventId = resumedAfterEventId;
   }
 
+  /** Returns whether the attempt goes on with the run of an earlier one. */
+  boolean continuesRun() {
+    return sendCall.continuation().isPresent();
+  }
+
   int number() {
     return sendCall.attempt();
   }
@@ -336,8 +341,7 @@
 
   private void completeStream(ResponseFraming framing) {
     boolean insideEvent = splitter.orElseThrow().isInsideEvent();
-    boolean hasEvents = receivedEvents > 0 || resumedAfterEventId > 0;
-    StreamEnd end = StreamEnd.of(framing, insideEvent, hasEvents, stopOrder);
+    StreamEnd end = StreamEnd.of(framing, insideEvent, receivedEvents > 0, stopOrder);
     endUndecided = end == StreamEnd.UNDECIDED;
     if (endUndecided) {
       return;
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/EventSequence.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/EventSequence.java
@@ -1,7 +1,5 @@
 package org.sequoiareach.daemon.exchange;
 
-import java.util.OptionalLong;
-
 /**
  * The events of a stream as its caller receives them, by their ids and across attempts. Not
  * thread-safe.
@@ -35,13 +33,18 @@
     return lastId;
   }
 
-  /** Returns whether each accepted event had an id. */
+  /** Returns whether each accepted event with content had an id. */
   boolean allNumbered() {
     return allNumbered;
   }
 
-  /** Counts an event that was received and returns its position. */
-  Position receive(ServerSentEventSplitter.Event event) {
+  /**
+   * Counts an event that was received and returns its position.
+   *
+   * @param continuesRun whether it is part of a continuation, whose first event has the next id
+   *     even if the caller has none yet
+   */
+  Position receive(ServerSentEventSplitter.Event event, boolean continuesRun) {
     bytesWithoutProgress =
         isProgress(event) ? 0 : bytesWithoutProgress + event.bytes().readableBytes();
     if (event.id().isEmpty()) {
@@ -51,13 +54,13 @@
     if (id <= lastId) {
       return Position.REPEATED;
     }
-    return lastId > 0 && id != lastId + 1 ? Position.AFTER_GAP : Position.NEXT;
+    return (continuesRun || lastId > 0) && id != lastId + 1 ? Position.AFTER_GAP : Position.NEXT;
   }
 
   /** Records that the caller is sent an event. */
-  void accept(OptionalLong id) {
-    id.ifPresent(number -> lastId = number);
-    allNumbered &= id.isPresent();
+  void accept(ServerSentEventSplitter.Event event) {
+    event.id().ifPresent(number -> lastId = number);
+    allNumbered &= event.id().isPresent() || !event.hasContent();
   }
 
   /** Returns whether more bytes were received without progress than a sound stream contains. */
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -132,7 +132,7 @@
   }
 
   private void startAttempt(DispatchEffect.SendCall sendCall) {
-    if (ended) {
+    if (ended || currentAttempt.filter(at -> at.number() > sendCall.attempt()).isPresent()) {
       return;
     }
     AttemptResponseHandler next = new AttemptResponseHandler(this, sendCall, events.lastId());
@@ -146,7 +146,7 @@
       next.fail(AttemptFault.LOST, 0, "not sent: an earlier attempt of the request may have run");
       return;
     }
-    if (headSent && newRun && !events.allNumbered()) {
+    if (headSent && !events.allNumbered()) {
       next.fail(
           AttemptFault.OUTDATED, 0, "not sent: an event without an id cannot be resumed after");
       return;
@@ -270,14 +270,14 @@
    * @return false if ids are missing between the last forwarded event and this one
    */
   boolean forwardEvent(AttemptResponseHandler attempt, ServerSentEventSplitter.Event event) {
-    EventSequence.Position position = events.receive(event);
+    EventSequence.Position position = events.receive(event, attempt.continuesRun());
     if (ended || position != EventSequence.Position.NEXT) {
       event.bytes().release();
       return ended || position == EventSequence.Position.REPEATED;
     }
     sendHeadOnce(attempt, OptionalLong.empty());
     attempt.reportStart();
-    events.accept(event.id());
+    events.accept(event);
     recordEventLatency();
     response.sendContent(event.bytes());
     return true;
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
@@ -193,11 +193,77 @@
     }
   }
 
+  /** Guards against events that were made at the source, but reach the caller from no engine. */
+  @ParameterizedTest
+  @CsvSource({"1, true", "2, false", "7, false"})
+  void continuesRunWithoutEventOnlyAtItsFirst(long firstId, boolean forwarded) throws Exception {
+    onLoop(() -> exchange.send(continuation()));
+    try (Socket accepted = target.accept()) {
+      assertThat(accepted.getInputStream().read()).isPositive();
+      write(accepted, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nid: " + firstId + "\n\n");
+      TimeUnit.MILLISECONDS.sleep(ARRIVAL_MS);
+    }
+
+    assertThat(response.events.contains("content")).isEqualTo(forwarded);
+    assertThat(posted)
+        .filteredOn(DispatchEvent.AttemptFailed.class::isInstance)
+        .hasSize(forwarded ? 0 : 1)
+        .allSatisfy(
+            event ->
+                assertThat(((DispatchEvent.AttemptFailed) event).detail()).contains("has a gap"));
+  }
+
+  /** Guards against events without an id that the caller receives from both engines. */
+  @Test
+  void doesNotContinueRunAfterEventWithoutId() throws Exception {
+    onLoop(() -> exchange.send(sendCall(RouteKind.STREAMING)));
+    try (Socket accepted = target.accept()) {
+      assertThat(accepted.getInputStream().read()).isPositive();
+      write(accepted, "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\ndata: a\n\n");
+      TimeUnit.MILLISECONDS.sleep(ARRIVAL_MS);
+      onLoop(() -> exchange.send(continuation()));
+
+      target.setSoTimeout((int) ARRIVAL_MS);
+      assertThatThrownBy(() -> target.accept()).isInstanceOf(SocketTimeoutException.class);
+    }
+    assertThat(posted).last().isInstanceOf(DispatchEvent.AttemptFailed.class);
+  }
+
+  /** Guards against two attempts at once, whose events would mix. */
+  @Test
+  void sendsOnlyLatestOfContinuationsThatWaitForTheSameSource() throws Exception {
+    onLoop(() -> exchange.send(sendCall(RouteKind.STREAMING)));
+    try (Socket source = target.accept()) {
+      assertThat(source.getInputStream().read()).isPositive();
+      onLoop(
+          () -> {
+            exchange.send(continuation(2));
+            exchange.send(continuation(3));
+          });
+      try (Socket latest = target.accept()) {
+        assertThat(latest.getInputStream().read()).isPositive();
+        write(latest, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nid: 1\n\n");
+        TimeUnit.MILLISECONDS.sleep(ARRIVAL_MS);
+      }
+    }
+
+    assertThat(response.events).containsExactly("head 200 verdict=null", "content", "finish");
+    assertThat(posted)
+        .filteredOn(DispatchEvent.AnswerDelivered.class::isInstance)
+        .singleElement()
+        .satisfies(
+            event -> assertThat(((DispatchEvent.AnswerDelivered) event).attempt()).isEqualTo(3));
+  }
+
   private DispatchEffect.SendCall continuation() {
+    return continuation(2);
+  }
+
+  private DispatchEffect.SendCall continuation(int attempt) {
     DispatchEffect.SendCall first = sendCall(RouteKind.STREAMING);
     return new DispatchEffect.SendCall(
         first.callId(),
-        2,
+        attempt,
         first.target(),
         first.kind(),
         first.organisation(),
