Offer a stopped run to its engines until one takes it

Callers saw: a stream was cut after the daemon itself had stopped its run to move it off a leaving engine (rule LOST).

Cause: the continuation was tried once at the holder of the copy and once at the source, the latter only within 1,200 ms of the notice. A holder in backoff, a connection that could not be had, a decision carried out too late or a rejection ended the call though holder or source still had the run's memory. Class: a run is stopped before its continuation is secured.

Fix: a stopped run is kept and offered to holder and source in turn, with a growing delay, for at most 3 s and within the deadline of the call. The source is left out once it is about to leave or no longer has the run, an engine that has gone is left out, and backoffs are observed with their two exceptions. After a failure that may have run, no other engine goes on. A call that may be run anew does so instead of waiting, as before. An unused copy of a run that is given up is released.

DispatchFuzzTest (2 x 300 tries) passes, including that no run goes on at two engines.

Ruled out: routes or services that disappear during a move, by reading only: a continuation doesn't look them up.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
@@ -76,6 +76,7 @@
   /** Starts the copies that are due. */
   void startDueCopies(long nowMs) {
     abortOverdue(nowMs);
+    continueStoppedRuns(nowMs);
     releaseReservations();
     migrator.startDueCopies(
         nowMs,
@@ -102,6 +103,25 @@
     }
   }
 
+  /** Offers stopped runs to their engines again, and ends the calls that none takes in time. */
+  private void continueStoppedRuns(long nowMs) {
+    for (RunMigration migration : migrator.findDueContinuations(nowMs)) {
+      if (nowMs < migration.call().deadlineMs()
+          && !continueStoppedRun(nowMs, migration, "an engine may take the stopped run now")) {
+        endMigration(migration.call().callId());
+        calls
+            .find(migration.call().callId())
+            .filter(call -> call.target().isEmpty())
+            .ifPresent(
+                call ->
+                    calls.abort(
+                        call,
+                        Reason.TARGET_FAILED,
+                        "the run was stopped and no engine continued it in time"));
+      }
+    }
+  }
+
   /** Returns the engines that can receive a run: those without a rate limit if there are any. */
   private List<Candidate> findDestinations(long nowMs, ActiveCall call) {
     List<Candidate> all = context.candidates(call.service(), nowMs);
@@ -195,7 +215,10 @@
     if (migration.latestCopy().isEmpty()) {
       return false;
     }
-    RunMigration.CompletedCopy copy = migration.latestCopy().get();
+    if (migration.step() == RunMigration.Step.STOPPED) {
+      // Only the answer of the stopped source has ended.
+      return true;
+    }
     boolean atSource = migration.step() != RunMigration.Step.CONTINUING;
     if (atSource && !migration.hasRunEnded()) {
       calls.logDecision(
@@ -205,24 +228,58 @@
       return true;
     }
     if (atSource) {
-      if (!acquireContinuation(event.nowMs(), copy.holder())) {
-        return false;
-      }
-      migration.startContinuation(event.nowMs());
-      continueAt(
-          event.nowMs(), migration, copy, copy.holder(), "the source engine has no such run");
-      return true;
+      migrator.endCopies(event.nowMs(), migration);
+      return continueStoppedRun(event.nowMs(), migration, "the source engine has no such run");
     }
-    boolean tooLate = event.nowMs() - migration.noticedAtMs() > RunMigrator.STOP_DEADLINE_MS;
-    boolean failedAtSource = failedAt.id().equals(migration.source().id());
-    if (event.fault().mayHaveRun()
-        || failedAtSource
-        || tooLate
-        || !acquireContinuation(event.nowMs(), migration.source())) {
+    if (event.fault().mayHaveRun()) {
       return false;
     }
-    continueAt(
-        event.nowMs(), migration, copy, migration.source(), "the destination rejected the run");
+    migration.failContinuation(event.nowMs(), failedAt.id(), isGone(event.fault()));
+    return continueElsewhere(event.nowMs(), migration, failedAt);
+  }
+
+  private static boolean isGone(AttemptFault fault) {
+    return fault == AttemptFault.NOBODY_THERE || fault == AttemptFault.WRONG_TARGET;
+  }
+
+  /**
+   * Continues a run that an engine did not take at its other engine, or waits until one takes it. A
+   * call that may be run anew does not wait.
+   */
+  private boolean continueElsewhere(long nowMs, RunMigration migration, RoutedTarget failedAt) {
+    List<RoutedTarget> engines = RunMigrator.findContinuationEngines(nowMs, migration);
+    boolean other = engines.stream().anyMatch(engine -> !engine.id().equals(failedAt.id()));
+    if (migration.failedContinuations() == 1 && other) {
+      return continueStoppedRun(nowMs, migration, "the destination rejected the run");
+    }
+    ActiveCall call = migration.call();
+    boolean mayRunAnew =
+        call.route().kind().isRepeatable() && call.possibleRuns() < call.route().maxTargets();
+    if (mayRunAnew || engines.isEmpty() || !migration.mayContinue(nowMs)) {
+      return false;
+    }
+    RunMigrator.delayContinuation(nowMs, migration);
+    return true;
+  }
+
+  /**
+   * Continues a stopped run at the first of its engines that can take it, or waits for one.
+   *
+   * @return false if none is left or its time is over
+   */
+  private boolean continueStoppedRun(long nowMs, RunMigration migration, String why) {
+    List<RoutedTarget> engines = RunMigrator.findContinuationEngines(nowMs, migration);
+    if (engines.isEmpty() || !migration.mayContinue(nowMs)) {
+      return false;
+    }
+    Optional<RoutedTarget> taker =
+        engines.stream().filter(engine -> acquireContinuation(nowMs, engine)).findFirst();
+    if (taker.isEmpty()) {
+      RunMigrator.delayContinuation(nowMs, migration);
+      return true;
+    }
+    migration.startContinuation(nowMs);
+    continueAt(nowMs, migration, migration.latestCopy().orElseThrow(), taker.get(), why);
     return true;
   }
 
@@ -234,11 +291,7 @@
     next.ready()
         .ifPresent(
             migration -> {
-              RunMigration.CompletedCopy copy = migration.latestCopy().orElseThrow();
-              if (acquireContinuation(event.nowMs(), copy.holder())) {
-                continueAt(
-                    event.nowMs(), migration, copy, copy.holder(), "the final copy is complete");
-              } else {
+              if (!continueStoppedRun(event.nowMs(), migration, "the final copy is complete")) {
                 endMigration(event.callId());
               }
             });
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigration.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigration.java
@@ -17,7 +17,9 @@
     COPYING,
     /** The run is stopped and the remaining memory is copied. */
     STOPPING,
-    /** The call is sent to the engine that holds the copy. */
+    /** The run is stopped, and no engine could take it yet. */
+    STOPPED,
+    /** The call is sent to the engine that holds the copy, or back to the stopped source. */
     CONTINUING
   }
 
@@ -44,6 +46,9 @@
   private boolean stopUnconfirmed;
   private boolean runEnded;
   private OptionalLong giveUpAtMs = OptionalLong.empty();
+  private final Set<String> goneEngines = new HashSet<>();
+  private OptionalLong continueByMs = OptionalLong.empty();
+  private int failedContinuations;
 
   RunMigration(ActiveCall call, RoutedTarget source, long noticedAtMs, boolean concurrent) {
     this.call = call;
@@ -79,7 +84,7 @@
 
   /** Returns whether the current destination holds a copy of the run or is receiving one. */
   boolean occupiesDestination() {
-    return step != Step.CONTINUING && destination.isPresent();
+    return step != Step.CONTINUING && step != Step.STOPPED && destination.isPresent();
   }
 
   /** Returns whether a copy to the given engine has failed. */
@@ -182,11 +187,58 @@
     return runEnded;
   }
 
+  /**
+   * Records that the run is stopped, so that an engine is to continue it.
+   *
+   * @param untilMs until when an engine may continue it; the first call counts
+   */
+  void endCopies(long nowMs, long untilMs) {
+    step = Step.STOPPED;
+    stepStartedMs = nowMs;
+    retryAtMs = nowMs;
+    if (continueByMs.isEmpty()) {
+      continueByMs = OptionalLong.of(untilMs);
+    }
+  }
+
   void startContinuation(long nowMs) {
     step = Step.CONTINUING;
     stepStartedMs = nowMs;
   }
 
+  /** Records that an engine did not continue the run, and whether it never will. */
+  void failContinuation(long nowMs, String engineId, boolean gone) {
+    step = Step.STOPPED;
+    retryAtMs = nowMs;
+    failedContinuations++;
+    if (gone) {
+      goneEngines.add(engineId);
+    }
+  }
+
+  int failedContinuations() {
+    return failedContinuations;
+  }
+
+  boolean isGone(RoutedTarget engine) {
+    return goneEngines.contains(engine.id());
+  }
+
+  /** Returns whether an engine may still continue the stopped run. */
+  boolean mayContinue(long nowMs) {
+    return nowMs < continueByMs.orElse(Long.MAX_VALUE) && nowMs < call.deadlineMs();
+  }
+
+  /** Schedules the next attempt to continue the stopped run. */
+  void waitForEngine(long untilMs) {
+    retryAtMs = untilMs;
+  }
+
+  /** Returns whether the next attempt to continue the stopped run is due. */
+  boolean isContinuationDue(long nowMs) {
+    return step == Step.STOPPED && retryAtMs <= nowMs;
+  }
+
   /** Schedules the next copy, and excludes the current destination if its copy failed. */
   void scheduleRetry(long atMs, boolean failed) {
     step = Step.WAITING;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigrator.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigrator.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Stream;
 import org.sequoiareach.model.route.EngineTraits;
 import org.sequoiareach.model.route.RoutedTarget;
 
@@ -55,6 +56,9 @@
   /** Time for two orders to stop a run whose answer was lost; then the run is given up. */
   private static final long LOST_RUN_TIMEOUT_MS = 2 * COPY_TIMEOUT_MS;
 
+  /** The time for which a stopped run is offered to its engines; copies expire soon after. */
+  private static final long CONTINUATION_TIMEOUT_MS = 3_000;
+
   private static final double BITS_PER_BYTE = 8;
   private static final double BITS_PER_MS_PER_MBPS = 1_000;
 
@@ -172,10 +176,40 @@
       migrations.remove(event.callId());
       return CopyFollowUp.NOTHING;
     }
-    migration.startContinuation(event.nowMs());
+    endCopies(event.nowMs(), migration);
     return new CopyFollowUp(Optional.empty(), Optional.of(migration));
   }
 
+  /** Records that a run is stopped, and is continued from its latest copy. */
+  void endCopies(long nowMs, RunMigration migration) {
+    migration.endCopies(nowMs, nowMs + CONTINUATION_TIMEOUT_MS);
+  }
+
+  /** Returns the migrations of stopped runs whose next attempt to continue is due. */
+  List<RunMigration> findDueContinuations(long nowMs) {
+    return migrations.values().stream()
+        .filter(migration -> migration.isContinuationDue(nowMs))
+        .toList();
+  }
+
+  /** Returns the engines that may continue a stopped run: holder and source, in turn. */
+  static List<RoutedTarget> findContinuationEngines(long nowMs, RunMigration migration) {
+    RoutedTarget holder = migration.latestCopy().orElseThrow().holder();
+    RoutedTarget source = migration.source();
+    boolean sourceLeaves = nowMs - migration.noticedAtMs() > STOP_DEADLINE_MS;
+    boolean sourceFirst = migration.failedContinuations() % 2 == 1;
+    return Stream.of(sourceFirst ? source : holder, sourceFirst ? holder : source)
+        .filter(engine -> !migration.isGone(engine))
+        .filter(engine -> !(engine == source && (sourceLeaves || migration.hasRunEnded())))
+        .toList();
+  }
+
+  /** Delays the next attempt to continue a stopped run, the longer the more have failed. */
+  static void delayContinuation(long nowMs, RunMigration migration) {
+    int delays = Math.min(Math.max(1, migration.failedContinuations()), MAX_RETRY_DELAY_FACTOR);
+    migration.waitForEngine(nowMs + delays * RETRY_DELAY_MS);
+  }
+
   /**
    * Orders the source of a run whose answer was lost to stop the run, which may go on.
    *
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFixture.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFixture.java
@@ -238,6 +238,20 @@
     apply(new DispatchEvent.RunCopied(nowMs, callId, lastCopy(callId).round(), outcome, handle));
   }
 
+  /** Fails every attempt of a call, including those to come, until it ends or for 4 s. */
+  void failUntilEnded(String callId, AttemptFault fault, boolean started) {
+    long untilMs = nowMs + 4_000;
+    int failures = sends(callId).size() - 1;
+    while (refusal(callId).isEmpty() && !wasCut(callId) && nowMs < untilMs) {
+      if (sends(callId).size() > failures) {
+        failures++;
+        failed(callId, fault, started);
+      } else {
+        tick(50);
+      }
+    }
+  }
+
   /** Marks the target of a call as leaving and returns it. */
   RoutedTarget markLeaving(String callId) {
     RoutedTarget target = lastSend(callId).target();
--- /dev/null
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/StoppedRunTest.java
@@ -0,0 +1,199 @@
+package org.sequoiareach.decision.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiareach.model.route.RoutedTarget;
+
+/** Tests that a run that was stopped on order is continued while an engine may still take it. */
+class StoppedRunTest {
+
+  private final DispatchFixture fixture = DispatchFixture.ready();
+
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void returnsToSourceWhileBackoffOfHolderLasts(boolean answerEndsFirst) {
+    String call = stopRunTowardsBackoff(0, 600);
+    final RoutedTarget source = fixture.lastSend(call).target();
+    endCopyAndAnswer(call, answerEndsFirst);
+
+    assertThat(fixture.wasCut(call)).isFalse();
+    assertContinuesAt(call, source.address());
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void waitsForEndOfBackoffOfHolderLateAfterNotice(boolean answerEndsFirst) {
+    String call = stopRunTowardsBackoff(1_250, 600);
+    endCopyAndAnswer(call, answerEndsFirst);
+    fixture.tick(300);
+    assertThat(fixture.wasCut(call)).isFalse();
+    assertThat(fixture.sends(call)).hasSize(1);
+    fixture.tick(700);
+
+    assertContinuesAt(call, fixture.lastCopy(call).destinationAddress());
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = AttemptFault.class,
+      names = {"NOT_SENT", "OUTDATED", "REJECTED"})
+  void returnsToHolderWhenContinuationAtSourceFailsToo(AttemptFault fault) {
+    String call = stopRun();
+    final String holder = fixture.lastCopy(call).destinationAddress();
+    final RoutedTarget source = fixture.lastSend(call).target();
+    fixture.copied(call, 9, CopyOutcome.COPIED, "h1");
+    fixture.failed(call, fault, true);
+    assertContinuesAt(call, source.address());
+    fixture.failed(call, fault, true);
+    fixture.tick(100);
+
+    assertThat(fixture.wasCut(call)).isFalse();
+    assertContinuesAt(call, holder);
+  }
+
+  /** The source leaves soon, so only the holder is left. */
+  @ParameterizedTest
+  @EnumSource(
+      value = AttemptFault.class,
+      names = {"NOT_SENT", "OUTDATED", "REJECTED"})
+  void repeatsContinuationAtHolderLateAfterNotice(AttemptFault fault) {
+    String call = startRun();
+    fixture.markLeaving(call);
+    fixture.copied(call, 700, CopyOutcome.COPIED, "h1");
+    fixture.copied(call, 600, CopyOutcome.COPIED, "h1");
+    fixture.copied(call, 50, CopyOutcome.COPIED, "h1");
+    final String holder = fixture.lastCopy(call).destinationAddress();
+    fixture.failed(call, fault, true);
+    fixture.tick(100);
+
+    assertThat(fixture.wasCut(call)).isFalse();
+    assertThat(fixture.sends(call)).hasSize(3);
+    assertContinuesAt(call, holder);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"NOBODY_THERE, NOBODY_THERE", "WRONG_TARGET, NOBODY_THERE"})
+  void cutsStoppedRunOnceHolderAndSourceAreGone(AttemptFault first, AttemptFault second) {
+    String call = stopRun();
+    fixture.copied(call, 9, CopyOutcome.COPIED, "h1");
+    fixture.failed(call, first, true);
+    fixture.failed(call, second, true);
+
+    assertThat(fixture.sends(call)).hasSize(3);
+    assertThat(fixture.wasCut(call)).isTrue();
+  }
+
+  /** Guards against runs that go on at two engines. */
+  @ParameterizedTest
+  @EnumSource(
+      value = AttemptFault.class,
+      names = {"LOST", "UNCONFIRMED_REJECTION", "BROKEN_ANSWER"})
+  void doesNotContinueRunAgainThatHolderMayRun(AttemptFault fault) {
+    String call = stopRun();
+    fixture.copied(call, 9, CopyOutcome.COPIED, "h1");
+    fixture.failed(call, fault, true);
+    fixture.tick(1_000);
+
+    assertThat(fixture.sends(call)).hasSize(2);
+    assertThat(fixture.wasCut(call)).isTrue();
+  }
+
+  @Test
+  void endsCallWhoseStoppedRunNoEngineTakesInTime() {
+    String call = stopRunTowardsBackoff(1_250, 30_000);
+    endCopyAndAnswer(call, true);
+    fixture.tick(4_000);
+
+    assertThat(fixture.sends(call)).hasSize(1);
+    assertThat(fixture.wasCut(call)).isTrue();
+    assertThat(fixture.all(DispatchEffect.ReleaseCopy.class)).hasSize(1);
+  }
+
+  private String startRun() {
+    String call = fixture.generate(3_000, 2_000);
+    fixture.started(call);
+    return call;
+  }
+
+  /** Starts a run and copies it until the order to stop it is on its way. */
+  private String stopRun() {
+    String call = startRun();
+    fixture.markLeaving(call);
+    fixture.copied(call, 180, CopyOutcome.COPIED, "h1");
+    fixture.copied(call, 10, CopyOutcome.COPIED, "h1");
+    assertThat(fixture.lastCopy(call).stop()).isTrue();
+    return call;
+  }
+
+  /** Stops a run whose destination is in a backoff, the exceptions of which others have used. */
+  private String stopRunTowardsBackoff(long copyMs, long backoffMs) {
+    List<String> runs = startThreeRunsAtOneEngine();
+    final String engine = fixture.lastSend(runs.get(0)).target().id();
+    fixture.markLeaving(runs.get(0));
+    String holder = fixture.lastCopy(runs.get(0)).destinationAddress();
+    assertThat(runs).allMatch(run -> fixture.lastCopy(run).destinationAddress().equals(holder));
+    fixture.advance(copyMs);
+    for (String run : runs) {
+      fixture.copied(run, 1, CopyOutcome.COPIED, "h-" + run);
+    }
+    assertThat(runs).allMatch(run -> fixture.lastCopy(run).stop());
+    fixture.apply(
+        new DispatchEvent.BackoffRequested(
+            fixture.nowMs(), idOf(holder), fixture.nowMs() + backoffMs, "r0"));
+    runs.subList(1, 3).forEach(run -> fixture.copied(run, 1, CopyOutcome.COPIED, "h-" + run));
+    assertThat(runs.subList(1, 3))
+        .allMatch(run -> !fixture.lastSend(run).target().id().equals(engine));
+    return runs.get(0);
+  }
+
+  /** Ends the final copy and the answer of the stopped source, which are reported in any order. */
+  private void endCopyAndAnswer(String call, boolean answerEndsFirst) {
+    int attempt = fixture.lastSend(call).attempt();
+    DispatchEvent answerEnd =
+        new DispatchEvent.AttemptFailed(
+            fixture.nowMs(), call, attempt, AttemptFault.BROKEN_ANSWER, 0, true, false, "stopped");
+    if (answerEndsFirst) {
+      fixture.apply(answerEnd);
+    }
+    fixture.copied(call, 9, CopyOutcome.COPIED, "h1");
+    if (!answerEndsFirst) {
+      fixture.apply(answerEnd);
+    }
+  }
+
+  private List<String> startThreeRunsAtOneEngine() {
+    Map<String, List<String>> runs = new HashMap<>();
+    while (true) {
+      String call = fixture.generate(10, 10);
+      fixture.started(call);
+      List<String> same =
+          runs.computeIfAbsent(fixture.lastSend(call).target().id(), id -> new ArrayList<>());
+      same.add(call);
+      if (same.size() == 3) {
+        return same;
+      }
+    }
+  }
+
+  private static String idOf(String address) {
+    return DispatchFixture.targets().stream()
+        .filter(target -> target.address().equals(address))
+        .findFirst()
+        .orElseThrow()
+        .id();
+  }
+
+  private void assertContinuesAt(String call, String address) {
+    assertThat(fixture.lastSend(call).target().address()).isEqualTo(address);
+    assertThat(fixture.lastSend(call).continuation()).isPresent();
+  }
+}
