Send continuations decided after a step of the wall clock

Callers saw: a stream in progress was cut when its engine left, if the wall clock had stepped forward by 250 ms or more since its arrival.

Cause: an exchange compared suspensions with its arrival, so that one step made every later attempt of the call outdated. Class: an old event is taken as a reason against decisions made after it.

Fix: for a continuation, and for a resumption of an answer that has begun, only a suspension after the decision was handed over counts. The time limit for sending, by the monotonic clock, stays. First attempts are judged as before.

Evidence: ProxyExchangeSendTest, 2 new cases for steps failed before in 3 of 3 runs, and pass after. A third new case, a step while connecting, passed before too. The resumption without a continuation has no test of its own. Seen once of 5 runs after the change: the older case of sendsNothingAfterForwardStepOfWallClock with 250 ms, exactly at the limit, failed; not traced.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -52,7 +53,7 @@
   private final HttpRequest request;
   private final ByteBuf body;
   private final ResponseWriter response;
-  private final long suspendedMsAtStart;
+  private long suspendedMsBefore;
   private final Runnable onEnded;
   private final EventSequence events = new EventSequence();
   private Optional<AttemptResponseHandler> currentAttempt = Optional.empty();
@@ -80,7 +81,7 @@
     this.request = request;
     this.body = body;
     this.response = response;
-    this.suspendedMsAtStart = context.suspensionDetector().totalSuspendedMs();
+    this.suspendedMsBefore = context.suspensionDetector().totalSuspendedMs();
     response.onWritabilityChanged(
         writable ->
             currentAttempt
@@ -107,6 +108,10 @@
     if (sendCall.kind() == RouteKind.RESUMABLE_STREAMING && !headSent) {
       events.resumeAfter(context.dialect().findLastEventId(request.headers()).orElse(0));
     }
+    if (headSent || sendCall.continuation().isPresent()) {
+      // Decided during the call, so that only a later suspension outdates it.
+      suspendedMsBefore = context.suspensionDetector().totalSuspendedMs();
+    }
     boolean sourceActive =
         sendCall.continuation().isPresent() && currentAttempt.filter(r -> !r.isDone()).isPresent();
     if (!sourceActive) {
@@ -114,17 +119,12 @@
       return;
     }
     AttemptResponseHandler source = currentAttempt.get();
+    AtomicBoolean started = new AtomicBoolean();
     Runnable startOnce =
-        new Runnable() {
-          private boolean done;
-
-          @Override
-          public void run() {
-            if (!done) {
-              done = true;
-              source.abort();
-              startAttempt(sendCall);
-            }
+        () -> {
+          if (started.compareAndSet(false, true)) {
+            source.abort();
+            startAttempt(sendCall);
           }
         };
     source.onEnded(startOnce);
@@ -230,7 +230,7 @@
   /** Returns whether the decision to send was made too long ago, or before a suspension. */
   private boolean isOutdated(DispatchEffect.SendCall sendCall) {
     return MonotonicClock.nowMs() > sendCall.sendByMs()
-        || context.suspensionDetector().wasSuspendedSince(suspendedMsAtStart);
+        || context.suspensionDetector().wasSuspendedSince(suspendedMsBefore);
   }
 
   private static void failOutdated(AttemptResponseHandler attempt) {
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeSendTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeSendTest.java
@@ -32,6 +32,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiareach.daemon.dialect.AnswerHead;
 import org.sequoiareach.daemon.dialect.AttemptMetadata;
 import org.sequoiareach.daemon.dialect.CallDialect;
@@ -43,6 +44,7 @@
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
 import org.sequoiareach.decision.dispatch.AttemptFault;
 import org.sequoiareach.decision.dispatch.CallProfile;
+import org.sequoiareach.decision.dispatch.Continuation;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.decision.dispatch.DispatchEvent;
 import org.sequoiareach.decision.event.Event;
@@ -216,6 +218,29 @@
     }
   }
 
+  /** Guards against moved streams that are cut because of a clock step long before the move. */
+  @ParameterizedTest
+  @ValueSource(longs = {250, 3_600_000})
+  void sendsContinuationDecidedAfterForwardStepOfWallClock(long stepMs) throws Exception {
+    wallClockStepMs.set(stepMs);
+    onLoop(run(() -> exchange.send(continuation(1))));
+
+    server.accept().awaitReceived("attempt: 1");
+    assertThat(events).isEmpty();
+  }
+
+  @Test
+  void sendsNoContinuationIfSuspendedWhileConnecting() throws Exception {
+    onLoop(
+        run(
+            () -> {
+              exchange.send(continuation(1));
+              wallClockStepMs.set(1_000);
+            }));
+
+    assertNotSent(AttemptFault.OUTDATED);
+  }
+
   @Test
   void reportsFailureIfHeadersOfAttemptAreInvalid() throws Exception {
     onLoop(run(() -> exchange.send(sendCall(1, LONG_MS, LONG_MS, "two\nlines"))));
@@ -291,12 +316,26 @@
     return events.poll(1, TimeUnit.SECONDS);
   }
 
+  private DispatchEffect.SendCall continuation(int attempt) {
+    return sendCall(
+        attempt, LONG_MS, LONG_MS, "sawmill", Optional.of(new Continuation("10.0.0.1:1", "h1")));
+  }
+
   private DispatchEffect.SendCall sendCall(int attempt, long sendWithinMs, long timeoutMs) {
     return sendCall(attempt, sendWithinMs, timeoutMs, "sawmill");
   }
 
   private DispatchEffect.SendCall sendCall(
       int attempt, long sendWithinMs, long timeoutMs, String organisation) {
+    return sendCall(attempt, sendWithinMs, timeoutMs, organisation, Optional.empty());
+  }
+
+  private DispatchEffect.SendCall sendCall(
+      int attempt,
+      long sendWithinMs,
+      long timeoutMs,
+      String organisation,
+      Optional<Continuation> continuation) {
     long nowMs = MonotonicClock.nowMs();
     return new DispatchEffect.SendCall(
         "c1",
@@ -308,7 +347,7 @@
         10,
         nowMs + sendWithinMs,
         nowMs + timeoutMs,
-        Optional.empty());
+        continuation);
   }
 
   private <T> T onLoop(Callable<T> task) throws Exception {
