Continue stopped runs beyond the share of connections

Callers may see a moved stream cut when the daemon's share of an engine's connections is in use, as after a lower limit or more daemons.

Cause: a continuation was held to the share like a new run. Fix: it is held to the whole limit of the service.

Evidence: StoppedRunTest#continuesStoppedRunBeyondShareOfConnections failed before (116 instead of 232) and passes after. No run shows a stream cut by this in real processes.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCalls.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCalls.java
@@ -82,7 +82,9 @@
                 call.route().kind(),
                 call.organisation(),
                 call.priority(),
-                connectionShare(call.service()),
+                continuation.isPresent()
+                    ? connectionLimit(call.service())
+                    : connectionShare(call.service()),
                 nowMs + SEND_TIMEOUT_MS,
                 call.deadlineMs(),
                 continuation));
@@ -148,12 +150,15 @@
 
   /** Returns this daemon's equal share of the connections that a target of a service accepts. */
   private int connectionShare(String service) {
-    int limit =
-        context
-            .index()
-            .flatMap(index -> index.findService(service))
-            .map(RoutedService::connectionLimit)
-            .orElse(Integer.MAX_VALUE);
-    return Math.max(1, limit / context.maxDaemons());
+    return Math.max(1, connectionLimit(service) / context.maxDaemons());
+  }
+
+  /** Returns the connections that a target of a service accepts from all daemons together. */
+  private int connectionLimit(String service) {
+    return context
+        .index()
+        .flatMap(index -> index.findService(service))
+        .map(RoutedService::connectionLimit)
+        .orElse(Integer.MAX_VALUE);
   }
 }
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/StoppedRunTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/StoppedRunTest.java
@@ -11,6 +11,9 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiareach.decision.event.PlatformEvent;
+import org.sequoiareach.model.platform.VmEntry;
+import org.sequoiareach.model.platform.VmKind;
 import org.sequoiareach.model.route.RoutedTarget;
 
 /** Tests that a run that was stopped on order is continued while an engine may still take it. */
@@ -118,6 +121,22 @@
     assertThat(fixture.all(DispatchEffect.ReleaseCopy.class)).hasSize(1);
   }
 
+  /** Guards against stopped runs that this daemon's own share of connections refuses. */
+  @Test
+  void continuesStoppedRunBeyondShareOfConnections() {
+    fixture.apply(
+        new PlatformEvent.VmsListed(
+            fixture.nowMs(),
+            fixture.nowMs(),
+            List.of(
+                new VmEntry("10.0.0.2:1", VmKind.DAEMON, "10.0.0.2:1", "z1", false, List.of()))));
+    String call = stopRun();
+    fixture.copied(call, 9, CopyOutcome.COPIED, "h1");
+
+    assertThat(fixture.newRuns(call).get(0).maxConnections()).isLessThan(232);
+    assertThat(fixture.lastSend(call).maxConnections()).isEqualTo(232);
+  }
+
   private String startRun() {
     String call = fixture.generate(3_000, 2_000);
     fixture.started(call);
