Compare steps of the wall clock exactly in ProxyExchangeSendTest

The test read the running clock once for the wall clock and once more for the monotonic one; a millisecond that began between the two made a step of 250 ms one of 249. The product reads both clocks the same way and is not exact to the millisecond either, which its bound allows. The clocks of the test now stand still, so the bounds of 249 and 250 ms are checked as exactly as they are written.

--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeSendTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeSendTest.java
@@ -75,9 +75,7 @@
   @BeforeEach
   void start() throws Exception {
     server = new RawServer();
-    SuspensionDetector detector =
-        new SuspensionDetector(
-            MonotonicClock::nowMs, () -> MonotonicClock.nowMs() + wallClockStepMs.get());
+    SuspensionDetector detector = new SuspensionDetector(() -> 0, wallClockStepMs::get);
     ProxyExchangeContext context =
         new ProxyExchangeContext(
             new PlainDialect(),
