Resume a stream at an engine that has no capacity for new runs

What callers saw: of streams that may be resumed, some were cut with "no other target has capacity to resume the stream" while engines were up.

Cause: resuming a stream that its caller receives passed the same admission as a new request: engines whose expected memory or queue was beyond what new runs may use were left out, and nothing was left. A new request can come back later; a stream cannot.

Evidence: ResumedStreamPlacementTest fills every engine until a new request is refused with no-capacity, then breaks a stream off: it was cut before, and goes on at another engine now. By reading: the text of that cut is written only where an untried engine exists and the placement returns none. Ejection leaves out at most 30 % and was ruled out as the sole cause by reading.

DispatchFuzzTest and DispatchReducerTest pass.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallPlacement.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallPlacement.java
@@ -85,7 +85,7 @@
         all.stream().filter(candidate -> !call.wasTried(candidate.target().id())).toList();
     List<Candidate> unlimited =
         untried.stream().filter(candidate -> !limits.isLimited(candidate.target())).toList();
-    Optional<Candidate> target = choose(call, unlimited);
+    Optional<Candidate> target = choose(call, unlimited).or(() -> chooseFull(call, unlimited));
     List<Candidate> limited =
         untried.stream().filter(candidate -> mayRequestPermit(call, candidate.target())).toList();
     Optional<RoutedTarget> permitTarget =
@@ -103,7 +103,20 @@
             ? new PrefillPlacement(
                 durations.getEstimator(call.service()), context.placementToleranceMs())
             : serviceStrategy;
-    return strategy.choose(demand, candidates, context.randomLong());
+    return choose(strategy, call, candidates);
+  }
+
+  private Optional<Candidate> choose(
+      PlacementStrategy strategy, ActiveCall call, List<Candidate> candidates) {
+    return strategy.choose(call.profile().generation(), candidates, context.randomLong());
+  }
+
+  /**
+   * Chooses a target for a stream that its caller has begun to receive, even if none has capacity:
+   * a run that waits or is preempted is better than a stream that is cut.
+   */
+  private Optional<Candidate> chooseFull(ActiveCall call, List<Candidate> candidates) {
+    return call.isStarted() ? choose(serviceStrategy, call, candidates) : Optional.empty();
   }
 
   private boolean mayRequestPermit(ActiveCall call, RoutedTarget target) {
