Copy a run elsewhere once its destination is known to leave

Cause: the destination of a move was chosen once; later rounds copied to it without asking whether it still accepted runs. Class: a run is stopped before its continuation is secured. While there is time and another engine, the next round now goes there; late after the notice the leaving engine, which still serves for a while, stays the better choice.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
@@ -285,7 +285,11 @@
 
   void onRunCopied(DispatchEvent.RunCopied event) {
     migrator.find(event.callId()).ifPresent(migration -> logCopy(event, migration));
-    RunMigrator.CopyFollowUp next = migrator.onCopyEnded(event);
+    RunMigrator.CopyFollowUp next =
+        migrator.onCopyEnded(
+            event,
+            engine -> !context.targets().isAvailable(engine.id(), event.nowMs()),
+            call -> findDestinations(event.nowMs(), call));
     releaseReservations();
     next.copy().ifPresent(context.effects()::add);
     next.ready()
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigrator.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigrator.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.sequoiareach.model.route.EngineTraits;
 import org.sequoiareach.model.route.RoutedTarget;
@@ -127,8 +128,16 @@
         new CopyFollowUp(Optional.empty(), Optional.empty());
   }
 
-  /** Processes the end of a copy and returns the action that follows it. */
-  CopyFollowUp onCopyEnded(DispatchEvent.RunCopied event) {
+  /**
+   * Processes the end of a copy and returns the action that follows it.
+   *
+   * @param leaving whether an engine is leaving or has left
+   * @param engines the engines that can receive a run
+   */
+  CopyFollowUp onCopyEnded(
+      DispatchEvent.RunCopied event,
+      Predicate<RoutedTarget> leaving,
+      Function<ActiveCall, List<Candidate>> engines) {
     RunMigration migration = migrations.get(event.callId());
     if (migration == null || !migration.isCopying(event.round())) {
       // The run has ended, continues, or is copied anew; engines free unused copies after a while.
@@ -144,7 +153,10 @@
     }
     return switch (event.outcome()) {
       case COPIED ->
-          new CopyFollowUp(Optional.of(nextCopy(event.nowMs(), migration)), Optional.empty());
+          leaving.test(migration.destination().orElseThrow())
+                  && mayStillChangeDestination(event.nowMs(), migration, engines)
+              ? scheduleRetry(event.nowMs(), migration, true)
+              : new CopyFollowUp(Optional.of(nextCopy(event.nowMs(), migration)), Optional.empty());
       case BUSY, NO_RUN, UNREACHABLE -> scheduleRetry(event.nowMs(), migration, false);
       case NO_ROOM -> scheduleRetry(event.nowMs(), migration, true);
       case UNKNOWN ->
@@ -153,6 +165,13 @@
     };
   }
 
+  /** Late after the notice there is no time for a whole copy to another engine. */
+  private boolean mayStillChangeDestination(
+      long nowMs, RunMigration migration, Function<ActiveCall, List<Candidate>> engines) {
+    return nowMs - migration.noticedAtMs() < STOP_DEADLINE_MS
+        && chooseDestination(migration, engines).isPresent();
+  }
+
   /**
    * Continues the run only if it no longer runs at its source: the source has acknowledged the
    * order to stop, does not know the run, or cannot be reached after its answer was lost.
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/StoppedRunTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/StoppedRunTest.java
@@ -137,6 +137,35 @@
     assertThat(fixture.lastSend(call).maxConnections()).isEqualTo(232);
   }
 
+  /** Guards against runs that are stopped for a destination that is known to leave. */
+  @Test
+  void copiesRunToAnotherEngineIfItsDestinationLeaves() {
+    String call = startRun();
+    fixture.markLeaving(call);
+    final String leaving = fixture.lastCopy(call).destinationAddress();
+    fixture.apply(
+        new DispatchEvent.TargetChanged(fixture.nowMs(), 12, targetAt(leaving).asLeaving()));
+    fixture.copied(call, 10, CopyOutcome.COPIED, "h1");
+    assertThat(fixture.copies(call)).noneMatch(copy -> copy.stop());
+    fixture.tick(200);
+
+    assertThat(fixture.copies(call)).hasSize(2);
+    assertThat(fixture.lastCopy(call).destinationAddress()).isNotEqualTo(leaving);
+  }
+
+  @Test
+  void stopsRunForLeavingDestinationLateAfterNotice() {
+    String call = startRun();
+    fixture.markLeaving(call);
+    final String leaving = fixture.lastCopy(call).destinationAddress();
+    fixture.apply(
+        new DispatchEvent.TargetChanged(fixture.nowMs(), 12, targetAt(leaving).asLeaving()));
+    fixture.copied(call, 1_250, CopyOutcome.COPIED, "h1");
+
+    assertThat(fixture.lastCopy(call).stop()).isTrue();
+    assertThat(fixture.lastCopy(call).destinationAddress()).isEqualTo(leaving);
+  }
+
   private String startRun() {
     String call = fixture.generate(3_000, 2_000);
     fixture.started(call);
@@ -204,11 +233,14 @@
   }
 
   private static String idOf(String address) {
+    return targetAt(address).id();
+  }
+
+  private static RoutedTarget targetAt(String address) {
     return DispatchFixture.targets().stream()
         .filter(target -> target.address().equals(address))
         .findFirst()
-        .orElseThrow()
-        .id();
+        .orElseThrow();
   }
 
   private void assertContinuesAt(String call, String address) {
