Bound how often and where a stopped run is offered, and close in time

- A holder that had been leaving for 2 s and more was still offered the run (5 sends at or after 2,050 ms; DRAIN).
It is offered the run for 300 ms after the stop only.
- A run that every engine rejected was offered 17 times in 3 s; each is an arrival at the service (BUDGET).
Four rejections now end it.
- On routes whose streams may be resumed, a run rejected by holder and source was cut with two engines still holding it, as the attempts that a new run may have were used up.
Its copy is kept and offered on unless a new run can really be made.
- GatewayHttpServer.awaitClosed waited for the event loop without a limit.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/GatewayHttpServer.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/GatewayHttpServer.java
@@ -21,6 +21,7 @@
 import java.util.Set;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
@@ -171,16 +172,22 @@
     try {
       while (MonotonicClock.nowMs() < deadlineMs
           && !loop.isShuttingDown()
-          && !loop.submit(connections::isEmpty).get()) {
+          && !loop.submit(connections::isEmpty).get(leftMs(deadlineMs), TimeUnit.MILLISECONDS)) {
         TimeUnit.MILLISECONDS.sleep(CLOSE_CHECK_MS);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
+    } catch (TimeoutException e) {
+      LOGGER.warn("The connections of callers did not close in time.");
     } catch (ExecutionException e) {
       throw new IllegalStateException(e);
     }
   }
 
+  private static long leftMs(long deadlineMs) {
+    return Math.max(0, deadlineMs - MonotonicClock.nowMs());
+  }
+
   boolean isClosing() {
     return closing;
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCalls.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCalls.java
@@ -82,9 +82,7 @@
                 call.route().kind(),
                 call.organisation(),
                 call.priority(),
-                continuation.isPresent()
-                    ? connectionLimit(call.service())
-                    : connectionShare(call.service()),
+                connectionShare(call.service()),
                 nowMs + SEND_TIMEOUT_MS,
                 call.deadlineMs(),
                 continuation));
@@ -150,15 +148,12 @@
 
   /** Returns this daemon's equal share of the connections that a target of a service accepts. */
   private int connectionShare(String service) {
-    return Math.max(1, connectionLimit(service) / context.maxDaemons());
-  }
-
-  /** Returns the connections that a target of a service accepts from all daemons together. */
-  private int connectionLimit(String service) {
-    return context
-        .index()
-        .flatMap(index -> index.findService(service))
-        .map(RoutedService::connectionLimit)
-        .orElse(Integer.MAX_VALUE);
+    int limit =
+        context
+            .index()
+            .flatMap(index -> index.findService(service))
+            .map(RoutedService::connectionLimit)
+            .orElse(Integer.MAX_VALUE);
+    return Math.max(1, limit / context.maxDaemons());
   }
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
@@ -234,7 +234,8 @@
     if (event.fault().mayHaveRun()) {
       return false;
     }
-    migration.failContinuation(event.nowMs(), failedAt.id(), isGone(event.fault()));
+    boolean reached = event.fault() == AttemptFault.REJECTED;
+    migration.failContinuation(event.nowMs(), failedAt.id(), isGone(event.fault()), reached);
     return continueElsewhere(event.nowMs(), migration, failedAt);
   }
 
@@ -243,32 +244,42 @@
   }
 
   /**
-   * Continues a run that an engine did not take at its other engine, or waits until one takes it. A
-   * call that may be run anew does not wait.
+   * Continues a run that an engine did not take at its other engine, or waits until one takes it.
    */
   private boolean continueElsewhere(long nowMs, RunMigration migration, RoutedTarget failedAt) {
-    List<RoutedTarget> engines = RunMigrator.findContinuationEngines(nowMs, migration);
+    List<RoutedTarget> engines = findContinuationEngines(nowMs, migration);
+    if (engines.isEmpty() || !migration.mayContinue(nowMs)) {
+      return false;
+    }
     boolean other = engines.stream().anyMatch(engine -> !engine.id().equals(failedAt.id()));
     if (migration.failedContinuations() == 1 && other) {
       return continueStoppedRun(nowMs, migration, "the destination rejected the run");
     }
-    ActiveCall call = migration.call();
-    boolean mayRunAnew =
-        call.route().kind().isRepeatable() && call.possibleRuns() < call.route().maxTargets();
-    if (mayRunAnew || engines.isEmpty() || !migration.mayContinue(nowMs)) {
+    if (mayRunAnew(migration.call())) {
       return false;
     }
     RunMigrator.delayContinuation(nowMs, migration);
     return true;
   }
 
+  private static boolean mayRunAnew(ActiveCall call) {
+    return call.route().kind().isRepeatable()
+        && call.possibleRuns() < call.route().maxTargets()
+        && call.reachedAttempts() < CallHandler.MAX_REACHED_ATTEMPTS;
+  }
+
+  private List<RoutedTarget> findContinuationEngines(long nowMs, RunMigration migration) {
+    return RunMigrator.findContinuationEngines(
+        nowMs, migration, engine -> !context.targets().isAvailable(engine.id(), nowMs));
+  }
+
   /**
    * Continues a stopped run at the first of its engines that can take it, or waits for one.
    *
    * @return false if none is left or its time is over
    */
   private boolean continueStoppedRun(long nowMs, RunMigration migration, String why) {
-    List<RoutedTarget> engines = RunMigrator.findContinuationEngines(nowMs, migration);
+    List<RoutedTarget> engines = findContinuationEngines(nowMs, migration);
     if (engines.isEmpty() || !migration.mayContinue(nowMs)) {
       return false;
     }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigration.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigration.java
@@ -9,6 +9,9 @@
 /** Holds the state of migrating one run off a leaving engine. Not thread-safe. */
 final class RunMigration {
 
+  /** Two at each of its engines: each rejected attempt counts as a retry at the service. */
+  private static final int MAX_REJECTED_CONTINUATIONS = 4;
+
   /** The steps of a migration. */
   enum Step {
     /** Other runs of the engine are copied first, or a failed copy is to be retried. */
@@ -48,7 +51,9 @@
   private OptionalLong giveUpAtMs = OptionalLong.empty();
   private final Set<String> goneEngines = new HashSet<>();
   private OptionalLong continueByMs = OptionalLong.empty();
+  private long stoppedAtMs;
   private int failedContinuations;
+  private int rejectedContinuations;
 
   RunMigration(ActiveCall call, RoutedTarget source, long noticedAtMs, boolean concurrent) {
     this.call = call;
@@ -197,6 +202,7 @@
     stepStartedMs = nowMs;
     retryAtMs = nowMs;
     if (continueByMs.isEmpty()) {
+      stoppedAtMs = nowMs;
       continueByMs = OptionalLong.of(untilMs);
     }
   }
@@ -206,16 +212,27 @@
     stepStartedMs = nowMs;
   }
 
-  /** Records that an engine did not continue the run, and whether it never will. */
-  void failContinuation(long nowMs, String engineId, boolean gone) {
+  /**
+   * Records that an engine did not continue the run.
+   *
+   * @param gone whether it never will
+   * @param reached whether it rejected the run, so that the attempt was load for it
+   */
+  void failContinuation(long nowMs, String engineId, boolean gone, boolean reached) {
     step = Step.STOPPED;
     retryAtMs = nowMs;
     failedContinuations++;
+    rejectedContinuations += reached ? 1 : 0;
     if (gone) {
       goneEngines.add(engineId);
     }
   }
 
+  /** Returns when the run was stopped. */
+  long stoppedAtMs() {
+    return stoppedAtMs;
+  }
+
   int failedContinuations() {
     return failedContinuations;
   }
@@ -226,7 +243,9 @@
 
   /** Returns whether an engine may still continue the stopped run. */
   boolean mayContinue(long nowMs) {
-    return nowMs < continueByMs.orElse(Long.MAX_VALUE) && nowMs < call.deadlineMs();
+    return rejectedContinuations < MAX_REJECTED_CONTINUATIONS
+        && nowMs < continueByMs.orElse(Long.MAX_VALUE)
+        && nowMs < call.deadlineMs();
   }
 
   /** Schedules the next attempt to continue the stopped run. */
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigrator.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigrator.java
@@ -60,6 +60,9 @@
   /** The time for which a stopped run is offered to its engines; copies expire soon after. */
   private static final long CONTINUATION_TIMEOUT_MS = 3_000;
 
+  /** The time after the stop of a run for which a leaving holder of its copy is offered it. */
+  private static final long LEAVING_HOLDER_MS = 300;
+
   private static final double BITS_PER_BYTE = 8;
   private static final double BITS_PER_MS_PER_MBPS = 1_000;
 
@@ -211,15 +214,24 @@
         .toList();
   }
 
-  /** Returns the engines that may continue a stopped run: holder and source, in turn. */
-  static List<RoutedTarget> findContinuationEngines(long nowMs, RunMigration migration) {
+  /**
+   * Returns the engines that may continue a stopped run: holder and source, in turn. Each serves
+   * for a limited time after its notice.
+   *
+   * @param leaving whether an engine is leaving or has left
+   */
+  static List<RoutedTarget> findContinuationEngines(
+      long nowMs, RunMigration migration, Predicate<RoutedTarget> leaving) {
     RoutedTarget holder = migration.latestCopy().orElseThrow().holder();
     RoutedTarget source = migration.source();
     boolean sourceLeaves = nowMs - migration.noticedAtMs() > STOP_DEADLINE_MS;
+    boolean holderLeaves =
+        leaving.test(holder) && nowMs - migration.stoppedAtMs() > LEAVING_HOLDER_MS;
     boolean sourceFirst = migration.failedContinuations() % 2 == 1;
     return Stream.of(sourceFirst ? source : holder, sourceFirst ? holder : source)
         .filter(engine -> !migration.isGone(engine))
         .filter(engine -> !(engine == source && (sourceLeaves || migration.hasRunEnded())))
+        .filter(engine -> !(engine == holder && holderLeaves))
         .toList();
   }
 
