--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
@@ -89,17 +89,11 @@
 
   private void abortOverdue(long nowMs) {
     for (RunMigration migration : migrator.findOverdue(nowMs)) {
-      calls
-          .find(migration.call().callId())
-          .filter(call -> call.target().isEmpty())
-          .ifPresent(
-              call ->
-                  calls.abort(
-                      call,
-                      Reason.TARGET_FAILED,
-                      "engine "
-                          + migration.source().id()
-                          + " lost the answer and did not confirm that the run has ended"));
+      abortUnassigned(
+          migration.call().callId(),
+          "engine "
+              + migration.source().id()
+              + " lost the answer and did not confirm that the run has ended");
     }
   }
 
@@ -109,19 +103,20 @@
       if (nowMs < migration.call().deadlineMs()
           && !continueStoppedRun(nowMs, migration, "an engine may take the stopped run now")) {
         endMigration(migration.call().callId());
-        calls
-            .find(migration.call().callId())
-            .filter(call -> call.target().isEmpty())
-            .ifPresent(
-                call ->
-                    calls.abort(
-                        call,
-                        Reason.TARGET_FAILED,
-                        "the run was stopped and no engine continued it in time"));
+        abortUnassigned(
+            migration.call().callId(), "the run was stopped and no engine continued it in time");
       }
     }
   }
 
+  /** Aborts a call that has no attempt in progress, because its run is lost. */
+  private void abortUnassigned(String callId, String why) {
+    calls
+        .find(callId)
+        .filter(call -> call.target().isEmpty())
+        .ifPresent(call -> calls.abort(call, Reason.TARGET_FAILED, why));
+  }
+
   /** Returns the engines that can receive a run: those without a rate limit if there are any. */
   private List<Candidate> findDestinations(long nowMs, ActiveCall call) {
     List<Candidate> all = context.candidates(call.service(), nowMs);
@@ -315,14 +310,9 @@
 
   /** Aborts a call whose run was stopped for a final copy that failed. */
   private void abortLostCall(DispatchEvent.RunCopied event) {
-    boolean migrating = migrator.find(event.callId()).isPresent();
-    calls
-        .find(event.callId())
-        .filter(call -> !migrating && call.target().isEmpty())
-        .ifPresent(
-            call ->
-                calls.abort(
-                    call, Reason.TARGET_FAILED, "the run was stopped but its final copy failed"));
+    if (migrator.find(event.callId()).isEmpty()) {
+      abortUnassigned(event.callId(), "the run was stopped but its final copy failed");
+    }
   }
 
   private void endMigration(String callId) {
