Keep targets that have left unavailable for a minute

The target was removed at 100,548, the store was restored at 110,824 from a copy that still listed it, and new work went to it.

Cause: the table forgot a removed target 10 s after it was gone, and with it that its incarnation had left. Restored copies may be older than that. It is kept for 60 s now.

The rule that the removal of half of a service's targets is an expiry counted all kept targets, also those that had left before, so that a longer retention would have weakened it; it counts listed targets now, as documented.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetTable.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetTable.java
@@ -33,8 +33,11 @@
   /** The time within which removals caused by the same outage are seen. */
   static final long CORRELATED_REMOVAL_MS = 400;
 
-  /** How long a removed target is kept, so that late events about it can be attributed. */
-  private static final long RETENTION_MS = 10_000;
+  /**
+   * How long a removed target is kept, so that late events about it can be attributed and a store
+   * that is restored from a copy of that age does not bring it back.
+   */
+  static final long RETENTION_MS = 60_000;
 
   private final Map<String, RoutedTarget> targets = new LinkedHashMap<>();
   private final Map<String, Long> goneAtMs = new HashMap<>();
@@ -332,9 +335,10 @@
     if (isListUnreliable(nowMs)) {
       return true;
     }
-    long all = siblings(target).filter(sibling -> !isLeaving(sibling)).count();
+    long listed =
+        siblings(target).filter(sibling -> !isLeaving(sibling) && !isRemoved(sibling.id())).count();
     long correlated = recentRemovals(nowMs, target).count();
-    return correlated > 1 && 2 * correlated >= all;
+    return correlated > 1 && correlated >= listed;
   }
 
   /** Returns the recently removed targets of the same service that were not leaving. */
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/fleet/TargetTableTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/fleet/TargetTableTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiareach.model.route.RoutedTarget;
 
 class TargetTableTest {
@@ -66,6 +67,37 @@
     assertThat(available(START_MS)).containsExactly("t0", "t1", "t3");
   }
 
+  /** Guards against work for targets that left before the copy of a restored store was made. */
+  @ParameterizedTest
+  @ValueSource(longs = {1_000, 10_100, 30_000, 59_000})
+  void keepsGoneTargetUnavailableWhenStoreIsRestoredFromOlderCopy(long copyAgeMs) {
+    table.replaceAll(START_MS, 5, targets(4));
+    table.remove(START_MS, 6, "t2");
+    long nowMs = START_MS + copyAgeMs;
+    for (long atMs = START_MS; atMs < nowMs; atMs += 50) {
+      table.expire(atMs, id -> false);
+    }
+    table.onStoreRestored(nowMs);
+
+    table.replaceAll(nowMs, 6, targets(4));
+
+    assertThat(available(nowMs)).containsExactly("t0", "t1", "t3");
+  }
+
+  /** Guards against expiries that are taken for removals after many targets have left. */
+  @Test
+  void treatsRemovalOfHalfOfListedTargetsAsExpiryWhateverHasLeftBefore() {
+    table.replaceAll(START_MS, 5, targets(8));
+    for (int i = 4; i < 8; i++) {
+      table.remove(START_MS + 1_000 * i, i, "t" + i);
+    }
+
+    table.remove(START_MS + 20_000, 9, "t0");
+    table.remove(START_MS + 20_100, 10, "t1");
+
+    assertThat(available(START_MS + 20_200)).containsExactly("t0", "t1", "t2", "t3");
+  }
+
   @Test
   void keepsTargetsWhoseEntriesExpireDuringOutage() {
     table.replaceAll(START_MS, 5, targets(4));
