--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/StoppedRunTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/StoppedRunTest.java
@@ -107,6 +107,20 @@
     assertThat(fixture.wasCut(call)).isTrue();
   }
 
+  /** Guards against a third run after a run and its continuation were lost at the same engine. */
+  @Test
+  void runsCallAnewOnceWhenItsContinuationIsLostAtSource() {
+    String call = stopRun("check");
+    fixture.failed(call, AttemptFault.LOST, true);
+    fixture.copied(call, 9, CopyOutcome.COPIED, "h1");
+    fixture.failed(call, AttemptFault.NOT_SENT, true);
+    assertContinuesAt(call, fixture.sends(call).get(0).target().address());
+    fixture.failUntilEnded(call, AttemptFault.LOST, true);
+
+    assertThat(fixture.newRuns(call)).hasSize(2);
+    assertThat(fixture.wasCut(call)).isTrue();
+  }
+
   /** Guards against rejected continuations that use up the retries of the service. */
   @ParameterizedTest
   @ValueSource(strings = {"draft", "check"})
