Check in the fuzz that no stopped run is given up while an engine holds it

DispatchFuzzTest knew of calls that run at two engines, and not of calls that run at none, which is how the incident's stopped runs were missed: with stop orders confirmed and a whole copy at a sound engine, the call was cut when its first continuation failed.

StoppedRunOracle sees what engines see: the copies that they hold, the stops that they confirmed and their answers to continuations. A call may be given up 3 s after its stop, after four rejections, once a continuation may have run, or when the holder leaves, is replaced or does not know runs.

--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/SimulatedTargets.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/SimulatedTargets.java
@@ -15,6 +15,7 @@
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.route.Route;
 import org.sequoiareach.model.route.RouteKind;
+import org.sequoiareach.model.route.RoutedTarget;
 
 /**
  * Simulates the targets of a {@link DispatchFixture}. Knows where each call really runs, and checks
@@ -71,6 +72,7 @@
   private final SplittableRandom random;
   private final Map<String, CallState> calls = new LinkedHashMap<>();
   private final List<DispatchEffect.CopyRun> copies = new ArrayList<>();
+  private final StoppedRunOracle stoppedRuns = new StoppedRunOracle();
   private int checked;
 
   SimulatedTargets(DispatchFixture fixture, SplittableRandom random) {
@@ -122,6 +124,7 @@
                 attempt.state = State.ENDED;
               }
               attempt.reported = true;
+              stoppedRuns.onFailed(attempt.send, fault);
               fixture.apply(
                   new DispatchEvent.AttemptFailed(
                       fixture.nowMs(),
@@ -165,6 +168,9 @@
     if (copy.stop() && !ignored) {
       runs.forEach(attempt -> attempt.state = State.STOPPED);
     }
+    if (copy.stop() && outcome == CopyOutcome.COPIED && isCurrentRun(copy)) {
+      stoppedRuns.onStopped(fixture.nowMs(), copy);
+    }
     boolean hasHandle =
         outcome == CopyOutcome.COPIED || outcome == CopyOutcome.NO_ROOM && copy.stop() && !ignored;
     fixture.apply(
@@ -172,6 +178,13 @@
             fixture.nowMs(), copy.callId(), copy.round(), outcome, hasHandle ? "h" : ""));
   }
 
+  /** Returns whether the run that was copied is the one that the caller is being answered from. */
+  private boolean isCurrentRun(DispatchEffect.CopyRun copy) {
+    CallState call = calls.get(copy.callId());
+    Attempt latest = call.attempts.get(call.attempts.size() - 1);
+    return !call.ended && latest.send.target().address().equals(copy.sourceAddress());
+  }
+
   private CopyOutcome drawOutcome(boolean runExists) {
     if (!runExists) {
       CopyOutcome[] absent = {CopyOutcome.NO_RUN, CopyOutcome.UNREACHABLE, CopyOutcome.UNKNOWN};
@@ -184,6 +197,11 @@
     return failures[random.nextInt(failures.length)];
   }
 
+  /** Records that a target is leaving, or that its next incarnation replaces it. */
+  void changeTarget(RoutedTarget target) {
+    stoppedRuns.onUnsound(target.address());
+  }
+
   /** Closes the connection of a caller. */
   void leaveCaller() {
     pick(this::isOpen)
@@ -203,8 +221,10 @@
       } else if (effect instanceof DispatchEffect.CopyRun copy) {
         copies.add(copy);
       } else if (effect instanceof DispatchEffect.RefuseCall refusal) {
+        stoppedRuns.checkEnd(fixture.nowMs(), refusal.callId(), refusal.reason());
         checkRefusal(refusal);
       } else if (effect instanceof DispatchEffect.CutCall cut) {
+        stoppedRuns.checkEnd(fixture.nowMs(), cut.callId(), cut.reason());
         end(cut.callId());
       } else if (effect instanceof DispatchEffect.DeliverHeldAnswer answer) {
         end(answer.callId());
@@ -225,6 +245,7 @@
       checkContinuation(send, call);
     } else {
       checkNewRun(send, call);
+      stoppedRuns.onTaken(send.callId());
     }
     call.attempts.add(new Attempt(send));
   }
