Keep the copy of a stopped run unless a new run can really be made

The holder had not been reached (NOT_SENT) and the decision for the source was too old (OUTDATED).

Cause: the migration released the copy in favour of a new run when the route allowed one, and only then was it seen that no untried target was there. The same follows from a used-up retry budget, a quarantine or engines without room.

The call's handler now answers whether a new run can be made now: runs and attempts left, budget, quarantine, and a target with capacity. Otherwise the copy is offered on.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -194,7 +194,7 @@
           0);
       return;
     }
-    if (migrations.tryContinue(event, call, target)) {
+    if (migrations.tryContinue(event, call, target, () -> canRunAnew(event.nowMs(), call))) {
       return;
     }
     if (event.started() && call.route().kind() != RouteKind.RESUMABLE_STREAMING) {
@@ -390,6 +390,17 @@
     return call.route().kind().isRepeatable() && call.possibleRuns() < call.route().maxTargets();
   }
 
+  /** Returns whether a call may run once more and a target has capacity for that now. */
+  private boolean canRunAnew(long nowMs, ActiveCall call) {
+    return mayRepeat(call)
+        && call.reachedAttempts() < MAX_REACHED_ATTEMPTS
+        && context
+            .retryBudget(call.service())
+            .isAvailable(nowMs, context.settings(), context.maxDaemons())
+        && (call.isStarted() || quarantines.findRefusal(nowMs, call).isEmpty())
+        && placement.choose(nowMs, call).target().isPresent();
+  }
+
   private boolean hasUntriedTarget(long nowMs, ActiveCall call) {
     return context.candidates(call.service(), nowMs).stream()
         .anyMatch(candidate -> !call.wasTried(candidate.target().id()));
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.route.EngineTraits;
 import org.sequoiareach.model.route.RoutedTarget;
@@ -186,13 +187,18 @@
    * answer does not show that the run has ended, so its engine is ordered to stop it first. Ends
    * the migration otherwise: a new run of the call must not be replaced by copies of the old one.
    *
+   * @param canRunAnew whether the call can run from its beginning in place of waiting for an engine
    * @return true if the run continues or waits for its final copy, false if it is lost
    */
-  boolean tryContinue(DispatchEvent.AttemptFailed event, ActiveCall call, RoutedTarget failedAt) {
+  boolean tryContinue(
+      DispatchEvent.AttemptFailed event,
+      ActiveCall call,
+      RoutedTarget failedAt,
+      BooleanSupplier canRunAnew) {
     boolean continues =
         migrator
             .find(call.callId())
-            .filter(migration -> tryContinue(event, migration, failedAt))
+            .filter(migration -> tryContinue(event, migration, failedAt, canRunAnew))
             .isPresent();
     if (!continues) {
       endMigration(call.callId());
@@ -201,7 +207,10 @@
   }
 
   private boolean tryContinue(
-      DispatchEvent.AttemptFailed event, RunMigration migration, RoutedTarget failedAt) {
+      DispatchEvent.AttemptFailed event,
+      RunMigration migration,
+      RoutedTarget failedAt,
+      BooleanSupplier canRunAnew) {
     if (migration.step() == RunMigration.Step.STOPPING) {
       // The source ends its answer when it stops the run; the final copy is still to come.
       migrator.onAnswerLost(event.nowMs(), migration);
@@ -231,7 +240,7 @@
     }
     boolean reached = event.fault() == AttemptFault.REJECTED;
     migration.failContinuation(event.nowMs(), failedAt.id(), isGone(event.fault()), reached);
-    return continueElsewhere(event.nowMs(), migration, failedAt);
+    return continueElsewhere(event.nowMs(), migration, failedAt, canRunAnew);
   }
 
   private static boolean isGone(AttemptFault fault) {
@@ -241,7 +250,8 @@
   /**
    * Continues a run that an engine did not take at its other engine, or waits until one takes it.
    */
-  private boolean continueElsewhere(long nowMs, RunMigration migration, RoutedTarget failedAt) {
+  private boolean continueElsewhere(
+      long nowMs, RunMigration migration, RoutedTarget failedAt, BooleanSupplier canRunAnew) {
     List<RoutedTarget> engines = findContinuationEngines(nowMs, migration);
     if (engines.isEmpty() || !migration.mayContinue(nowMs)) {
       return false;
@@ -250,19 +260,13 @@
     if (migration.failedContinuations() == 1 && other) {
       return continueStoppedRun(nowMs, migration, "the destination rejected the run");
     }
-    if (mayRunAnew(migration.call())) {
+    if (canRunAnew.getAsBoolean()) {
       return false;
     }
     RunMigrator.delayContinuation(nowMs, migration);
     return true;
   }
 
-  private static boolean mayRunAnew(ActiveCall call) {
-    return call.route().kind().isRepeatable()
-        && call.possibleRuns() < call.route().maxTargets()
-        && call.reachedAttempts() < CallHandler.MAX_REACHED_ATTEMPTS;
-  }
-
   private List<RoutedTarget> findContinuationEngines(long nowMs, RunMigration migration) {
     return RunMigrator.findContinuationEngines(
         nowMs, migration, engine -> !context.targets().isAvailable(engine.id(), nowMs));
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/SharedRetryBudget.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/SharedRetryBudget.java
@@ -25,16 +25,21 @@
 
   /** Takes one retry from the budget; returns false if it is exhausted. */
   boolean tryAcquire(long nowMs, DispatchSettings settings, int daemons) {
-    expire(nowMs, settings.retryWindowMs());
-    double extra = settings.retryExtra() / Math.max(1, daemons);
-    double allowed = SAFETY_FACTOR * (settings.retryRatio() * requests.size() + extra);
-    if (retries.size() + 1 > allowed) {
+    if (!isAvailable(nowMs, settings, daemons)) {
       return false;
     }
     retries.addLast(nowMs);
     return true;
   }
 
+  /** Returns whether the budget has a retry left. */
+  boolean isAvailable(long nowMs, DispatchSettings settings, int daemons) {
+    expire(nowMs, settings.retryWindowMs());
+    double extra = settings.retryExtra() / Math.max(1, daemons);
+    double allowed = SAFETY_FACTOR * (settings.retryRatio() * requests.size() + extra);
+    return retries.size() + 1 <= allowed;
+  }
+
   private void expire(long nowMs, long windowMs) {
     while (!requests.isEmpty() && nowMs - requests.peekFirst() > windowMs) {
       requests.removeFirst();
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/StoppedRunTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/StoppedRunTest.java
@@ -121,6 +121,47 @@
     assertThat(fixture.wasCut(call)).isTrue();
   }
 
+  /** Guards against a copy that is released for a new run that no target can take. */
+  @Test
+  void keepsCopyOfResumableRunWhileNoOtherTargetIsThere() {
+    String call = stopRun("check");
+    final String source = fixture.lastSend(call).target().address();
+    fixture.copied(call, 9, CopyOutcome.COPIED, "h1");
+    final String holder = fixture.lastSend(call).target().address();
+    DispatchFixture.targets().stream()
+        .filter(target -> !List.of(source, holder).contains(target.address()))
+        .forEach(
+            target ->
+                fixture.apply(
+                    new DispatchEvent.TargetChanged(fixture.nowMs(), 12, target.asLeaving())));
+    failAtBothEngines(call);
+
+    assertContinuesAt(call, holder);
+  }
+
+  /** Guards against a copy that is released for a new run that the retry budget forbids. */
+  @Test
+  void keepsCopyOfResumableRunWhileRetryBudgetIsUsedUp() {
+    String call = stopRun("check");
+    fixture.copied(call, 9, CopyOutcome.COPIED, "h1");
+    final String holder = fixture.lastSend(call).target().address();
+    boolean retried = true;
+    while (retried) {
+      String other = fixture.generate("check", 100, 10);
+      fixture.failed(other, AttemptFault.REJECTED, false);
+      retried = fixture.sends(other).size() > 1;
+    }
+    failAtBothEngines(call);
+
+    assertContinuesAt(call, holder);
+  }
+
+  private void failAtBothEngines(String call) {
+    fixture.failed(call, AttemptFault.NOT_SENT, true);
+    fixture.failed(call, AttemptFault.OUTDATED, true);
+    fixture.tick(100);
+  }
+
   /** Guards against rejected continuations that use up the retries of the service. */
   @ParameterizedTest
   @ValueSource(strings = {"draft", "check"})
