Mark engines as leaving in one place in StoppedRunTest, and tidy names

The test published a leaving engine in four places. SimulatedTargets.changeTarget changed nothing but its oracle's knowledge and is onTargetChanged now. Behaviour is unchanged: the access modifier is the only change of the program.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -14,7 +14,7 @@
 final class CallHandler implements PermitHandler.Listener {
 
   /** The attempts of a call that may reach a target and fail before the call is refused. */
-  static final int MAX_REACHED_ATTEMPTS = 3;
+  private static final int MAX_REACHED_ATTEMPTS = 3;
 
   /** The lowest HTTP status that reports a failure of the target. */
   private static final int MIN_SERVER_ERROR_STATUS = 500;
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFuzzTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/DispatchFuzzTest.java
@@ -97,7 +97,7 @@
       RoutedTarget known = latest.getOrDefault(listed.id(), listed);
       RoutedTarget changed = known.leaving() ? nextIncarnation(known) : known.asLeaving();
       latest.put(changed.id(), changed);
-      targets.changeTarget(changed);
+      targets.onTargetChanged(changed);
       fixture.apply(new DispatchEvent.TargetChanged(fixture.nowMs(), revision, changed));
     }
 
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/SimulatedTargets.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/SimulatedTargets.java
@@ -198,7 +198,7 @@
   }
 
   /** Records that a target is leaving, or that its next incarnation replaces it. */
-  void changeTarget(RoutedTarget target) {
+  void onTargetChanged(RoutedTarget target) {
     stoppedRuns.onUnsound(target.address());
   }
 
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/StoppedRunTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/StoppedRunTest.java
@@ -130,10 +130,7 @@
     final String holder = fixture.lastSend(call).target().address();
     DispatchFixture.targets().stream()
         .filter(target -> !List.of(source, holder).contains(target.address()))
-        .forEach(
-            target ->
-                fixture.apply(
-                    new DispatchEvent.TargetChanged(fixture.nowMs(), 12, target.asLeaving())));
+        .forEach(target -> markLeaving(target.address()));
     failAtBothEngines(call);
 
     assertContinuesAt(call, holder);
@@ -182,8 +179,7 @@
     String call = stopRun();
     fixture.copied(call, 9, CopyOutcome.COPIED, "h1");
     String holder = fixture.lastSend(call).target().address();
-    fixture.apply(
-        new DispatchEvent.TargetChanged(fixture.nowMs(), 12, targetAt(holder).asLeaving()));
+    markLeaving(holder);
     fixture.failed(call, AttemptFault.NOT_SENT, true);
     fixture.failed(call, AttemptFault.NOT_SENT, true);
     fixture.advance(400);
@@ -210,8 +206,7 @@
     String call = startRun();
     fixture.markLeaving(call);
     final String leaving = fixture.lastCopy(call).destinationAddress();
-    fixture.apply(
-        new DispatchEvent.TargetChanged(fixture.nowMs(), 12, targetAt(leaving).asLeaving()));
+    markLeaving(leaving);
     fixture.copied(call, 10, CopyOutcome.COPIED, "h1");
     assertThat(fixture.copies(call)).noneMatch(copy -> copy.stop());
     fixture.tick(200);
@@ -225,8 +220,7 @@
     String call = startRun();
     fixture.markLeaving(call);
     final String leaving = fixture.lastCopy(call).destinationAddress();
-    fixture.apply(
-        new DispatchEvent.TargetChanged(fixture.nowMs(), 12, targetAt(leaving).asLeaving()));
+    markLeaving(leaving);
     fixture.copied(call, 1_250, CopyOutcome.COPIED, "h1");
 
     assertThat(fixture.lastCopy(call).stop()).isTrue();
@@ -307,6 +301,11 @@
     }
   }
 
+  private void markLeaving(String address) {
+    fixture.apply(
+        new DispatchEvent.TargetChanged(fixture.nowMs(), 12, targetAt(address).asLeaving()));
+  }
+
   private static String idOf(String address) {
     return targetAt(address).id();
   }
