Log and count what engines send in streams that no sound engine sends

Neither lines nor metrics said what a stream contained, so the hypotheses could not be told apart.

EventStreamFormat decides what a block is: filler, the next event, a repetition, or invalid, and why. So far it only watches: each invalid block has a line stream-fault and a meter streams.faults.KIND; what callers get is unchanged. The dialect says what the streams of its protocol contain.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/CallDialect.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/CallDialect.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.OptionalLong;
+import org.sequoiareach.daemon.sse.EventStreamFormat;
 import org.sequoiareach.decision.dispatch.CallProfile;
 
 /**
@@ -48,6 +49,13 @@
    */
   AnswerHead readAnswer(HttpResponse answer, long nowMs);
 
+  /**
+   * Returns what the event streams of targets may contain.
+   *
+   * @return the format of all streams
+   */
+  EventStreamFormat eventStreamFormat();
+
   /**
    * Sets the delay after which a caller may retry.
    *
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -98,6 +98,10 @@
     return sendCall.attempt();
   }
 
+  String targetId() {
+    return sendCall.target().id();
+  }
+
   RouteKind kind() {
     return sendCall.kind();
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -19,6 +19,7 @@
 import org.apache.logging.log4j.Logger;
 import org.sequoiareach.daemon.dialect.AttemptMetadata;
 import org.sequoiareach.daemon.front.ResponseWriter;
+import org.sequoiareach.daemon.sse.EventBlock;
 import org.sequoiareach.daemon.upstream.TargetConnection;
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
 import org.sequoiareach.decision.dispatch.AttemptFault;
@@ -55,6 +56,7 @@
   private final ResponseWriter response;
   private long suspendedMsBefore;
   private final Runnable onEnded;
+  private final StreamFaultLog faultLog;
   private final EventSequence events = new EventSequence();
   private Optional<AttemptResponseHandler> currentAttempt = Optional.empty();
   private Optional<HeldErrorResponse> heldResponse = Optional.empty();
@@ -75,6 +77,7 @@
       Runnable onEnded) {
     this.onEnded = onEnded;
     this.context = context;
+    this.faultLog = new StreamFaultLog(context.metrics());
     this.requests = new AttemptRequestFactory(context.dialect());
     this.callId = callId;
     this.profile = profile;
@@ -270,6 +273,7 @@
    * @return false if ids are missing between the last forwarded event and this one
    */
   boolean forwardEvent(AttemptResponseHandler attempt, ServerSentEventSplitter.Event event) {
+    logFault(attempt, EventBlock.parse(event.bytes()));
     EventSequence.Position position = events.receive(event, attempt.continuesRun());
     if (ended || position != EventSequence.Position.NEXT) {
       event.bytes().release();
@@ -283,6 +287,16 @@
     return true;
   }
 
+  private void logFault(AttemptResponseHandler attempt, EventBlock block) {
+    long lastId = events.lastId();
+    context
+        .dialect()
+        .eventStreamFormat()
+        .read(block, lastId)
+        .fault()
+        .ifPresent(fault -> faultLog.onFault(fault, block, requestId(), attempt, lastId));
+  }
+
   /** Returns whether more bytes were received without progress than a sound stream contains. */
   boolean isFlooded() {
     return events.isFlooded();
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeSendTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeSendTest.java
@@ -19,6 +19,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
@@ -38,6 +39,8 @@
 import org.sequoiareach.daemon.dialect.CallDialect;
 import org.sequoiareach.daemon.front.ResponseWriter;
 import org.sequoiareach.daemon.memory.HeldBytes;
+import org.sequoiareach.daemon.sse.EventStreamFormat;
+import org.sequoiareach.daemon.sse.NumberedEventStreamFormat;
 import org.sequoiareach.daemon.upstream.ResponseFraming;
 import org.sequoiareach.daemon.upstream.ResponseListener;
 import org.sequoiareach.daemon.upstream.TargetConnection;
@@ -424,6 +427,11 @@
       throw new UnsupportedOperationException();
     }
 
+    @Override
+    public EventStreamFormat eventStreamFormat() {
+      return new NumberedEventStreamFormat(Set.of());
+    }
+
     @Override
     public void setRetryAfter(HttpHeaders headers, long delayMs) {}
   }
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
@@ -25,6 +25,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -38,6 +39,8 @@
 import org.sequoiareach.daemon.dialect.CallDialect;
 import org.sequoiareach.daemon.front.ResponseWriter;
 import org.sequoiareach.daemon.memory.HeldBytes;
+import org.sequoiareach.daemon.sse.EventStreamFormat;
+import org.sequoiareach.daemon.sse.NumberedEventStreamFormat;
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
 import org.sequoiareach.decision.dispatch.CallProfile;
 import org.sequoiareach.decision.dispatch.Continuation;
@@ -371,6 +374,11 @@
           false);
     }
 
+    @Override
+    public EventStreamFormat eventStreamFormat() {
+      return new NumberedEventStreamFormat(Set.of());
+    }
+
     @Override
     public void setRetryAfter(HttpHeaders headers, long delayMs) {
       headers.set("Retry-After", delayMs);
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/CallerConnectionTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/CallerConnectionTest.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -37,6 +38,8 @@
 import org.sequoiareach.daemon.dialect.CallDialect;
 import org.sequoiareach.daemon.dialect.InvalidCallException;
 import org.sequoiareach.daemon.memory.HeldBytes;
+import org.sequoiareach.daemon.sse.EventStreamFormat;
+import org.sequoiareach.daemon.sse.NumberedEventStreamFormat;
 import org.sequoiareach.decision.dispatch.CallProfile;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.model.route.CallerLimits;
@@ -475,6 +478,11 @@
       throw new UnsupportedOperationException();
     }
 
+    @Override
+    public EventStreamFormat eventStreamFormat() {
+      return new NumberedEventStreamFormat(Set.of());
+    }
+
     @Override
     public void setRetryAfter(HttpHeaders headers, long delayMs) {
       headers.set("retry-after-ms", delayMs);
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/SlowCallerTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/SlowCallerTest.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +32,8 @@
 import org.sequoiareach.daemon.dialect.AnswerHead;
 import org.sequoiareach.daemon.dialect.AttemptMetadata;
 import org.sequoiareach.daemon.dialect.CallDialect;
+import org.sequoiareach.daemon.sse.EventStreamFormat;
+import org.sequoiareach.daemon.sse.NumberedEventStreamFormat;
 import org.sequoiareach.decision.dispatch.CallProfile;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.model.request.Reason;
@@ -268,6 +271,11 @@
       throw new UnsupportedOperationException();
     }
 
+    @Override
+    public EventStreamFormat eventStreamFormat() {
+      return new NumberedEventStreamFormat(Set.of());
+    }
+
     @Override
     public void setRetryAfter(HttpHeaders headers, long delayMs) {
       throw new UnsupportedOperationException();
