End an attempt at the first block that its engine's stream may not contain

Cause: an event whose id was missing or unreadable was taken for one that has none, and followed any other. Class: input that a server must not send was read as unknown, therefore harmless.

EventSequence now asks the format of the stream's protocol what a block is: filler, the next event, a repetition, or invalid; there is nothing else. The dialect says which format, not the first event that comes. From an invalid block on nothing of the attempt is passed on; it fails as a broken answer, which counts against the target. A stream that may be resumed goes on after its last good event, within the retry budget; another one ends as broken.

Tests replaced, each as strict: EventSequenceTest and its property now read blocks (a first event 7 is a gap, no longer NEXT; the case of a run whose first attempt began anywhere is gone, as no attempt may); ProxyExchangeTest's events have data, since callers skip an event without; its test of events without ids says so by its format.

Not known to the gateway: a wrong event under the right number.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.TimeUnit;
 import org.sequoiareach.daemon.dialect.AnswerHead;
 import org.sequoiareach.daemon.memory.HeldBytes;
+import org.sequoiareach.daemon.sse.BlockReading;
+import org.sequoiareach.daemon.sse.EventBlock;
 import org.sequoiareach.daemon.upstream.ResponseFraming;
 import org.sequoiareach.daemon.upstream.ResponseListener;
 import org.sequoiareach.daemon.upstream.TargetConnection;
@@ -62,7 +64,6 @@
 
   private final ProxyExchange exchange;
   private final DispatchEffect.SendCall sendCall;
-  private final long resumedAfterEventId;
   private Optional<TargetConnection> connection = Optional.empty();
   private Optional<ServerSentEventSplitter> splitter = Optional.empty();
   private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
@@ -82,16 +83,9 @@
   private boolean endUndecided;
   private Runnable onEnded = () -> {};
 
-  AttemptResponseHandler(
-      ProxyExchange exchange, DispatchEffect.SendCall sendCall, long resumedAfterEventId) {
+  AttemptResponseHandler(ProxyExchange exchange, DispatchEffect.SendCall sendCall) {
     this.exchange = exchange;
     this.sendCall = sendCall;
-    this.resumedAfterEventId = resumedAfterEventId;
-  }
-
-  /** Returns whether the attempt goes on with the run of an earlier one. */
-  boolean continuesRun() {
-    return sendCall.continuation().isPresent();
   }
 
   int number() {
@@ -356,8 +350,13 @@
       abortWithFault(AttemptFault.BROKEN_ANSWER, end.description() + ": " + progress);
       return;
     }
-    forwardRemainder();
-    completeDelivered(progress);
+    if (splitter.orElseThrow().remainderBytes() > 0) {
+      forwardBlock(splitter.orElseThrow().takeRemainder());
+    }
+    if (!done) {
+      exchange.sendHeadOnce(this, OptionalLong.empty());
+      completeDelivered(progress);
+    }
   }
 
   /** Records that the engine is ordered to stop the run. */
@@ -413,20 +412,7 @@
 
   private void forwardEvents(ByteBuf part) {
     try {
-      for (ServerSentEventSplitter.Event event : splitter.orElseThrow().split(part)) {
-        if (done) {
-          event.bytes().release();
-        } else if (!exchange.forwardEvent(this, event)) {
-          abortWithFault(
-              AttemptFault.BROKEN_ANSWER,
-              "the event stream that follows event " + resumedAfterEventId + " has a gap");
-        } else if (exchange.isFlooded()) {
-          abortWithFault(
-              AttemptFault.BROKEN_ANSWER, "the event stream continues without new events");
-        } else if (event.hasContent()) {
-          receivedEvents++;
-        }
-      }
+      splitter.orElseThrow().split(part).forEach(this::forwardBlock);
     } catch (IllegalStateException e) {
       abortWithFault(AttemptFault.BROKEN_ANSWER, e.getMessage());
     }
@@ -437,6 +423,27 @@
     }
   }
 
+  /** Forwards a block, unless the attempt has ended; an invalid block ends it. */
+  private void forwardBlock(EventBlock block) {
+    if (done) {
+      block.bytes().release();
+      return;
+    }
+    BlockReading reading = exchange.forwardBlock(this, block);
+    if (reading.fault().isPresent()) {
+      abortWithFault(
+          AttemptFault.BROKEN_ANSWER,
+          "the event stream is invalid after event "
+              + exchange.lastEventId()
+              + ": "
+              + reading.fault().get().label());
+    } else if (exchange.isFlooded()) {
+      abortWithFault(AttemptFault.BROKEN_ANSWER, "the event stream continues without new events");
+    } else if (reading.kind() != BlockReading.Kind.FILLER) {
+      receivedEvents++;
+    }
+  }
+
   /**
    * Accounts for what is held of the response.
    *
@@ -454,20 +461,6 @@
     return true;
   }
 
-  private void forwardRemainder() {
-    exchange.sendHeadOnce(this, OptionalLong.empty());
-    splitter
-        .map(ServerSentEventSplitter::takeRemainder)
-        .ifPresent(
-            remainder -> {
-              if (remainder.isReadable()) {
-                exchange.forwardPart(remainder);
-              } else {
-                remainder.release();
-              }
-            });
-  }
-
   private void countDiscarded(ByteBuf part) {
     discardedBytes += part.readableBytes();
     if (discardedBytes > MAX_REJECTION_BYTES) {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/EventSequence.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/EventSequence.java
@@ -1,26 +1,22 @@
 package org.sequoiareach.daemon.exchange;
 
-/**
- * The events of a stream as its caller receives them, by their ids and across attempts. Not
- * thread-safe.
- */
+import org.sequoiareach.daemon.sse.BlockReading;
+import org.sequoiareach.daemon.sse.EventBlock;
+import org.sequoiareach.daemon.sse.EventStreamFormat;
+
+/** The events of a stream as its caller receives them, across attempts. Not thread-safe. */
 final class EventSequence {
 
   /** The bytes of comments and repeated events that a sound stream contains between two events. */
   private static final long MAX_BYTES_WITHOUT_PROGRESS = 256 << 10;
 
+  private final EventStreamFormat format;
   private long lastId;
+  private boolean hasUnnumberedEvents;
   private long bytesWithoutProgress;
-  private boolean allNumbered = true;
 
-  /** Where an event stands relative to those accepted before. */
-  enum Position {
-    /** It may follow them. */
-    NEXT,
-    /** It is one of them. */
-    REPEATED,
-    /** Ids are missing between them and this one. */
-    AFTER_GAP
+  EventSequence(EventStreamFormat format) {
+    this.format = format;
   }
 
   /** Continues after the event that the caller says was its last; 0 if there is none. */
@@ -33,48 +29,26 @@
     return lastId;
   }
 
-  /** Returns whether each accepted event with content had an id. */
-  boolean allNumbered() {
-    return allNumbered;
+  /** Returns whether another attempt can go on after the last event. */
+  boolean isResumable() {
+    return !hasUnnumberedEvents;
   }
 
-  /**
-   * Counts an event that was received and returns its position.
-   *
-   * @param continuesRun whether it is part of a continuation, whose first event has the next id
-   *     even if the caller has none yet
-   */
-  Position receive(ServerSentEventSplitter.Event event, boolean continuesRun) {
-    bytesWithoutProgress =
-        isProgress(event) ? 0 : bytesWithoutProgress + event.bytes().readableBytes();
-    if (event.id().isEmpty()) {
-      return Position.NEXT;
-    }
-    long id = event.id().getAsLong();
-    if (id <= lastId) {
-      return Position.REPEATED;
+  /** Reads a block; if it is the next event, the caller is taken to have it from now on. */
+  BlockReading receive(EventBlock block) {
+    BlockReading reading = format.read(block, lastId);
+    if (reading.kind() != BlockReading.Kind.NEXT) {
+      bytesWithoutProgress += block.bytes().readableBytes();
+      return reading;
     }
-    return (continuesRun || lastId > 0) && id != lastId + 1 ? Position.AFTER_GAP : Position.NEXT;
-  }
-
-  /** Records that the caller is sent an event. */
-  void accept(ServerSentEventSplitter.Event event) {
-    event.id().ifPresent(number -> lastId = number);
-    allNumbered &= event.id().isPresent() || !event.hasContent();
+    bytesWithoutProgress = 0;
+    lastId = reading.eventId();
+    hasUnnumberedEvents |= !format.numbersEvents();
+    return reading;
   }
 
   /** Returns whether more bytes were received without progress than a sound stream contains. */
   boolean isFlooded() {
     return bytesWithoutProgress > MAX_BYTES_WITHOUT_PROGRESS;
   }
-
-  /**
-   * Returns whether an event is the next part of the stream. In a stream of numbered events that is
-   * one with a new number; in others, one with data.
-   */
-  private boolean isProgress(ServerSentEventSplitter.Event event) {
-    return event.id().isPresent()
-        ? event.id().getAsLong() > lastId
-        : lastId == 0 && event.hasContent();
-  }
 }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -19,6 +19,7 @@
 import org.apache.logging.log4j.Logger;
 import org.sequoiareach.daemon.dialect.AttemptMetadata;
 import org.sequoiareach.daemon.front.ResponseWriter;
+import org.sequoiareach.daemon.sse.BlockReading;
 import org.sequoiareach.daemon.sse.EventBlock;
 import org.sequoiareach.daemon.upstream.TargetConnection;
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
@@ -57,7 +58,7 @@
   private long suspendedMsBefore;
   private final Runnable onEnded;
   private final StreamFaultLog faultLog;
-  private final EventSequence events = new EventSequence();
+  private final EventSequence events;
   private Optional<AttemptResponseHandler> currentAttempt = Optional.empty();
   private Optional<HeldErrorResponse> heldResponse = Optional.empty();
   private boolean headSent;
@@ -77,6 +78,7 @@
       Runnable onEnded) {
     this.onEnded = onEnded;
     this.context = context;
+    this.events = new EventSequence(context.dialect().eventStreamFormat());
     this.faultLog = new StreamFaultLog(context.metrics());
     this.requests = new AttemptRequestFactory(context.dialect());
     this.callId = callId;
@@ -138,7 +140,7 @@
     if (ended || currentAttempt.filter(at -> at.number() > sendCall.attempt()).isPresent()) {
       return;
     }
-    AttemptResponseHandler next = new AttemptResponseHandler(this, sendCall, events.lastId());
+    AttemptResponseHandler next = new AttemptResponseHandler(this, sendCall);
     currentAttempt = Optional.of(next);
     if (isOutdated(sendCall)) {
       failOutdated(next);
@@ -149,7 +151,7 @@
       next.fail(AttemptFault.LOST, 0, "not sent: an earlier attempt of the request may have run");
       return;
     }
-    if (headSent && !events.allNumbered()) {
+    if (headSent && !events.isResumable()) {
       next.fail(
           AttemptFault.OUTDATED, 0, "not sent: an event without an id cannot be resumed after");
       return;
@@ -267,34 +269,31 @@
         : AttemptFault.NOT_SENT;
   }
 
-  /**
-   * Forwards an event to the caller, or drops it if an event with its id was forwarded before.
-   *
-   * @return false if ids are missing between the last forwarded event and this one
-   */
-  boolean forwardEvent(AttemptResponseHandler attempt, ServerSentEventSplitter.Event event) {
-    logFault(attempt, EventBlock.parse(event.bytes()));
-    EventSequence.Position position = events.receive(event, attempt.continuesRun());
-    if (ended || position != EventSequence.Position.NEXT) {
-      event.bytes().release();
-      return ended || position == EventSequence.Position.REPEATED;
+  /** Forwards a block to the caller, unless the caller has its event or it is invalid. */
+  BlockReading forwardBlock(AttemptResponseHandler attempt, EventBlock block) {
+    long lastId = events.lastId();
+    BlockReading reading = events.receive(block);
+    reading
+        .fault()
+        .ifPresent(fault -> faultLog.onFault(fault, block, requestId(), attempt, lastId));
+    boolean wanted =
+        reading.kind() == BlockReading.Kind.NEXT || reading.kind() == BlockReading.Kind.FILLER;
+    if (ended || !wanted) {
+      block.bytes().release();
+      return reading;
     }
     sendHeadOnce(attempt, OptionalLong.empty());
     attempt.reportStart();
-    events.accept(event);
-    recordEventLatency();
-    response.sendContent(event.bytes());
-    return true;
+    if (reading.kind() == BlockReading.Kind.NEXT) {
+      recordEventLatency();
+    }
+    response.sendContent(block.bytes());
+    return reading;
   }
 
-  private void logFault(AttemptResponseHandler attempt, EventBlock block) {
-    long lastId = events.lastId();
-    context
-        .dialect()
-        .eventStreamFormat()
-        .read(block, lastId)
-        .fault()
-        .ifPresent(fault -> faultLog.onFault(fault, block, requestId(), attempt, lastId));
+  /** Returns the number of the last event that the caller has; 0 if it has none. */
+  long lastEventId() {
+    return events.lastId();
   }
 
   /** Returns whether more bytes were received without progress than a sound stream contains. */
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/EventSequenceTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/EventSequenceTest.java
@@ -3,68 +3,79 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.buffer.Unpooled;
-import java.util.OptionalLong;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiareach.daemon.sse.BlockReading;
+import org.sequoiareach.daemon.sse.EventBlock;
+import org.sequoiareach.daemon.sse.NumberedEventStreamFormat;
+import org.sequoiareach.daemon.sse.UnnumberedEventStreamFormat;
 
 class EventSequenceTest {
 
-  private static final int EVENT_BYTES = 64 << 10;
+  private static final int BLOCK_BYTES = 64 << 10;
 
-  private final EventSequence events = new EventSequence();
+  private final EventSequence events = new EventSequence(new NumberedEventStreamFormat(Set.of()));
+  private final EventSequence unnumbered = new EventSequence(new UnnumberedEventStreamFormat());
 
   @ParameterizedTest
   @CsvSource({
-    "0, false, 1, NEXT",
-    "0, false, 7, NEXT",
-    "6, false, 7, NEXT",
-    "7, false, 7, REPEATED",
-    "9, false, 7, REPEATED",
-    "5, false, 7, AFTER_GAP",
-    "0, true, 1, NEXT",
-    "0, true, 2, AFTER_GAP",
-    "6, true, 7, NEXT",
-    "7, true, 7, REPEATED",
-    "5, true, 7, AFTER_GAP"
+    "0, 1, NEXT",
+    "0, 2, INVALID",
+    "0, 7, INVALID",
+    "6, 7, NEXT",
+    "7, 7, REPEATED",
+    "9, 7, REPEATED",
+    "5, 7, INVALID"
   })
-  void placesEventByItsId(
-      long lastId, boolean continuesRun, long id, EventSequence.Position position) {
+  void placesEventByItsId(long lastId, long id, BlockReading.Kind kind) {
     events.resumeAfter(lastId);
 
-    assertThat(events.receive(event(OptionalLong.of(id), true), continuesRun)).isEqualTo(position);
-    assertThat(events.lastId()).isEqualTo(lastId);
+    assertThat(events.receive(block("id: " + id + "\ndata: a")).kind()).isEqualTo(kind);
+    assertThat(events.lastId()).isEqualTo(kind == BlockReading.Kind.NEXT ? id : lastId);
+    assertThat(events.isResumable()).isTrue();
   }
 
   @Test
-  void passesEventsWithoutIdOnAndRemembersThem() {
-    assertThat(events.receive(event(OptionalLong.empty(), true), false))
-        .isEqualTo(EventSequence.Position.NEXT);
-    assertThat(events.allNumbered()).isTrue();
+  void cannotBeResumedAfterEventOfStreamWithoutNumbers() {
+    unnumbered.receive(block(": ping"));
 
-    events.accept(event(OptionalLong.empty(), false));
+    assertThat(unnumbered.isResumable()).isTrue();
 
-    assertThat(events.allNumbered()).isTrue();
-
-    events.accept(event(OptionalLong.empty(), true));
-
-    assertThat(events.allNumbered()).isFalse();
+    assertThat(unnumbered.receive(block("data: a")).kind()).isEqualTo(BlockReading.Kind.NEXT);
+    assertThat(unnumbered.isResumable()).isFalse();
   }
 
   @ParameterizedTest
-  @CsvSource({"0, 1, true, false", "4, 4, true, true", "0, , true, false", "4, , true, true"})
-  void isFloodedByBytesWithoutProgress(long lastId, Long id, boolean hasContent, boolean flooded) {
-    OptionalLong eventId = id == null ? OptionalLong.empty() : OptionalLong.of(id);
+  @CsvSource({"0, id: 1, false", "4, id: 4, true", "0, :, true", "4, :, true"})
+  void isFloodedByBytesWithoutProgress(long lastId, String start, boolean flooded) {
     events.resumeAfter(lastId);
     for (int i = 0; i < 5; i++) {
-      events.receive(event(eventId, hasContent), false);
+      events.receive(longBlock(start));
     }
 
     assertThat(events.isFlooded()).isEqualTo(flooded);
   }
 
-  private static ServerSentEventSplitter.Event event(OptionalLong id, boolean hasContent) {
-    return new ServerSentEventSplitter.Event(
-        id, hasContent, Unpooled.wrappedBuffer(new byte[EVENT_BYTES]));
+  @ParameterizedTest
+  @CsvSource({"data, false", ":, true"})
+  void isNotFloodedByEventsWithoutNumbers(String start, boolean flooded) {
+    for (int i = 0; i < 5; i++) {
+      unnumbered.receive(longBlock(start));
+    }
+
+    assertThat(unnumbered.isFlooded()).isEqualTo(flooded);
+  }
+
+  /** Returns a block of {@link #BLOCK_BYTES} bytes. */
+  private static EventBlock longBlock(String start) {
+    String lines = start + (start.equals(":") ? "" : "\ndata: ");
+    return block(lines + "x".repeat(BLOCK_BYTES - lines.length() - "\n\n".length()));
+  }
+
+  private static EventBlock block(String lines) {
+    return EventBlock.parse(Unpooled.copiedBuffer(lines + "\n\n", StandardCharsets.UTF_8));
   }
 }
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
@@ -39,8 +39,10 @@
 import org.sequoiareach.daemon.dialect.CallDialect;
 import org.sequoiareach.daemon.front.ResponseWriter;
 import org.sequoiareach.daemon.memory.HeldBytes;
+import org.sequoiareach.daemon.sse.EventBlock;
 import org.sequoiareach.daemon.sse.EventStreamFormat;
 import org.sequoiareach.daemon.sse.NumberedEventStreamFormat;
+import org.sequoiareach.daemon.sse.UnnumberedEventStreamFormat;
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
 import org.sequoiareach.decision.dispatch.CallProfile;
 import org.sequoiareach.decision.dispatch.Continuation;
@@ -75,9 +77,13 @@
   void start() throws Exception {
     target = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
     target.setSoTimeout((int) TIMEOUT_MS);
+    exchange = createExchange(new NumberedEventStreamFormat(Set.of()));
+  }
+
+  private ProxyExchange createExchange(EventStreamFormat format) {
     ProxyExchangeContext context =
         new ProxyExchangeContext(
-            new PlainDialect(),
+            new PlainDialect(format),
             new TargetConnectionManager(loop, resources),
             posted::add,
             new MetricRegistry(),
@@ -97,9 +103,8 @@
             Optional.empty());
     HttpRequest request =
         new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/booking/1");
-    exchange =
-        new ProxyExchange(
-            context, "r-1#1", profile, request, Unpooled.buffer(), response, () -> {});
+    return new ProxyExchange(
+        context, "r-1#1", profile, request, Unpooled.buffer(), response, () -> {});
   }
 
   @AfterEach
@@ -149,10 +154,9 @@
     onLoop(
         () -> {
           AttemptResponseHandler attempt =
-              new AttemptResponseHandler(exchange, sendCall(RouteKind.STREAMING), 0);
-          ByteBuf event = Unpooled.copiedBuffer("id: 1\n\n", StandardCharsets.UTF_8);
-          exchange.forwardEvent(
-              attempt, new ServerSentEventSplitter.Event(OptionalLong.of(1), true, event));
+              new AttemptResponseHandler(exchange, sendCall(RouteKind.STREAMING));
+          ByteBuf event = Unpooled.copiedBuffer("id: 1\ndata: a\n\n", StandardCharsets.UTF_8);
+          exchange.forwardBlock(attempt, EventBlock.parse(event));
           exchange.refuse(Verdict.MAY_HAVE_RUN, Reason.DEADLINE, "too late", 0);
         });
 
@@ -166,7 +170,7 @@
       assertThat(accepted.getInputStream().read()).isPositive();
       onLoop(
           () -> {
-            write(accepted, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nid: 1\n\n");
+            write(accepted, "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nid: 1\ndata: a\n\n");
             exchange.send(continuation());
           });
 
@@ -203,7 +207,9 @@
     onLoop(() -> exchange.send(continuation()));
     try (Socket accepted = target.accept()) {
       assertThat(accepted.getInputStream().read()).isPositive();
-      write(accepted, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nid: " + firstId + "\n\n");
+      write(
+          accepted,
+          "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nid: " + firstId + "\ndata: a\n\n");
       TimeUnit.MILLISECONDS.sleep(ARRIVAL_MS);
     }
 
@@ -212,13 +218,13 @@
         .filteredOn(DispatchEvent.AttemptFailed.class::isInstance)
         .hasSize(forwarded ? 0 : 1)
         .allSatisfy(
-            event ->
-                assertThat(((DispatchEvent.AttemptFailed) event).detail()).contains("has a gap"));
+            event -> assertThat(((DispatchEvent.AttemptFailed) event).detail()).contains("gap"));
   }
 
   /** Guards against events without an id that the caller receives from both engines. */
   @Test
   void doesNotContinueRunAfterEventWithoutId() throws Exception {
+    exchange = createExchange(new UnnumberedEventStreamFormat());
     onLoop(() -> exchange.send(sendCall(RouteKind.STREAMING)));
     try (Socket accepted = target.accept()) {
       assertThat(accepted.getInputStream().read()).isPositive();
@@ -245,7 +251,7 @@
           });
       try (Socket latest = target.accept()) {
         assertThat(latest.getInputStream().read()).isPositive();
-        write(latest, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nid: 1\n\n");
+        write(latest, "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nid: 1\ndata: a\n\n");
         TimeUnit.MILLISECONDS.sleep(ARRIVAL_MS);
       }
     }
@@ -346,6 +352,12 @@
   /** Adds no headers to attempts, and takes every answer for a stream of the request. */
   private static final class PlainDialect implements CallDialect {
 
+    private final EventStreamFormat format;
+
+    private PlainDialect(EventStreamFormat format) {
+      this.format = format;
+    }
+
     @Override
     public CallProfile readRequest(HttpRequest request, long nowMs) {
       throw new UnsupportedOperationException("requests are not read in this test");
@@ -376,7 +388,7 @@
 
     @Override
     public EventStreamFormat eventStreamFormat() {
-      return new NumberedEventStreamFormat(Set.of());
+      return format;
     }
 
     @Override
