Read streams by the kind of their route, and take no other body for one

A route for streams passed any body of a 200 on, whatever its type: garbage that a server labels with the head of an answer reached the caller as a whole answer.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/CallDialect.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/CallDialect.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import org.sequoiareach.daemon.sse.EventStreamFormat;
 import org.sequoiareach.decision.dispatch.CallProfile;
+import org.sequoiareach.model.route.RouteKind;
 
 /**
  * Translates between the headers of an HTTP dialect and the properties of requests, attempts and
@@ -52,9 +53,10 @@
   /**
    * Returns what the event streams of targets may contain.
    *
-   * @return the format of all streams
+   * @param kind the kind of requests that they answer
+   * @return the format of these streams
    */
-  EventStreamFormat eventStreamFormat();
+  EventStreamFormat eventStreamFormat(RouteKind kind);
 
   /**
    * Sets the delay after which a caller may retry.
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -228,9 +228,11 @@
 
   private void selectMode(AnswerHead head) {
     boolean error = status.code() >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
+    boolean success = status.code() == HttpResponseStatus.OK.code();
     boolean resumes = sendCall.continuation().isPresent() || exchange.isHeadSent();
-    boolean isStream = head.stream() && status.code() == HttpResponseStatus.OK.code();
-    if (resumes && !isStream) {
+    if (success && kind().isStreaming() && !head.stream()) {
+      abortWithFault(AttemptFault.BROKEN_ANSWER, "the response to a request for a stream is none");
+    } else if (resumes && !(success && head.stream())) {
       abortWithFault(
           AttemptFault.BROKEN_ANSWER,
           "the engine did not resume the stream: HTTP status " + status.code());
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/EventSequence.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/EventSequence.java
@@ -10,15 +10,10 @@
   /** The bytes of comments and repeated events that a sound stream contains between two events. */
   private static final long MAX_BYTES_WITHOUT_PROGRESS = 256 << 10;
 
-  private final EventStreamFormat format;
   private long lastId;
   private boolean hasUnnumberedEvents;
   private long bytesWithoutProgress;
 
-  EventSequence(EventStreamFormat format) {
-    this.format = format;
-  }
-
   /** Continues after the event that the caller says was its last; 0 if there is none. */
   void resumeAfter(long id) {
     lastId = id;
@@ -34,8 +29,12 @@
     return !hasUnnumberedEvents;
   }
 
-  /** Reads a block; if it is the next event, the caller is taken to have it from now on. */
-  BlockReading receive(EventBlock block) {
+  /**
+   * Reads a block; if it is the next event, the caller is taken to have it from now on.
+   *
+   * @param format what the stream may contain
+   */
+  BlockReading receive(EventBlock block, EventStreamFormat format) {
     BlockReading reading = format.read(block, lastId);
     if (reading.kind() != BlockReading.Kind.NEXT) {
       bytesWithoutProgress += block.bytes().readableBytes();
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -21,6 +21,7 @@
 import org.sequoiareach.daemon.front.ResponseWriter;
 import org.sequoiareach.daemon.sse.BlockReading;
 import org.sequoiareach.daemon.sse.EventBlock;
+import org.sequoiareach.daemon.sse.EventStreamFormat;
 import org.sequoiareach.daemon.upstream.TargetConnection;
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
 import org.sequoiareach.decision.dispatch.AttemptFault;
@@ -58,7 +59,7 @@
   private long suspendedMsBefore;
   private final Runnable onEnded;
   private final StreamFaultLog faultLog;
-  private final EventSequence events;
+  private final EventSequence events = new EventSequence();
   private Optional<AttemptResponseHandler> currentAttempt = Optional.empty();
   private Optional<HeldErrorResponse> heldResponse = Optional.empty();
   private boolean headSent;
@@ -78,7 +79,6 @@
       Runnable onEnded) {
     this.onEnded = onEnded;
     this.context = context;
-    this.events = new EventSequence(context.dialect().eventStreamFormat());
     this.faultLog = new StreamFaultLog(context.metrics());
     this.requests = new AttemptRequestFactory(context.dialect());
     this.callId = callId;
@@ -272,7 +272,8 @@
   /** Forwards a block to the caller, unless the caller has its event or it is invalid. */
   BlockReading forwardBlock(AttemptResponseHandler attempt, EventBlock block) {
     long lastId = events.lastId();
-    BlockReading reading = events.receive(block);
+    EventStreamFormat format = context.dialect().eventStreamFormat(attempt.kind());
+    BlockReading reading = events.receive(block, format);
     reading
         .fault()
         .ifPresent(fault -> faultLog.onFault(fault, block, requestId(), attempt, lastId));
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/sse/EventBlock.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/sse/EventBlock.java
@@ -16,6 +16,8 @@
  */
 public record EventBlock(List<EventField> fields, boolean ambiguousLineEnd, ByteBuf bytes) {
 
+  static final String DATA = "data";
+
   private static final int MAX_DESCRIBED_BYTES = 48;
 
   /**
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/sse/UnnumberedEventStreamFormat.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/sse/UnnumberedEventStreamFormat.java
@@ -1,14 +1,10 @@
 package org.sequoiareach.daemon.sse;
 
-import java.util.Set;
-
-/** Streams whose events have no numbers, so that their order and number can't be checked. */
-public final class UnnumberedEventStreamFormat extends AbstractEventStreamFormat {
-
-  /** Creates a format whose events have the fields of server-sent events alone. */
-  public UnnumberedEventStreamFormat() {
-    super(Set.of());
-  }
+/**
+ * Streams of which nothing but the general form is known, as on routes whose answers are opaque.
+ * Their events have no numbers, and fields that a caller does not know mean nothing to it.
+ */
+public final class UnnumberedEventStreamFormat implements EventStreamFormat {
 
   @Override
   public boolean numbersEvents() {
@@ -16,7 +12,7 @@
   }
 
   @Override
-  BlockReading readEvent(EventBlock block, long lastEventId) {
-    return block.has(DATA) ? BlockReading.next(0) : BlockReading.FILLER;
+  public BlockReading read(EventBlock block, long lastEventId) {
+    return block.has(EventBlock.DATA) ? BlockReading.next(0) : BlockReading.FILLER;
   }
 }
