Send a call to its target again if this daemon did not send it in time

Cause: an attempt that grows older than 400 ms before it is sent says nothing about its target, but left it as tried, and a call goes to each target once. Class: a failure of our own is put down to the target.

A target whose attempt was not sent for a reason of the daemon's own stays eligible, three times a call, as a suspension outdates every attempt that was decided before it.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
@@ -13,6 +13,9 @@
 /** Holds the state of one call from its arrival to its end. Not thread-safe. */
 final class ActiveCall {
 
+  /** A daemon that is paused or overloaded this often does not answer the call in time. */
+  private static final int MAX_FORGIVEN_ATTEMPTS = 3;
+
   private final String callId;
   private final CallProfile profile;
   private final Optional<String> content;
@@ -29,6 +32,7 @@
   private Optional<RoutedTarget> target = Optional.empty();
   private int attempt;
   private int reachedAttempts;
+  private int forgivenAttempts;
   private int copyRounds;
   private boolean started;
   private boolean survived;
@@ -215,6 +219,10 @@
     if (fault.mayHaveRun()) {
       target.ifPresent(failed -> recordPossibleRun(failed.id()));
     }
+    if (!fault.concernsTarget() && forgivenAttempts < MAX_FORGIVEN_ATTEMPTS) {
+      forgivenAttempts++;
+      target.map(RoutedTarget::id).ifPresent(triedTargets::remove);
+    }
     target = Optional.empty();
   }
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/AttemptFault.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/AttemptFault.java
@@ -47,6 +47,15 @@
     return countsAgainstTarget;
   }
 
+  /**
+   * Returns whether the failure says anything about the target.
+   *
+   * @return false if the daemon itself did not send the request
+   */
+  public boolean concernsTarget() {
+    return reachedTarget() || countsAgainstTarget;
+  }
+
   /**
    * Returns whether the request reached the target, including when that is uncertain.
    *
