Fail an attempt at the first invalid block of an engine's stream

What callers could see: the daemon's engine client ignored lines that it did not know and dropped events without an id, took +3, 03 and digits of other scripts for event ids, let the last of several ids count, removed carriage returns inside lines, took an event with an id and the data [DONE] for the end, and read on behind the end. The stream of an engine that sent garbage between two events passed for a sound one.

Cause: the client had a lenient parser of its own beside the grammar in org.sequoiareach.daemon.sse.

Why it works: the decoder only splits the bytes into blocks, and NumberedEventStreamFormat decides what each one is, starting after the event that the client asked for. The end is a block with the one field data: [DONE]; after it only fillers may come. Any other block fails the attempt as one that may have run, with a message that names the fault and shows the start of the block. That it is resumed then, as after a gap, has no test of its own here. Data is passed on byte by byte, without a conversion that replaces invalid UTF-8.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/sse/EventBlock.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/sse/EventBlock.java
@@ -43,8 +43,13 @@
     return fields.stream().anyMatch(field -> field.name().equals(name));
   }
 
-  /** Returns the values of all fields with the given name, in the order of the lines. */
-  List<String> valuesOf(String name) {
+  /**
+   * Returns the values of all fields with the given name.
+   *
+   * @param name the name
+   * @return the values in the order of the lines, with one character for each byte
+   */
+  public List<String> valuesOf(String name) {
     return fields.stream()
         .filter(field -> field.name().equals(name))
         .map(EventField::value)
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
@@ -12,8 +12,15 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.sequoiareach.daemon.answer.AnswerPart;
 import org.sequoiareach.daemon.answer.RequestContent;
+import org.sequoiareach.daemon.sse.BlockReading;
+import org.sequoiareach.daemon.sse.EventBlock;
+import org.sequoiareach.daemon.sse.EventField;
+import org.sequoiareach.daemon.sse.EventStreamFormat;
+import org.sequoiareach.daemon.sse.NumberedEventStreamFormat;
+import org.sequoiareach.daemon.sse.StreamFault;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.model.json.Json;
 import org.sequoiareach.model.platform.EngineLoad;
@@ -49,6 +56,8 @@
 
   private static final String COMPLETIONS_PATH = "/v1/chat/completions";
   private static final String DONE_DATA = "[DONE]";
+  private static final List<EventField> DONE_FIELDS = List.of(new EventField("data", DONE_DATA));
+  private static final EventStreamFormat FORMAT = new NumberedEventStreamFormat(Set.of());
 
   private final HttpClient streams;
   private final HttpClient control;
@@ -292,23 +301,51 @@
       this.attemptId = attemptId;
     }
 
-    private List<AnswerPart> read(List<EngineSseEvent> events) {
-      return events.stream().flatMap(event -> read(event).stream()).toList();
+    private List<AnswerPart> read(List<EventBlock> blocks) {
+      return blocks.stream().flatMap(block -> read(block).stream()).toList();
     }
 
-    private Optional<AnswerPart> read(EngineSseEvent event) {
-      if (event.data().equals(DONE_DATA)) {
+    private Optional<AnswerPart> read(EventBlock block) {
+      boolean end = !block.ambiguousLineEnd() && block.fields().equals(DONE_FIELDS);
+      if (end && !ended) {
         ended = true;
         return Optional.of(new AnswerPart.End((int) sequence));
       }
-      if (event.id().isEmpty()) {
+      BlockReading reading = FORMAT.read(block, sequence);
+      if (reading.fault().isPresent()) {
+        throw invalid(reading.fault().get().label(), block);
+      }
+      if (reading.kind() == BlockReading.Kind.FILLER) {
+        return Optional.empty();
+      }
+      String data = String.join("\n", block.valuesOf("data"));
+      if (ended) {
+        throw invalid("event behind the end", block);
+      }
+      if (data.isEmpty() || data.equals(DONE_DATA)) {
+        throw invalid(StreamFault.INVALID_VALUE.label(), block);
+      }
+      if (reading.kind() == BlockReading.Kind.REPEATED) {
         return Optional.empty();
       }
-      sequence = Long.parseLong(event.id());
-      byte[] payload = event.data().getBytes(StandardCharsets.UTF_8);
+      sequence = reading.eventId();
+      // The values of a block have one character for each byte.
+      byte[] payload = data.getBytes(StandardCharsets.ISO_8859_1);
       return Optional.of(new AnswerPart.Data(targetId, attemptId, sequence, payload));
     }
 
+    private RuntimeException invalid(String fault, EventBlock block) {
+      return TargetFailures.failure(
+          Verdict.MAY_HAVE_RUN,
+          Reason.TARGET_FAILED,
+          "the stream of target "
+              + targetId
+              + " is invalid ("
+              + fault
+              + "): "
+              + block.describeStart());
+    }
+
     private Flux<AnswerPart> failIfIncomplete() {
       if (ended) {
         return Flux.empty();
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineSseDecoder.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineSseDecoder.java
@@ -1,12 +1,16 @@
 package org.sequoiareach.daemon.target;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.sequoiareach.daemon.sse.EventBlock;
+import org.sequoiareach.daemon.sse.EventBoundaryTracker;
 
-/** Decodes a byte stream into server-sent events. Used for one response; not thread-safe. */
+/**
+ * Decodes a byte stream into the blocks of an event stream. Used for one response; not thread-safe.
+ */
 final class EngineSseDecoder {
 
   /** The maximum length of a line; a longer line fails the stream. */
@@ -15,24 +19,23 @@
   /** The bytes without a numbered event after which the stream fails. */
   static final int MAX_BYTES_WITHOUT_EVENT = 1 << 20;
 
-  private final ByteArrayOutputStream line = new ByteArrayOutputStream();
-  private final StringBuilder data = new StringBuilder();
-  private String id = "";
+  private final EventBoundaryTracker boundary = new EventBoundaryTracker();
+  private final ByteArrayOutputStream block = new ByteArrayOutputStream();
+  private int lineBytes;
   private long bytesWithoutEvent;
 
-  /** Decodes bytes and returns the events that they complete. */
-  List<EngineSseEvent> decode(ByteBuf bytes) {
-    List<EngineSseEvent> events = new ArrayList<>();
+  /** Decodes bytes and returns the blocks that they complete. */
+  List<EventBlock> decode(ByteBuf bytes) {
+    List<EventBlock> blocks = new ArrayList<>();
     bytesWithoutEvent += bytes.readableBytes();
     while (bytes.isReadable()) {
-      byte next = bytes.readByte();
-      if (next == '\n') {
-        endLine(events);
-      } else if (next != '\r') {
-        append(next);
+      append(bytes.readByte());
+      if (!boundary.isInsideEvent()) {
+        blocks.add(EventBlock.parse(Unpooled.wrappedBuffer(block.toByteArray())));
+        block.reset();
       }
     }
-    if (events.stream().anyMatch(event -> !event.id().isEmpty())) {
+    if (blocks.stream().anyMatch(event -> !event.valuesOf("id").isEmpty())) {
       bytesWithoutEvent = 0;
     }
     if (bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT) {
@@ -41,39 +44,16 @@
               + MAX_BYTES_WITHOUT_EVENT
               + " bytes without a numbered event");
     }
-    return events;
+    return blocks;
   }
 
   private void append(byte next) {
-    if (line.size() == MAX_LINE_BYTES) {
+    lineBytes = next == '\n' ? 0 : lineBytes + 1;
+    if (lineBytes > MAX_LINE_BYTES) {
       throw new IllegalStateException(
           "a line of the event stream exceeds " + MAX_LINE_BYTES + " bytes");
     }
-    line.write(next);
-  }
-
-  private void endLine(List<EngineSseEvent> events) {
-    String text = line.toString(StandardCharsets.UTF_8);
-    line.reset();
-    if (text.isEmpty()) {
-      endEvent(events);
-    } else if (text.startsWith("data:")) {
-      data.append(data.isEmpty() ? "" : "\n").append(value(text, "data:"));
-    } else if (text.startsWith("id:")) {
-      id = value(text, "id:");
-    }
-  }
-
-  private void endEvent(List<EngineSseEvent> events) {
-    if (!data.isEmpty()) {
-      events.add(new EngineSseEvent(id, data.toString()));
-    }
-    data.setLength(0);
-    id = "";
-  }
-
-  private static String value(String text, String field) {
-    String value = text.substring(field.length());
-    return value.startsWith(" ") ? value.substring(1) : value;
+    block.write(next);
+    boundary.read(next);
   }
 }
