Let the load client fail a stream with a piece without an id

What callers could see: nothing new; the judge of the streams was blind. It skipped lines that are no field of server-sent events, and looked at event ids only to resume, so that a piece without an id, with a signed one or with that of an earlier event passed when it brought no token.

Cause: SseDecoder ignored unknown lines, and AnswerTracker checked the tokens alone.

Evidence: LoadRunnerTest with four new faults of its server, run on the code without the change: 15 tests, 4 failures, the four new ones. With the change: 15 of 15 pass, and 22 of 22 with SseDecoderTest and StandinLoadTest.

Why it works: an unknown line becomes an event that can't be parsed, an id must be the number after that of the last event, and only errors and the last chunk may lack one. Each is reported as malformed.

--- a/sequoiareach-load/src/main/java/org/sequoiareach/load/run/AnswerTracker.java
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/run/AnswerTracker.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
 import java.util.Optional;
+import java.util.regex.Pattern;
 import org.sequoiareach.load.check.AnswerChecker;
 import org.sequoiareach.load.check.Ending;
 import org.sequoiareach.load.check.Fault;
@@ -18,6 +19,7 @@
 final class AnswerTracker {
 
   private static final String DONE = "[DONE]";
+  private static final Pattern EVENT_ID = Pattern.compile("[1-9][0-9]{0,17}");
 
   private final OutgoingRequest request;
   private final AnswerChecker checker;
@@ -40,10 +42,14 @@
       return;
     }
     if (!event.id().isEmpty()) {
-      lastEventId = event.id();
+      checkId(event.id());
     }
     try {
-      onChunk(Json.mapper().readTree(event.data()), nowNs);
+      JsonNode chunk = Json.mapper().readTree(event.data());
+      if (event.id().isEmpty() && !mayLackId(chunk)) {
+        checker.onMalformed("event without an id: " + event.data());
+      }
+      onChunk(chunk, nowNs);
     } catch (JsonProcessingException e) {
       checker.onMalformed(event.data());
     }
@@ -120,6 +126,20 @@
         faults);
   }
 
+  private void checkId(String id) {
+    long expected = lastEventId.isEmpty() ? 1 : Long.parseLong(lastEventId) + 1;
+    if (!id.equals(Long.toString(expected))) {
+      checker.onMalformed("event with id '" + id + "' instead of " + expected);
+    }
+    if (EVENT_ID.matcher(id).matches()) {
+      lastEventId = id;
+    }
+  }
+
+  private static boolean mayLackId(JsonNode chunk) {
+    return chunk.has("error") || chunk.at("/choices/0").hasNonNull("finish_reason");
+  }
+
   private void onChunk(JsonNode chunk, long nowNs) {
     if (chunk.has("error")) {
       onErrorResponse(ErrorResponse.ofErrorEvent(chunk));
--- a/sequoiareach-load/src/main/java/org/sequoiareach/load/run/SseDecoder.java
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/run/SseDecoder.java
@@ -4,10 +4,16 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Pattern;
 
-/** Decodes a byte stream into server-sent events. Not thread-safe. */
+/**
+ * Decodes a byte stream into server-sent events. A line that is none of theirs becomes an event
+ * whose data can't be parsed. Not thread-safe.
+ */
 final class SseDecoder {
 
+  private static final Pattern IGNORED_LINE = Pattern.compile(":.*|(event|retry):.*");
+
   private final ByteArrayOutputStream line = new ByteArrayOutputStream();
   private final StringBuilder data = new StringBuilder();
 
@@ -41,6 +47,8 @@
       hasData = true;
     } else if (text.startsWith("id:")) {
       id = valueOf(text, "id:");
+    } else if (!IGNORED_LINE.matcher(text).matches()) {
+      events.add(new SseEvent("", "unknown line: " + text));
     }
   }
 
--- a/sequoiareach-load/src/test/java/org/sequoiareach/load/run/FaultInjectingServer.java
+++ b/sequoiareach-load/src/test/java/org/sequoiareach/load/run/FaultInjectingServer.java
@@ -28,6 +28,10 @@
     NOT_RUN_BUT_RAN,
     ERROR_EVENT,
     RUNS_TWICE,
+    PIECE_WITHOUT_ID,
+    UNKNOWN_LINE,
+    ID_WITH_SIGN,
+    ID_REPEATED,
     SILENT
   }
 
@@ -95,6 +99,10 @@
       String name = fault == Fault.CROSSED && n == 2 ? "other" : marker;
       String generation = fault == Fault.SPLICED && n == 2 ? "h" : "g";
       text.append(chunk(n, generation, name));
+      text.append(fault == Fault.PIECE_WITHOUT_ID && n == 1 ? "data: {}\n\n" : "");
+      text.append(fault == Fault.UNKNOWN_LINE && n == 1 ? "HTTP/1.1 200 OK\n\n" : "");
+      text.append(fault == Fault.ID_WITH_SIGN && n == 1 ? "id: +2\ndata: {}\n\n" : "");
+      text.append(fault == Fault.ID_REPEATED && n == 1 ? "id: 1\ndata: {}\n\n" : "");
     }
     if (fault == Fault.ERROR_EVENT) {
       return text
--- a/sequoiareach-load/src/test/java/org/sequoiareach/load/run/LoadRunnerTest.java
+++ b/sequoiareach-load/src/test/java/org/sequoiareach/load/run/LoadRunnerTest.java
@@ -39,6 +39,10 @@
         arguments(Fault.CROSSED, TestSettings.booking(), FaultKind.CROSSED_ANSWER),
         arguments(Fault.SPLICED, QUOTE, FaultKind.SPLICED_GENERATIONS),
         arguments(Fault.CUT_SHORT, QUOTE, FaultKind.INCOMPLETE_ANSWER),
+        arguments(Fault.PIECE_WITHOUT_ID, QUOTE, FaultKind.MALFORMED),
+        arguments(Fault.UNKNOWN_LINE, QUOTE, FaultKind.MALFORMED),
+        arguments(Fault.ID_WITH_SIGN, QUOTE, FaultKind.MALFORMED),
+        arguments(Fault.ID_REPEATED, QUOTE, FaultKind.MALFORMED),
         arguments(Fault.NOT_RUN_BUT_RAN, QUOTE, FaultKind.NOT_RUN_BUT_RAN),
         arguments(Fault.RUNS_TWICE, TestSettings.booking(), FaultKind.RAN_MORE_THAN_ONCE));
   }
