--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/EventStreamFuzzTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/EventStreamFuzzTest.java
@@ -506,7 +506,7 @@
     }
 
     @Override
-    public EventStreamFormat eventStreamFormat() {
+    public EventStreamFormat eventStreamFormat(RouteKind kind) {
       return new NumberedEventStreamFormat(Set.of("kind"));
     }
 
