--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -436,10 +436,10 @@
       abortWithFault(
           AttemptFault.BROKEN_ANSWER,
           "the event stream is invalid after event "
-              + exchange.lastEventId()
+              + exchange.stream().lastEventId()
               + ": "
               + reading.fault().get().label());
-    } else if (exchange.isFlooded()) {
+    } else if (exchange.stream().isFlooded()) {
       abortWithFault(AttemptFault.BROKEN_ANSWER, "the event stream continues without new events");
     } else if (reading.kind() != BlockReading.Kind.FILLER) {
       receivedEvents++;
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -21,7 +21,6 @@
 import org.sequoiareach.daemon.front.ResponseWriter;
 import org.sequoiareach.daemon.sse.BlockReading;
 import org.sequoiareach.daemon.sse.EventBlock;
-import org.sequoiareach.daemon.sse.EventStreamFormat;
 import org.sequoiareach.daemon.upstream.TargetConnection;
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
 import org.sequoiareach.decision.dispatch.AttemptFault;
@@ -58,12 +57,10 @@
   private final ResponseWriter response;
   private long suspendedMsBefore;
   private final Runnable onEnded;
-  private final StreamFaultLog faultLog;
-  private final EventSequence events = new EventSequence();
+  private final StreamReader stream;
   private Optional<AttemptResponseHandler> currentAttempt = Optional.empty();
   private Optional<HeldErrorResponse> heldResponse = Optional.empty();
   private boolean headSent;
-  private long lastEventMs;
   private boolean ended;
 
   /** Attempts whose request was handed to a connection, except those that provably did not run. */
@@ -79,7 +76,7 @@
       Runnable onEnded) {
     this.onEnded = onEnded;
     this.context = context;
-    this.faultLog = new StreamFaultLog(context.metrics());
+    this.stream = new StreamReader(context, profile);
     this.requests = new AttemptRequestFactory(context.dialect());
     this.callId = callId;
     this.profile = profile;
@@ -111,7 +108,7 @@
       return;
     }
     if (sendCall.kind() == RouteKind.RESUMABLE_STREAMING && !headSent) {
-      events.resumeAfter(context.dialect().findLastEventId(request.headers()).orElse(0));
+      stream.resumeAfter(context.dialect().findLastEventId(request.headers()).orElse(0));
     }
     if (headSent || sendCall.continuation().isPresent()) {
       // Decided during the call, so that only a later suspension outdates it.
@@ -151,7 +148,7 @@
       next.fail(AttemptFault.LOST, 0, "not sent: an earlier attempt of the request may have run");
       return;
     }
-    if (headSent && !events.isResumable()) {
+    if (headSent && !stream.isResumable()) {
       next.fail(
           AttemptFault.OUTDATED, 0, "not sent: an event without an id cannot be resumed after");
       return;
@@ -256,9 +253,10 @@
   }
 
   private OptionalLong findResumePoint(DispatchEffect.SendCall sendCall) {
-    boolean resumesStream = sendCall.kind() == RouteKind.RESUMABLE_STREAMING && events.lastId() > 0;
+    boolean resumesStream =
+        sendCall.kind() == RouteKind.RESUMABLE_STREAMING && stream.lastEventId() > 0;
     return sendCall.continuation().isPresent() || resumesStream
-        ? OptionalLong.of(events.lastId())
+        ? OptionalLong.of(stream.lastEventId())
         : OptionalLong.empty();
   }
 
@@ -271,12 +269,7 @@
 
   /** Forwards a block to the caller, unless the caller has its event or it is invalid. */
   BlockReading forwardBlock(AttemptResponseHandler attempt, EventBlock block) {
-    long lastId = events.lastId();
-    EventStreamFormat format = context.dialect().eventStreamFormat(attempt.kind());
-    BlockReading reading = events.receive(block, format);
-    reading
-        .fault()
-        .ifPresent(fault -> faultLog.onFault(fault, block, requestId(), attempt, lastId));
+    BlockReading reading = stream.read(block, attempt);
     boolean wanted =
         reading.kind() == BlockReading.Kind.NEXT || reading.kind() == BlockReading.Kind.FILLER;
     if (ended || !wanted) {
@@ -285,21 +278,13 @@
     }
     sendHeadOnce(attempt, OptionalLong.empty());
     attempt.reportStart();
-    if (reading.kind() == BlockReading.Kind.NEXT) {
-      recordEventLatency();
-    }
     response.sendContent(block.bytes());
     return reading;
   }
 
-  /** Returns the number of the last event that the caller has; 0 if it has none. */
-  long lastEventId() {
-    return events.lastId();
-  }
-
-  /** Returns whether more bytes were received without progress than a sound stream contains. */
-  boolean isFlooded() {
-    return events.isFlooded();
+  /** Returns the event stream that answers the request. */
+  StreamReader stream() {
+    return stream;
   }
 
   /** Forwards a complete body whose length is known. */
@@ -514,19 +499,6 @@
         });
   }
 
-  private void recordEventLatency() {
-    long nowMs = MonotonicClock.nowMs();
-    if (lastEventMs > 0) {
-      context.metrics().timer("stream.gap").update(nowMs - lastEventMs, TimeUnit.MILLISECONDS);
-    } else {
-      context
-          .metrics()
-          .timer("stream.first")
-          .update(nowMs - profile.arrivedMs(), TimeUnit.MILLISECONDS);
-    }
-    lastEventMs = nowMs;
-  }
-
   private void end() {
     ended = true;
     body.release();
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/EventStreamFuzzTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/EventStreamFuzzTest.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.ByteArrayOutputStream;
@@ -27,12 +26,8 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.sequoiareach.daemon.dialect.AnswerHead;
-import org.sequoiareach.daemon.dialect.AttemptMetadata;
-import org.sequoiareach.daemon.dialect.CallDialect;
 import org.sequoiareach.daemon.front.ResponseWriter;
 import org.sequoiareach.daemon.memory.HeldBytes;
-import org.sequoiareach.daemon.sse.EventStreamFormat;
 import org.sequoiareach.daemon.sse.NumberedEventStreamFormat;
 import org.sequoiareach.daemon.upstream.ResponseFraming;
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
@@ -42,7 +37,6 @@
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.route.RouteKind;
 import org.sequoiareach.model.route.RoutedTarget;
-import org.sequoiareach.model.route.StatedRate;
 import org.sequoiareach.store.time.MonotonicClock;
 import reactor.netty.resources.LoopResources;
 
@@ -410,7 +404,9 @@
   private static ProxyExchange createExchange(int resumeAfter, ResponseWriter response) {
     ProxyExchangeContext context =
         new ProxyExchangeContext(
-            new StreamDialect(resumeAfter),
+            new StreamDialect(
+                new NumberedEventStreamFormat(Set.of("kind")),
+                resumeAfter > 0 ? OptionalLong.of(resumeAfter) : OptionalLong.empty()),
             new TargetConnectionManager(LOOP, RESOURCES),
             event -> {},
             new MetricRegistry(),
@@ -467,50 +463,4 @@
     @Override
     public void onWritabilityChanged(Consumer<Boolean> listener) {}
   }
-
-  /** Takes every answer for a stream of the request. */
-  private static final class StreamDialect implements CallDialect {
-
-    private final int resumeAfter;
-
-    private StreamDialect(int resumeAfter) {
-      this.resumeAfter = resumeAfter;
-    }
-
-    @Override
-    public CallProfile readRequest(HttpRequest request, long nowMs) {
-      throw new UnsupportedOperationException("requests are not read in this test");
-    }
-
-    @Override
-    public OptionalLong findLastEventId(HttpHeaders headers) {
-      return resumeAfter > 0 ? OptionalLong.of(resumeAfter) : OptionalLong.empty();
-    }
-
-    @Override
-    public void setAttemptHeaders(HttpHeaders headers, AttemptMetadata attempt) {}
-
-    @Override
-    public AnswerHead readAnswer(HttpResponse answer, long nowMs) {
-      return new AnswerHead(
-          Optional.of("r-1"),
-          false,
-          false,
-          false,
-          false,
-          true,
-          0,
-          Optional.empty(),
-          StatedRate.NONE,
-          false);
-    }
-
-    @Override
-    public EventStreamFormat eventStreamFormat(RouteKind kind) {
-      return new NumberedEventStreamFormat(Set.of("kind"));
-    }
-
-    @Override
-    public void setRetryAfter(HttpHeaders headers, long delayMs) {}
-  }
 }
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/ProxyExchangeTest.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
@@ -34,9 +33,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.sequoiareach.daemon.dialect.AnswerHead;
-import org.sequoiareach.daemon.dialect.AttemptMetadata;
-import org.sequoiareach.daemon.dialect.CallDialect;
 import org.sequoiareach.daemon.front.ResponseWriter;
 import org.sequoiareach.daemon.memory.HeldBytes;
 import org.sequoiareach.daemon.sse.EventBlock;
@@ -53,7 +49,6 @@
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.route.RouteKind;
 import org.sequoiareach.model.route.RoutedTarget;
-import org.sequoiareach.model.route.StatedRate;
 import org.sequoiareach.store.time.MonotonicClock;
 import reactor.netty.resources.LoopResources;
 
@@ -83,7 +78,7 @@
   private ProxyExchange createExchange(EventStreamFormat format) {
     ProxyExchangeContext context =
         new ProxyExchangeContext(
-            new PlainDialect(format),
+            new StreamDialect(format, OptionalLong.empty()),
             new TargetConnectionManager(loop, resources),
             posted::add,
             new MetricRegistry(),
@@ -348,52 +343,4 @@
     @Override
     public void onWritabilityChanged(Consumer<Boolean> listener) {}
   }
-
-  /** Adds no headers to attempts, and takes every answer for a stream of the request. */
-  private static final class PlainDialect implements CallDialect {
-
-    private final EventStreamFormat format;
-
-    private PlainDialect(EventStreamFormat format) {
-      this.format = format;
-    }
-
-    @Override
-    public CallProfile readRequest(HttpRequest request, long nowMs) {
-      throw new UnsupportedOperationException("requests are not read in this test");
-    }
-
-    @Override
-    public OptionalLong findLastEventId(HttpHeaders headers) {
-      return OptionalLong.empty();
-    }
-
-    @Override
-    public void setAttemptHeaders(HttpHeaders headers, AttemptMetadata attempt) {}
-
-    @Override
-    public AnswerHead readAnswer(HttpResponse answer, long nowMs) {
-      return new AnswerHead(
-          Optional.of("r-1"),
-          false,
-          false,
-          false,
-          false,
-          true,
-          0,
-          Optional.empty(),
-          StatedRate.NONE,
-          false);
-    }
-
-    @Override
-    public EventStreamFormat eventStreamFormat(RouteKind kind) {
-      return format;
-    }
-
-    @Override
-    public void setRetryAfter(HttpHeaders headers, long delayMs) {
-      headers.set("Retry-After", delayMs);
-    }
-  }
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
@@ -13,7 +13,7 @@
 /** Holds the state of one call from its arrival to its end. Not thread-safe. */
 final class ActiveCall {
 
-  /** A daemon that is paused or overloaded this often does not answer the call in time. */
+  /** The attempts not sent by this daemon whose targets stay eligible; a pause outdates all. */
   private static final int MAX_FORGIVEN_ATTEMPTS = 3;
 
   private final String callId;
