--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/PeerStateBridge.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/PeerStateBridge.java
@@ -38,7 +38,8 @@
               tell.outcomes(),
               tell.sheetVersion(),
               tell.sum(),
-              tell.daemons()));
+              tell.daemons(),
+              tell.fleet()));
     } else if (effect instanceof DispatchEffect.TellStoreNews tell) {
       sender.send(
           tell.daemonId(),
@@ -75,7 +76,8 @@
               announced.outcomes(),
               announced.sheetVersion(),
               announced.sum(),
-              announced.daemons()));
+              announced.daemons(),
+              announced.fleet()));
     } else if (message instanceof StateMessage.StoreNewsAnnouncement told) {
       events.post(new DispatchEvent.StoreNewsTold(nowMs, fromDaemon, told.sentMs(), told.news()));
     } else if (message instanceof StateMessage.StatePull pull) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.fleet.BackoffRegistry;
+import org.sequoiareach.decision.fleet.FleetStateTable;
 import org.sequoiareach.decision.fleet.OutcomeTracker;
 import org.sequoiareach.decision.fleet.TargetTable;
 import org.sequoiareach.decision.fleet.TargetUseTracker;
@@ -48,6 +49,7 @@
   private final DispatchReducer.EffectList effects = new DispatchReducer.EffectList();
   private final TargetTable targets = new TargetTable();
   private final TargetUseTracker targetUse = new TargetUseTracker();
+  private final FleetStateTable fleetState = new FleetStateTable();
   private final OutcomeTracker outcomes = new OutcomeTracker();
   private final BackoffRegistry backoffs = new BackoffRegistry();
   private final OutlierEjection ejection = new OutlierEjection(EJECTION);
@@ -88,6 +90,10 @@
     return targets;
   }
 
+  FleetStateTable fleetState() {
+    return fleetState;
+  }
+
   TargetUseTracker targetUse() {
     return targetUse;
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
@@ -10,6 +10,7 @@
 import org.sequoiareach.model.quarantine.Quarantine;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
+import org.sequoiareach.model.route.FleetState;
 import org.sequoiareach.model.route.RouteKind;
 import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.model.route.RoutingSheet;
@@ -277,6 +278,8 @@
    * @param sheetVersion the version of this daemon's routing sheet; 0 for none
    * @param sum whether uses and outcomes are those of all daemons but the receiver, as added up by
    *     a relay, rather than those of one daemon or zone
+   * @param daemons the highest number of daemons seen alive at once
+   * @param fleet what is told beside; summed up like uses and outcomes
    */
   record TellPeer(
       String daemonId,
@@ -288,7 +291,8 @@
       Map<String, TargetOutcomes> outcomes,
       long sheetVersion,
       boolean sum,
-      int daemons)
+      int daemons,
+      FleetState fleet)
       implements DispatchEffect {}
 
   /**
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -8,6 +8,7 @@
 import org.sequoiareach.decision.event.Event;
 import org.sequoiareach.model.quarantine.CrashReport;
 import org.sequoiareach.model.quarantine.Quarantine;
+import org.sequoiareach.model.route.FleetState;
 import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.model.route.RoutingSheet;
 import org.sequoiareach.model.route.StatedRate;
@@ -411,6 +412,8 @@
    * @param sheetVersion the version of its routing sheet; 0 for none
    * @param sum whether uses and outcomes are those of all daemons but the receiver, as added up by
    *     a relay, rather than those of one daemon or zone
+   * @param daemons the highest number of daemons that it has seen alive at once
+   * @param fleet what it tells beside; summed up like uses and outcomes
    */
   record PeerStateTold(
       long nowMs,
@@ -422,12 +425,40 @@
       Map<String, TargetOutcomes> outcomes,
       long sheetVersion,
       boolean sum,
-      int daemons)
+      int daemons,
+      FleetState fleet)
       implements DispatchEvent {
 
-    /** Copies the outcomes; recorded sessions may lack them. */
+    /** Copies the outcomes; recorded sessions may lack some components. */
     public PeerStateTold {
       outcomes = outcomes == null ? Map.of() : Map.copyOf(outcomes);
+      fleet = fleet == null ? FleetState.NONE : fleet;
+    }
+
+    /** Creates the state of a daemon that tells nothing beside its use of targets. */
+    public PeerStateTold(
+        long nowMs,
+        String daemonId,
+        long sheetRevision,
+        long targetsRevision,
+        Map<String, TargetUse> uses,
+        List<String> leaving,
+        Map<String, TargetOutcomes> outcomes,
+        long sheetVersion,
+        boolean sum,
+        int daemons) {
+      this(
+          nowMs,
+          daemonId,
+          sheetRevision,
+          targetsRevision,
+          uses,
+          leaving,
+          outcomes,
+          sheetVersion,
+          sum,
+          daemons,
+          FleetState.NONE);
     }
   }
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PeerSyncHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PeerSyncHandler.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.sequoiareach.decision.membership.Member;
+import org.sequoiareach.model.route.FleetState;
 import org.sequoiareach.model.route.RoutingSheet;
 import org.sequoiareach.model.route.StoreHoldings;
 import org.sequoiareach.model.route.TargetOutcomes;
@@ -54,6 +55,7 @@
   private Map<String, TargetUse> lastUses = Map.of();
   private List<String> lastLeaving = List.of();
   private Map<String, TargetOutcomes> lastOutcomes = Map.of();
+  private FleetState lastFleet = FleetState.NONE;
   private long lastSheetRevision;
   private long nextSendMs;
   private long nextRefreshMs;
@@ -104,6 +106,7 @@
         return false;
       }
       context.targetUse().updateAllPeers(event.nowMs(), event.daemonId(), event.uses());
+      context.fleetState().updateAllPeers(event.nowMs(), event.daemonId(), event.fleet());
       context.outcomes().retainPeer(event.daemonId());
       return true;
     }
@@ -112,6 +115,7 @@
     }
     relays.onReportHeard(event.nowMs(), event.daemonId());
     context.targetUse().updatePeer(event.nowMs(), event.daemonId(), event.uses());
+    context.fleetState().updatePeer(event.nowMs(), event.daemonId(), event.fleet());
     return true;
   }
 
@@ -164,7 +168,8 @@
           !uses.equals(lastUses)
               || lastSheetRevision != context.sheetRevision()
               || !lastLeaving.equals(context.recentlyLeaving(nowMs))
-              || !lastOutcomes.equals(context.outcomes().localFailing(nowMs));
+              || !lastOutcomes.equals(context.outcomes().localFailing(nowMs))
+              || !lastFleet.equals(fleetToTell());
       if (changed || nowMs >= nextRefreshMs) {
         sendState(nowMs);
       }
@@ -178,11 +183,18 @@
         : context.targetUse().localUses();
   }
 
+  private FleetState fleetToTell() {
+    return relays.isSelf()
+        ? context.fleetState().sumOf(daemonId -> true)
+        : context.fleetState().local();
+  }
+
   private void sendState(long nowMs) {
     lastUses = usesToTell();
     lastLeaving = context.recentlyLeaving(nowMs);
     lastOutcomes = context.outcomes().localFailing(nowMs);
     lastSheetRevision = context.sheetRevision();
+    lastFleet = fleetToTell();
     nextRefreshMs = nowMs + (relays.isSelf() ? RELAY_REFRESH_INTERVAL_MS : REFRESH_INTERVAL_MS);
     if (relays.isSelf()) {
       sendSums(nowMs);
@@ -192,7 +204,7 @@
         relays.isNeeded()
             ? relays.own().map(List::of).orElse(List.of())
             : recipients.nextRecipients();
-    told.forEach(member -> tell(member, lastUses, lastOutcomes, false));
+    told.forEach(member -> tell(member, lastUses, lastOutcomes, false, lastFleet));
   }
 
   /**
@@ -213,19 +225,22 @@
           member,
           context.targetUse().sumOf(others),
           context.outcomes().sumOfFailing(nowMs, others),
-          true);
+          true,
+          context.fleetState().sumOf(others));
     }
     Map<String, TargetUse> uses = context.targetUse().sumOf(zoneMembers::contains);
     Map<String, TargetOutcomes> outcomes =
         context.outcomes().sumOfFailing(nowMs, zoneMembers::contains);
-    relays.others().forEach(relay -> tell(relay, uses, outcomes, false));
+    FleetState fleet = context.fleetState().sumOf(zoneMembers::contains);
+    relays.others().forEach(relay -> tell(relay, uses, outcomes, false, fleet));
   }
 
   private void tell(
       Member member,
       Map<String, TargetUse> uses,
       Map<String, TargetOutcomes> outcomes,
-      boolean sum) {
+      boolean sum,
+      FleetState fleet) {
     context
         .effects()
         .add(
@@ -239,7 +254,8 @@
                 outcomes,
                 context.sheetVersion(),
                 sum,
-                context.maxDaemons()));
+                context.maxDaemons(),
+                fleet));
   }
 
   /** Asks a random daemon with newer state, if what it holds does not arrive by itself. */
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
@@ -119,6 +119,7 @@
 
   void tick(long nowMs) {
     context.targetUse().expirePeers(nowMs);
+    context.fleetState().expirePeers(nowMs);
     context.targets().expire(nowMs, this::isUsed).forEach(target -> handleLeaving(nowMs, target));
     Predicate<String> known = id -> context.targets().find(id).isPresent();
     context.outcomes().retain(known);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetUseTracker.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/TargetUseTracker.java
@@ -16,7 +16,7 @@
 public final class TargetUseTracker {
 
   /** Three times the longest interval between two reports, so that one report may be lost. */
-  private static final long REPORT_TTL_MS = 3_000;
+  static final long REPORT_TTL_MS = 3_000;
 
   private final Map<String, CallUses> localCalls = new HashMap<>();
   private final Map<String, PeerReport> peerReports = new HashMap<>();
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/AbstractFleet.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/AbstractFleet.java
@@ -222,7 +222,8 @@
                     tell.outcomes(),
                     tell.sheetVersion(),
                     tell.sum(),
-                    tell.daemons()));
+                    tell.daemons(),
+                    tell.fleet()));
         return;
       }
       AbstractFleet.this.perform(this, effect);
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerCodec.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/PeerCodec.java
@@ -15,12 +15,16 @@
 import org.sequoiareach.model.platform.TargetHint;
 import org.sequoiareach.model.request.Outcome;
 import org.sequoiareach.model.request.RequestSpec;
+import org.sequoiareach.model.route.EngineSpeed;
+import org.sequoiareach.model.route.FleetState;
 import org.sequoiareach.model.route.StoreHoldings;
 import org.sequoiareach.model.route.StoreNews;
 import org.sequoiareach.model.route.StoreReading;
 import org.sequoiareach.model.route.TargetDelta;
 import org.sequoiareach.model.route.TargetUpdate;
 import org.sequoiareach.model.route.TargetUse;
+import org.sequoiareach.model.route.WaitingDemand;
+import org.sequoiareach.model.route.ZoneMaintenance;
 import org.sequoiareach.model.sheet.SheetDigest;
 import org.sequoiareach.model.sheet.SheetManifest;
 import org.sequoiareach.model.sheet.SheetStatus;
@@ -41,6 +45,11 @@
           SheetDigest.class,
           SheetStatus.class,
           SheetManifest.class,
+          EngineSpeed.class,
+          FleetState.class,
+          WaitingDemand.class,
+          WaitingDemand.Total.class,
+          ZoneMaintenance.class,
           StoreHoldings.class,
           StoreNews.class,
           StoreReading.class,
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/StateMessage.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/StateMessage.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.sequoiareach.model.Check;
+import org.sequoiareach.model.route.FleetState;
 import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.model.route.RoutingSheet;
 import org.sequoiareach.model.route.StoreNews;
@@ -27,6 +28,7 @@
    * @param sheetVersion the version of the sender's sheet; 0 if it has none
    * @param sum whether uses and outcomes are those of all daemons but the receiver
    * @param daemons the highest number of daemons that the sender has seen alive at once
+   * @param fleet what the sender tells beside; summed up like uses and outcomes
    */
   record StateAnnouncement(
       long sheetRevision,
@@ -36,7 +38,8 @@
       Map<String, TargetOutcomes> outcomes,
       long sheetVersion,
       boolean sum,
-      int daemons)
+      int daemons,
+      FleetState fleet)
       implements StateMessage {
 
     /** Validates the components and copies the collections. */
@@ -46,6 +49,7 @@
       uses = uses == null ? Map.of() : Map.copyOf(uses);
       leaving = leaving == null ? List.of() : List.copyOf(leaving);
       outcomes = outcomes == null ? Map.of() : Map.copyOf(outcomes);
+      fleet = fleet == null ? FleetState.NONE : fleet;
     }
   }
 
