Read the store, gossip and poll engines less often in large fleets

Readers now poll at a third of the bound, a reading is passed on each 400 ms to four daemons, news still to five; owned engines are asked for a report each second, as the store announces leaving engines sooner. The list of live peers is kept until a member changes, and the relay of a zone is found without hashing each member again.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/QuarantineHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/QuarantineHandler.java
@@ -56,6 +56,7 @@
   private final ChangeQueue<RequestTraits, Quarantine> untold = new ChangeQueue<>(MAX_TOLD);
   private final Set<RequestTraits> enforced = new HashSet<>();
   private Set<String> knownPeers = Set.of();
+  private List<Member> lastPeers = List.of();
   private long comparedVersion;
   private long comparedAtMs = Long.MIN_VALUE / 2;
   private long nextRefreshMs;
@@ -262,8 +263,13 @@
 
   /** Tells the daemons that have joined or started again since the last tick all that is known. */
   private void tellNewPeers() {
+    List<Member> peersNow = context.membership().livePeers();
+    if (peersNow == lastPeers) {
+      return;
+    }
+    lastPeers = peersNow;
     Set<String> live = new HashSet<>();
-    for (Member peer : context.membership().livePeers()) {
+    for (Member peer : peersNow) {
       String process = peer.daemonId() + "/" + peer.incarnation();
       live.add(process);
       if (!knownPeers.contains(process)) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/StoreFollowHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/StoreFollowHandler.java
@@ -33,8 +33,18 @@
    */
   private static final int NEWS_RECIPIENTS = 5;
 
-  /** How much younger a reading has to be than the last one to be passed on, in milliseconds. */
-  private static final long MIN_READING_STEP_MS = 250;
+  /**
+   * The daemons to which each daemon passes on a reading without news; who is missed by one reading
+   * gets the next before the last one is too old.
+   */
+  private static final int READING_RECIPIENTS = 4;
+
+  /**
+   * How much younger a reading has to be than the last one to be passed on, in milliseconds. Each
+   * reading costs a large fleet several messages a daemon; several fit into the age at which a
+   * daemon reads for itself.
+   */
+  private static final long MIN_READING_STEP_MS = 400;
 
   private final DispatchContext context;
   private final SplittableRandom random;
@@ -165,16 +175,17 @@
     readings.youngest().ifPresent(known -> toldReadingMs = known.readMs());
     StoreNews news =
         new StoreNews(context.holdings(), reading, delta, context.targets().recoveredAgoMs(nowMs));
-    for (Member member : drawRecipients()) {
+    int count = delta.isPresent() ? NEWS_RECIPIENTS : READING_RECIPIENTS;
+    for (Member member : drawRecipients(count)) {
       context
           .effects()
           .add(new DispatchEffect.TellStoreNews(member.daemonId(), member.address(), news));
     }
   }
 
-  private List<Member> drawRecipients() {
+  private List<Member> drawRecipients(int most) {
     List<Member> others = new ArrayList<>(context.membership().livePeers());
-    int count = Math.min(NEWS_RECIPIENTS, others.size());
+    int count = Math.min(most, others.size());
     for (int i = 0; i < count; i++) {
       int drawn = random.nextInt(i, others.size());
       Member member = others.get(drawn);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
@@ -23,7 +23,7 @@
    * The interval of reports from owned engines. Reports have a price, and the store announces
    * leaving engines sooner while it is reachable.
    */
-  private static final long OWNED_REPORT_INTERVAL_MS = 500;
+  private static final long OWNED_REPORT_INTERVAL_MS = 1_000;
 
   private final DispatchContext context;
   private final ActiveCalls calls;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ZoneRelays.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ZoneRelays.java
@@ -128,7 +128,9 @@
     }
     Optional<Member> next =
         Stream.concat(
-                ranked.stream().filter(member -> !avoidedUntilMs.containsKey(member.daemonId())),
+                ranked.stream()
+                    .filter(member -> !avoidedUntilMs.containsKey(member.daemonId()))
+                    .limit(1),
                 sumHeardMs.keySet().stream().flatMap(id -> membership.find(id).stream()))
             .min(ORDER);
     if (!next.map(Member::daemonId).equals(relay.map(Member::daemonId))) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/follow/FollowSettings.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/follow/FollowSettings.java
@@ -13,7 +13,7 @@
 public record FollowSettings(long changeBoundMs) {
 
   /** The waiting time of the watches of readers, as a divisor of the bound. */
-  private static final int POLL_DIVISOR = 5;
+  private static final int POLL_DIVISOR = 3;
 
   /** The age from which a reading is too old, as a part of the bound. */
   private static final double MAX_AGE_RATIO = 0.55;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MemberTable.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MemberTable.java
@@ -28,6 +28,7 @@
   private final Map<String, Member> members = new HashMap<>();
   private final Set<String> listedIds = new HashSet<>();
   private final Set<String> listedLeavingIds = new HashSet<>();
+  private long version;
 
   /**
    * Creates an empty table.
@@ -63,6 +64,7 @@
             leaving || remainsLeaving || listedLeavingIds.contains(update.daemonId()),
             nowMs);
     members.put(updated.daemonId(), updated);
+    version++;
     return Optional.of(updated);
   }
 
@@ -84,6 +86,7 @@
       if (vm.leaving()) {
         listedLeavingIds.add(vm.id());
         members.computeIfPresent(vm.id(), (id, member) -> member.withLeaving(true));
+        version++;
       }
     }
     return daemons.stream()
@@ -98,13 +101,22 @@
    * @param nowMs the current time in milliseconds
    */
   void removeExpired(long nowMs) {
-    members
-        .values()
-        .removeIf(
-            member ->
-                member.state() == MemberState.DEAD
-                    && nowMs - member.sinceMs() > DEAD_RETENTION_MS
-                    && !listedIds.contains(member.daemonId()));
+    boolean removed =
+        members
+            .values()
+            .removeIf(
+                member ->
+                    member.state() == MemberState.DEAD
+                        && nowMs - member.sinceMs() > DEAD_RETENTION_MS
+                        && !listedIds.contains(member.daemonId()));
+    if (removed) {
+      version++;
+    }
+  }
+
+  /** Returns a number that grows whenever a member is added, changed or removed. */
+  long version() {
+    return version;
   }
 
   /**
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/membership/MembershipReducer.java
@@ -54,6 +54,8 @@
   private long periods;
   private long nextProbeMs;
   private long lastTickMs;
+  private List<Member> livePeers = List.of();
+  private long livePeersVersion;
 
   /**
    * Creates the membership of a daemon that knows no other daemon yet.
@@ -121,13 +123,18 @@
   /**
    * Returns the other daemons that are not considered dead, including suspect and leaving ones.
    *
-   * @return the daemons, ordered by identity
+   * @return the daemons, ordered by identity; the same list until a member changes
    */
   public List<Member> livePeers() {
-    return table.all().stream()
-        .filter(member -> member.state() != MemberState.DEAD)
-        .sorted(Comparator.comparing(Member::daemonId))
-        .toList();
+    if (livePeersVersion != table.version()) {
+      livePeersVersion = table.version();
+      livePeers =
+          table.all().stream()
+              .filter(member -> member.state() != MemberState.DEAD)
+              .sorted(Comparator.comparing(Member::daemonId))
+              .toList();
+    }
+    return livePeers;
   }
 
   /**
