Send nothing to availability zones in maintenance

Operators put a zone into maintenance by an entry in the store, which no daemon read, so calls went on to its targets.

The watcher of the operators' prefix posts the complete set of zones with its position. A table keeps the statement of the highest position as a whole; it is announced in FleetState, told with store news and with the answer to a pull, and belongs to the holdings that a reading confirms. Targets in such a zone are no candidates for calls, continuations, copies or probes, and reports are asked only where a run of the daemon is.

Considered: a merge of statements by zone, which could not tell a removal from a missing entry; a separate pull, which is not needed as every message that carries holdings carries the zones.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/FaultContainingLayout.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/FaultContainingLayout.java
@@ -45,6 +45,11 @@
     return contain(entry, () -> layout.readSheet(entry));
   }
 
+  @Override
+  public Optional<String> findMaintenanceZone(PrefixEntry entry) {
+    return contain(entry, () -> layout.findMaintenanceZone(entry));
+  }
+
   @Override
   public Optional<RoutedTarget> readTarget(PrefixEntry entry) {
     return contain(entry, () -> layout.readTarget(entry));
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreLayout.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreLayout.java
@@ -33,6 +33,14 @@
    */
   Optional<RoutingSheet> readSheet(PrefixEntry entry);
 
+  /**
+   * Returns the availability zone that an entry puts into maintenance for as long as it exists.
+   *
+   * @param entry an entry under the prefix of the sheet, or its removal
+   * @return the zone, or empty if the entry is of another kind
+   */
+  Optional<String> findMaintenanceZone(PrefixEntry entry);
+
   /**
    * Parses a target. An invalid entry is logged.
    *
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreWatcher.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreWatcher.java
@@ -1,8 +1,10 @@
 package org.sequoiareach.daemon.feed;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.sequoiareach.daemon.control.EffectHandler;
@@ -14,6 +16,7 @@
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.model.route.TargetUpdate;
+import org.sequoiareach.model.route.ZoneMaintenance;
 import org.sequoiareach.store.prefix.PrefixEntry;
 import org.sequoiareach.store.prefix.PrefixListener;
 import org.sequoiareach.store.prefix.PrefixSnapshot;
@@ -99,17 +102,50 @@
 
   private final class SheetListener extends AbstractPrefixListener {
 
+    private final Set<String> maintenanceZones = new HashSet<>();
+
     private SheetListener() {
       super("sheet", true);
     }
 
     @Override
     public void onSnapshot(PrefixSnapshot snapshot) {
-      onChanges(snapshot.entries());
+      maintenanceZones.clear();
+      snapshot.entries().forEach(this::updateZones);
+      // Before the sheet, by which the daemon may begin to route.
+      postMaintenance(snapshot.revision());
+      postSheets(snapshot.entries());
     }
 
     @Override
     public void onChanges(List<PrefixEntry> changes) {
+      boolean ofZones = false;
+      for (PrefixEntry entry : changes) {
+        ofZones |= updateZones(entry);
+      }
+      if (ofZones) {
+        postMaintenance(changes.stream().mapToLong(PrefixEntry::revision).max().orElseThrow());
+      }
+      postSheets(changes);
+    }
+
+    private boolean updateZones(PrefixEntry entry) {
+      Optional<String> zone = layout.findMaintenanceZone(entry);
+      if (entry.value().isPresent()) {
+        zone.ifPresent(maintenanceZones::add);
+      } else {
+        zone.ifPresent(maintenanceZones::remove);
+      }
+      return zone.isPresent();
+    }
+
+    private void postMaintenance(long position) {
+      events.post(
+          new DispatchEvent.MaintenanceLearned(
+              MonotonicClock.nowMs(), new ZoneMaintenance(position, maintenanceZones), "store"));
+    }
+
+    private void postSheets(List<PrefixEntry> changes) {
       for (PrefixEntry entry : changes) {
         layout
             .readSheet(entry)
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/PeerStateBridge.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/PeerStateBridge.java
@@ -58,7 +58,8 @@
               reply.sheet(),
               reply
                   .targets()
-                  .map(list -> new StateMessage.TargetList(reply.targetsRevision(), list))));
+                  .map(list -> new StateMessage.TargetList(reply.targetsRevision(), list)),
+              reply.maintenance()));
     }
   }
 
@@ -83,6 +84,10 @@
     } else if (message instanceof StateMessage.StatePull pull) {
       events.post(new DispatchEvent.PeerPulled(nowMs, fromDaemon, pull.sheet(), pull.targets()));
     } else if (message instanceof StateMessage.StateSnapshot held) {
+      // Before the sheet, by which this daemon may begin to route.
+      held.maintenance()
+          .ifPresent(
+              zones -> events.post(new DispatchEvent.MaintenanceLearned(nowMs, zones, fromDaemon)));
       held.sheet()
           .ifPresent(
               sheet -> events.post(new DispatchEvent.SheetLearned(nowMs, sheet, fromDaemon)));
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CrashHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CrashHandler.java
@@ -48,9 +48,7 @@
       return false;
     }
     boolean justStarted = !call.isStarted() || event.nowMs() - call.startedAtMs() < ANSWER_START_MS;
-    if (!event.disconnected()
-        || !justStarted
-        || !context.targets().isAvailable(target.id(), event.nowMs())) {
+    if (!event.disconnected() || !justStarted || !context.mayReceive(event.nowMs(), target.id())) {
       return false;
     }
     if (detector.addBrokenRun(event.nowMs(), target, call.traits())) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
@@ -14,6 +14,7 @@
 import org.sequoiareach.decision.fleet.OutcomeTracker;
 import org.sequoiareach.decision.fleet.TargetTable;
 import org.sequoiareach.decision.fleet.TargetUseTracker;
+import org.sequoiareach.decision.maintenance.MaintenanceTable;
 import org.sequoiareach.decision.membership.Member;
 import org.sequoiareach.decision.membership.MembershipReducer;
 import org.sequoiareach.decision.routing.EjectionSettings;
@@ -50,6 +51,7 @@
   private final TargetTable targets = new TargetTable();
   private final TargetUseTracker targetUse = new TargetUseTracker();
   private final FleetStateTable fleetState = new FleetStateTable();
+  private final MaintenanceTable maintenance = new MaintenanceTable();
   private final OutcomeTracker outcomes = new OutcomeTracker();
   private final BackoffRegistry backoffs = new BackoffRegistry();
   private final OutlierEjection ejection = new OutlierEjection(EJECTION);
@@ -94,6 +96,10 @@
     return fleetState;
   }
 
+  MaintenanceTable maintenance() {
+    return maintenance;
+  }
+
   TargetUseTracker targetUse() {
     return targetUse;
   }
@@ -128,7 +134,8 @@
 
   /** Returns what this daemon holds of the store. */
   StoreHoldings holdings() {
-    return new StoreHoldings(sheetVersion(), sheetRevision(), targets.revision());
+    return new StoreHoldings(
+        sheetVersion(), sheetRevision(), targets.revision(), maintenance.revision());
   }
 
   long randomLong() {
@@ -207,13 +214,30 @@
     return index.flatMap(known -> known.findService(service)).flatMap(RoutedService::engine);
   }
 
+  /** Returns whether a target is available and its zone is not in maintenance. */
+  boolean mayReceive(long nowMs, String targetId) {
+    return targets.isAvailable(targetId, nowMs)
+        && targets.find(targetId).filter(target -> !isInMaintenance(nowMs, target)).isPresent();
+  }
+
+  boolean isInMaintenance(long nowMs, RoutedTarget target) {
+    return maintenance.isInMaintenance(nowMs, target.zone());
+  }
+
   /** Returns whether new calls may be sent to a target. */
   boolean acceptsCalls(long nowMs, String targetId) {
-    return targets.isAvailable(targetId, nowMs) && !backoffs.isInForce(nowMs, targetId);
+    return mayReceive(nowMs, targetId) && !backoffs.isInForce(nowMs, targetId);
   }
 
   /** Returns the targets of a service to which new calls may be sent. */
   List<RoutedTarget> findAccepting(long nowMs, String service) {
+    return findWithoutBackoff(nowMs, service).stream()
+        .filter(target -> !isInMaintenance(nowMs, target))
+        .toList();
+  }
+
+  /** Returns the available targets of a service that did not ask to be sent nothing. */
+  List<RoutedTarget> findWithoutBackoff(long nowMs, String service) {
     return targets.findAvailable(service, nowMs).stream()
         .filter(target -> !backoffs.isInForce(nowMs, target.id()))
         .toList();
@@ -222,6 +246,7 @@
   /** Returns when the first target of a service ends its backoff; empty if none has one. */
   OptionalLong findBackoffEndMs(long nowMs, String service) {
     return targets.findAvailable(service, nowMs).stream()
+        .filter(target -> !isInMaintenance(nowMs, target))
         .mapToLong(target -> backoffs.untilMs(nowMs, target.id()))
         .filter(untilMs -> untilMs > nowMs)
         .min();
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
@@ -18,6 +18,7 @@
 import org.sequoiareach.model.route.TargetOutcomes;
 import org.sequoiareach.model.route.TargetRateLimit;
 import org.sequoiareach.model.route.TargetUse;
+import org.sequoiareach.model.route.ZoneMaintenance;
 
 /**
  * An effect of the dispatch: an action on a call or a target, or a message to another daemon.
@@ -314,12 +315,14 @@
    * @param sheet the routing sheet; empty if not requested or not available
    * @param targetsRevision the revision of the target list
    * @param targets the target list; empty if not requested or not available
+   * @param maintenance the zones in maintenance, which belong to the sheet; empty if unknown
    */
   record AnswerPull(
       String daemonId,
       String address,
       Optional<RoutingSheet> sheet,
       long targetsRevision,
-      Optional<List<RoutedTarget>> targets)
+      Optional<List<RoutedTarget>> targets,
+      Optional<ZoneMaintenance> maintenance)
       implements DispatchEffect {}
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -17,6 +17,7 @@
 import org.sequoiareach.model.route.TargetRateLimit;
 import org.sequoiareach.model.route.TargetUpdate;
 import org.sequoiareach.model.route.TargetUse;
+import org.sequoiareach.model.route.ZoneMaintenance;
 
 /**
  * An event of the dispatch: a change of a call, or an update of the state that routing depends on.
@@ -53,6 +54,7 @@
   @JsonSubTypes.Type(DispatchEvent.RunCopied.class),
   @JsonSubTypes.Type(DispatchEvent.PeerStateTold.class),
   @JsonSubTypes.Type(DispatchEvent.TargetsUpdated.class),
+  @JsonSubTypes.Type(DispatchEvent.MaintenanceLearned.class),
   @JsonSubTypes.Type(DispatchEvent.StoreRead.class),
   @JsonSubTypes.Type(DispatchEvent.StoreNewsTold.class),
   @JsonSubTypes.Type(DispatchEvent.ClockSuspended.class),
@@ -111,6 +113,16 @@
       long nowMs, OptionalLong afterRevision, List<TargetUpdate> updates, String source)
       implements DispatchEvent {}
 
+  /**
+   * The zones in maintenance were received.
+   *
+   * @param nowMs when it was observed
+   * @param maintenance all zones in maintenance, and the position up to which they are complete
+   * @param source their source: the store or the identifier of a daemon
+   */
+  record MaintenanceLearned(long nowMs, ZoneMaintenance maintenance, String source)
+      implements DispatchEvent {}
+
   /**
    * The sheet or the targets were read from the store, after what was read was posted.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -38,6 +38,7 @@
   private final StoreFollowHandler follow;
   private final PeerSyncHandler peerSync;
   private final LifecycleHandler lifecycle;
+  private final MaintenanceHandler maintenance;
   private final LimitHandler limits;
   private final CrashHandler crashes;
   private final QuarantineHandler quarantines;
@@ -45,6 +46,7 @@
   private volatile int targetCount;
   private volatile int limitCount;
   private volatile int quarantineCount;
+  private volatile int maintenanceZoneCount;
   private volatile boolean watchingStore;
   private volatile long confirmedMs;
 
@@ -73,6 +75,7 @@
             context, active, migrations, durations, targets, health, limits, quarantines);
     this.follow = new StoreFollowHandler(context);
     this.peerSync = new PeerSyncHandler(context, follow);
+    this.maintenance = new MaintenanceHandler(context, follow);
     this.lifecycle = new LifecycleHandler(context, active, calls);
   }
 
@@ -81,6 +84,7 @@
     if (event instanceof DispatchEvent dispatch) {
       applyDispatch(dispatch);
     } else if (event instanceof TimeEvent.Ticked tick) {
+      maintenance.tick(tick.nowMs());
       targets.tick(tick.nowMs());
       migrations.startDueCopies(tick.nowMs());
       limits.tick(tick.nowMs());
@@ -100,6 +104,7 @@
     sheetRevision = context.sheetRevision();
     targetCount = context.targets().listedCount();
     limitCount = limits.inForceCount();
+    maintenanceZoneCount = maintenance.zoneCount();
     quarantineCount = quarantines.activeCount();
     watchingStore = follow.isWatching();
     confirmedMs = follow.confirmedMs();
@@ -145,7 +150,12 @@
       follow.onHoldingsChanged();
       calls.releaseHeld(learned.nowMs());
       lifecycle.tick(learned.nowMs());
+    } else if (event instanceof DispatchEvent.MaintenanceLearned learned) {
+      maintenance.onLearned(learned.nowMs(), learned.maintenance(), learned.source());
     } else if (event instanceof DispatchEvent.PeerStateTold told) {
+      told.fleet()
+          .maintenance()
+          .ifPresent(zones -> maintenance.onLearned(told.nowMs(), zones, told.daemonId()));
       boolean counted = peerSync.onPeerStateTold(told);
       targets.onPeerStateTold(told);
       if (counted) {
@@ -173,6 +183,10 @@
   }
 
   private void onStoreNewsTold(DispatchEvent.StoreNewsTold told) {
+    // A reading confirms only a daemon that holds the zones that were read.
+    told.news()
+        .maintenance()
+        .ifPresent(zones -> maintenance.onLearned(told.nowMs(), zones, told.daemonId()));
     peerSync.onStoreNewsTold(told);
     // The recovery of the store decides what a removal means.
     follow.onStoreNewsTold(told);
@@ -241,6 +255,15 @@
     return quarantineCount;
   }
 
+  /**
+   * Returns the number of zones in maintenance.
+   *
+   * @return the number of zones
+   */
+  public int maintenanceZoneCount() {
+    return maintenanceZoneCount;
+  }
+
   /**
    * Returns whether this daemon watches the store, rather than relying on others.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
@@ -269,7 +269,7 @@
 
   private List<RoutedTarget> findContinuationEngines(long nowMs, RunMigration migration) {
     return RunMigrator.findContinuationEngines(
-        nowMs, migration, engine -> !context.targets().isAvailable(engine.id(), nowMs));
+        nowMs, migration, engine -> !context.mayReceive(nowMs, engine.id()));
   }
 
   /**
@@ -298,7 +298,7 @@
     RunMigrator.CopyFollowUp next =
         migrator.onCopyEnded(
             event,
-            engine -> !context.targets().isAvailable(engine.id(), event.nowMs()),
+            engine -> !context.mayReceive(event.nowMs(), engine.id()),
             call -> findDestinations(event.nowMs(), call));
     releaseReservations();
     next.copy().ifPresent(context.effects()::add);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PeerSyncHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PeerSyncHandler.java
@@ -13,6 +13,7 @@
 import org.sequoiareach.model.route.StoreHoldings;
 import org.sequoiareach.model.route.TargetOutcomes;
 import org.sequoiareach.model.route.TargetUse;
+import org.sequoiareach.model.route.ZoneMaintenance;
 
 /**
  * Synchronizes state with other daemons: sends them the revisions and target use of this one, and
@@ -88,7 +89,7 @@
 
   /** Returns whether a sheet replaces the current one. */
   private boolean isNewer(RoutingSheet sheet) {
-    return new StoreHoldings(sheet.version(), sheet.revision(), 0)
+    return new StoreHoldings(sheet.version(), sheet.revision(), 0, 0L)
         .hasNewerSheetThan(context.holdings());
   }
 
@@ -122,7 +123,11 @@
   private void rememberHoldings(DispatchEvent.PeerStateTold event) {
     peers.put(
         event.daemonId(),
-        new StoreHoldings(event.sheetVersion(), event.sheetRevision(), event.targetsRevision()));
+        new StoreHoldings(
+            event.sheetVersion(),
+            event.sheetRevision(),
+            event.targetsRevision(),
+            event.fleet().maintenance().map(ZoneMaintenance::revision).orElse(0L)));
   }
 
   void onStoreNewsTold(DispatchEvent.StoreNewsTold event) {
@@ -147,7 +152,8 @@
                 requester.get().address(),
                 sendSheet ? context.index().map(RouteIndex::sheet) : Optional.empty(),
                 context.targets().revision(),
-                sendTargets ? Optional.of(context.targets().listed()) : Optional.empty()));
+                sendTargets ? Optional.of(context.targets().listed()) : Optional.empty(),
+                context.maintenance().known()));
   }
 
   private boolean maySendSheet(long nowMs) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/StoreFollowHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/StoreFollowHandler.java
@@ -164,7 +164,12 @@
     Optional<StoreReading> reading = readings.youngest().map(known -> known.toReading(nowMs));
     readings.youngest().ifPresent(known -> toldReadingMs = known.readMs());
     StoreNews news =
-        new StoreNews(context.holdings(), reading, delta, context.targets().recoveredAgoMs(nowMs));
+        new StoreNews(
+            context.holdings(),
+            reading,
+            delta,
+            context.targets().recoveredAgoMs(nowMs),
+            context.maintenance().known());
     for (Member member : drawRecipients()) {
       context
           .effects()
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHandler.java
@@ -189,7 +189,8 @@
     boolean usedAreDue = context.targets().isListUnreliable(nowMs);
     context.index().get().sheet().services().stream()
         .filter(service -> service.engine().filter(EngineTraits::canMoveRuns).isPresent())
-        .flatMap(service -> context.findAccepting(nowMs, service.name()).stream())
+        .flatMap(service -> context.findWithoutBackoff(nowMs, service.name()).stream())
+        .filter(target -> !context.isInMaintenance(nowMs, target) || isUsed(target.id()))
         .filter(target -> ownedAreDue && isOwned(target) || usedAreDue && isUsed(target.id()))
         .filter(target -> limits.mayReport(nowMs, target))
         .forEach(target -> context.effects().add(new DispatchEffect.AskReport(target)));
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/AbstractFleet.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/AbstractFleet.java
@@ -55,6 +55,11 @@
     return 2_000;
   }
 
+  /** Returns whether a daemon knows the sheet and the targets as it starts. */
+  boolean loadsAtStart(Daemon daemon) {
+    return true;
+  }
+
   /** Observes that a daemon tells its state to another one. */
   void onStateTold(Daemon daemon, DispatchEffect.TellPeer tell) {}
 
@@ -154,8 +159,11 @@
               .map(seed -> new VmEntry(seed, VmKind.DAEMON, seed, "z0", false, List.of()))
               .toList();
       apply(nowMs -> new PlatformEvent.VmsListed(nowMs, nowMs, seeds));
-      apply(nowMs -> new DispatchEvent.SheetLearned(nowMs, DispatchFixture.sheet(1, KEY), "store"));
-      apply(nowMs -> new DispatchEvent.TargetsListed(nowMs, 10, listedTargets(), "store"));
+      if (loadsAtStart(this)) {
+        apply(
+            nowMs -> new DispatchEvent.SheetLearned(nowMs, DispatchFixture.sheet(1, KEY), "store"));
+        apply(nowMs -> new DispatchEvent.TargetsListed(nowMs, 10, listedTargets(), "store"));
+      }
       clock.after(random.nextLong(TICK_MS), this::tick);
     }
 
@@ -232,9 +240,14 @@
 
     /** Delivers an event to another daemon, unless the message is lost. */
     void deliver(String to, LongFunction<Event> event) {
+      deliverAll(to, List.of(event));
+    }
+
+    /** Delivers the events of one message in their order. */
+    void deliverAll(String to, List<LongFunction<Event>> events) {
       int receiver = numberOf(to);
       if (!cut.test(number, receiver)) {
-        clock.after(messageDelayMs(), () -> daemons.get(receiver).apply(event));
+        clock.after(messageDelayMs(), () -> events.forEach(daemons.get(receiver)::apply));
       }
     }
   }
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/StoreFleet.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/StoreFleet.java
@@ -10,8 +10,10 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.IntPredicate;
+import java.util.function.LongFunction;
 import java.util.stream.IntStream;
 import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.event.Event;
 import org.sequoiareach.decision.follow.StoreAccess.Mode;
 import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.model.route.RoutingSheet;
@@ -22,7 +24,7 @@
  * Simulates a fleet that follows a store, and checks by an oracle that no daemon goes back to an
  * older sheet and that each change is in force at each daemon within its bound.
  */
-final class StoreFleet extends AbstractFleet {
+class StoreFleet extends AbstractFleet {
 
   static final long BOUND_MS = 4_000;
   private static final long CALL_MS = 2;
@@ -69,6 +71,15 @@
   /** A change that has to be in force everywhere by a deadline. */
   private record Change(String name, long atMs, long deadlineMs) {}
 
+  /**
+   * Reads what the store holds beside the sheet and the targets.
+   *
+   * @return posts what was read to the daemon, before the sheet
+   */
+  Runnable readMore(Daemon daemon, long position) {
+    return () -> {};
+  }
+
   @Override
   long changeBoundMs() {
     return BOUND_MS;
@@ -131,7 +142,7 @@
   }
 
   /** Restores the store from a copy without the changes since a position. */
-  void restore(long lostSince) {
+  final void restore(long lostSince) {
     era++;
     revision = StorePosition.revisionOf(lostSince);
     history.removeIf(update -> update.revision() > lostSince);
@@ -183,7 +194,7 @@
     return learned - change.atMs();
   }
 
-  private long next() {
+  final long next() {
     revision++;
     return position();
   }
@@ -193,7 +204,7 @@
     history.add(new TargetUpdate(next(), target.id(), Optional.of(target)));
   }
 
-  private void notifyWaiting() {
+  final void notifyWaiting() {
     List<Runnable> notified = List.copyOf(waiting);
     waiting.clear();
     notified.forEach(Runnable::run);
@@ -213,22 +224,25 @@
           pull.daemonId(),
           at -> new DispatchEvent.PeerPulled(at, daemon.id(), pull.sheet(), pull.targets()));
     } else if (effect instanceof DispatchEffect.AnswerPull answer) {
+      List<LongFunction<Event>> events = new ArrayList<>();
+      answer
+          .maintenance()
+          .ifPresent(
+              zones ->
+                  events.add(at -> new DispatchEvent.MaintenanceLearned(at, zones, daemon.id())));
       answer
           .sheet()
           .ifPresent(
-              sheet ->
-                  daemon.deliver(
-                      answer.daemonId(),
-                      at -> new DispatchEvent.SheetLearned(at, sheet, daemon.id())));
+              sheet -> events.add(at -> new DispatchEvent.SheetLearned(at, sheet, daemon.id())));
       answer
           .targets()
           .ifPresent(
               list ->
-                  daemon.deliver(
-                      answer.daemonId(),
+                  events.add(
                       at ->
                           new DispatchEvent.TargetsListed(
                               at, answer.targetsRevision(), list, daemon.id())));
+      daemon.deliverAll(answer.daemonId(), events);
     } else if (effect instanceof DispatchEffect.UseRoutingSheet use) {
       onSheetInForce(daemon, use.sheet().version());
     } else if (effect instanceof Effect.LogDecision log && log.decision().equals("target-leaves")) {
@@ -270,11 +284,13 @@
           final long position = position();
           final long version = sheetVersion;
           final long versionRevision = sheetRevision;
+          final Runnable more = readMore(daemon, position);
           answer(
               daemon,
               access,
               number,
               () -> {
+                more.run();
                 learnSheet(daemon, version, versionRevision);
                 daemon.apply(at -> new DispatchEvent.TargetsListed(at, position, listed, "store"));
                 access.position = position;
@@ -324,12 +340,14 @@
     final long version = sheetVersion;
     final long versionRevision = sheetRevision;
     final boolean sheetChanged = sheetRevision > access.position;
+    final Runnable more = position > access.position ? readMore(daemon, position) : () -> {};
     final long asOfMs = clock().nowMs() >= untilMs ? askedMs + access.pollMs : askedMs;
     answer(
         daemon,
         access,
         number,
         () -> {
+          more.run();
           if (sheetChanged) {
             learnSheet(daemon, version, versionRevision);
           }
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/StateMessage.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/StateMessage.java
@@ -10,6 +10,7 @@
 import org.sequoiareach.model.route.StoreNews;
 import org.sequoiareach.model.route.TargetOutcomes;
 import org.sequoiareach.model.route.TargetUse;
+import org.sequoiareach.model.route.ZoneMaintenance;
 
 /**
  * Message that synchronizes the {@link RoutingSheet}, the target list and the target use between
@@ -80,14 +81,19 @@
    *
    * @param sheet the sheet, if it was requested and the sender has one
    * @param targets the target list, if it was requested and the sender has one
+   * @param maintenance the zones in maintenance, if the sender knows them
    */
-  record StateSnapshot(Optional<RoutingSheet> sheet, Optional<TargetList> targets)
+  record StateSnapshot(
+      Optional<RoutingSheet> sheet,
+      Optional<TargetList> targets,
+      Optional<ZoneMaintenance> maintenance)
       implements StateMessage {
 
-    /** Validates the components. */
+    /** Validates the components; an earlier version of a daemon does not send the last one. */
     public StateSnapshot {
       Check.notNull(sheet, "sheet");
       Check.notNull(targets, "targets");
+      maintenance = maintenance == null ? Optional.empty() : maintenance;
     }
   }
 
