--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/StoreFollowHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/StoreFollowHandler.java
@@ -174,7 +174,12 @@
     Optional<StoreReading> reading = readings.youngest().map(known -> known.toReading(nowMs));
     readings.youngest().ifPresent(known -> toldReadingMs = known.readMs());
     StoreNews news =
-        new StoreNews(context.holdings(), reading, delta, context.targets().recoveredAgoMs(nowMs));
+        new StoreNews(
+            context.holdings(),
+            reading,
+            delta,
+            context.targets().recoveredAgoMs(nowMs),
+            context.maintenance().known());
     int count = delta.isPresent() ? NEWS_RECIPIENTS : READING_RECIPIENTS;
     for (Member member : drawRecipients(count)) {
       context
