Keep calls whose prompt alone exceeds the target, and test waiting calls singly

A refusal gains nothing for a call that cannot be on time on an idle engine; it waits instead, so that large prompts are not always refused first.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/admission/LateBindingAdmission.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/admission/LateBindingAdmission.java
@@ -68,7 +68,9 @@
       return new AdmissionDecision.Wait(call.latestStartMs(), 0);
     }
     long expectedMs = room.expectedWaitMs(request);
-    long limitMs = call.returned() ? call.latestStartMs() : call.onTimeStartMs();
+    // A prompt that takes longer than the target alone gains nothing by a refusal either.
+    boolean mayBeLate = call.returned() || call.onTimeStartMs() <= call.arrivedMs();
+    long limitMs = mayBeLate ? call.latestStartMs() : call.onTimeStartMs();
     if (nowMs < call.latestStartMs() && nowMs + expectedMs <= limitMs) {
       return new AdmissionDecision.Wait(call.latestStartMs(), expectedMs);
     }
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/admission/LateBindingAdmissionTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/admission/LateBindingAdmissionTest.java
@@ -150,6 +150,25 @@
     assertThat(decide(request) instanceof AdmissionDecision.Wait).isEqualTo(waits);
   }
 
+  /** Guards against large prompts that are always refused first and so served less often. */
+  @Test
+  void keepsCallWhosePromptAloneTakesLongerThanTheTarget() {
+    WaitingCall call =
+        new WaitingCall(
+            "c", "s", "a", 1, 30_000, 31_000, false, 4_000, 0, -285, 25_000, 39_000, false);
+    AdmissionRequest request =
+        new AdmissionRequest(
+            call,
+            false,
+            false,
+            List.of(FULL, FULL, FULL, FULL),
+            WaitingDemand.NONE,
+            WaitingDemand.NONE,
+            PACE,
+            Optional.empty());
+    assertThat(decide(request)).isInstanceOf(AdmissionDecision.Wait.class);
+  }
+
   /** Guards against each daemon taking all engines for itself while no reports arrive. */
   @ParameterizedTest
   @CsvSource({"0, true", "8000, false", "4000, true"})
