Keep long runs off slow engines, and learn which engines are slow

Cause: a stream has full value only if no gap between its events exceeds the target gap of its route, but placement did not know the speed of engines. Long runs on slow engines paused whenever a prefill met a slow spell there.

Change: SpeedRegistry learns the ratio of observed to expected time of decode steps and prefills, by target and incarnation, from the start of answers and from a report of a stream's progress once a second. The daemons exchange the sums in FleetState. GapAwarePlacement ranks engines by the expected gap and first event; without a slow engine its choice is that of PrefillPlacement, with which it shares the limits. Long runs that leave an engine prefer destinations that are not slow.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -76,7 +76,7 @@
       Runnable onEnded) {
     this.onEnded = onEnded;
     this.context = context;
-    this.stream = new StreamReader(context, profile);
+    this.stream = new StreamReader(context, callId, profile);
     this.requests = new AttemptRequestFactory(context.dialect());
     this.callId = callId;
     this.profile = profile;
@@ -342,6 +342,7 @@
       return;
     }
     response.finish();
+    stream.reportProgress();
     long nowMs = MonotonicClock.nowMs();
     context
         .metrics()
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/StreamReader.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/StreamReader.java
@@ -1,5 +1,6 @@
 package org.sequoiareach.daemon.exchange;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.sequoiareach.daemon.sse.BlockReading;
 import org.sequoiareach.daemon.sse.EventBlock;
@@ -19,11 +20,14 @@
   private final CallProfile profile;
   private final StreamFaultLog faultLog;
   private final EventSequence events = new EventSequence();
+  private final Optional<StreamProgressMeter> progress;
   private long lastEventMs;
 
-  StreamReader(ProxyExchangeContext context, CallProfile profile) {
+  StreamReader(ProxyExchangeContext context, String callId, CallProfile profile) {
     this.context = context;
     this.profile = profile;
+    this.progress =
+        profile.generation().map(run -> new StreamProgressMeter(callId, context.events()));
     this.faultLog = new StreamFaultLog(context.metrics());
   }
 
@@ -37,10 +41,16 @@
         .ifPresent(fault -> faultLog.onFault(fault, block, profile.requestId(), attempt, lastId));
     if (reading.kind() == BlockReading.Kind.NEXT) {
       recordEventLatency();
+      progress.ifPresent(meter -> meter.onEvent(lastEventMs, attempt.number()));
     }
     return reading;
   }
 
+  /** Reports the events that were received since the last report. */
+  void reportProgress() {
+    progress.ifPresent(StreamProgressMeter::report);
+  }
+
   /** Continues after the event that the caller says was its last; 0 if there is none. */
   void resumeAfter(long eventId) {
     events.resumeAfter(eventId);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
@@ -37,6 +37,7 @@
   private boolean started;
   private boolean survived;
   private long lastSentAtMs;
+  private long waitingTokensAtSend;
   private long startedAtMs;
   private long firstEventDelayMs;
 
@@ -151,6 +152,16 @@
     triedTargets.add(to.id());
   }
 
+  /** Records the prompt tokens that the latest attempt waits for, with its own ones. */
+  void waitsForPrompts(long tokens) {
+    waitingTokensAtSend = tokens;
+  }
+
+  /** Returns the prompt tokens that the latest attempt waited for; 0 if it reads no prompt. */
+  long waitingTokensAtSend() {
+    return waitingTokensAtSend;
+  }
+
   /** Returns when the latest attempt was sent, in milliseconds. */
   long lastSentAtMs() {
     return lastSentAtMs;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCalls.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCalls.java
@@ -72,6 +72,10 @@
     context
         .targetUse()
         .add(call.callId(), target.id(), waitingPromptTokens, call.expectedMemoryTokens());
+    call.waitsForPrompts(
+        waitingPromptTokens == 0
+            ? 0
+            : context.targetUse().useOf(target.id()).waitingPromptTokens());
     context
         .effects()
         .add(
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -27,6 +27,7 @@
   private final TargetHealthHandler health;
   private final LimitHandler limits;
   private final QuarantineHandler quarantines;
+  private final SpeedHandler speeds;
   private final PermitHandler permits;
   private final CallPlacement placement;
   private final CallRefuser refuser;
@@ -41,7 +42,9 @@
       TargetHandler targets,
       TargetHealthHandler health,
       LimitHandler limits,
-      QuarantineHandler quarantines) {
+      QuarantineHandler quarantines,
+      SpeedHandler speeds) {
+    this.speeds = speeds;
     this.quarantines = quarantines;
     this.limits = limits;
     this.permits = new PermitHandler(calls, limits, this);
@@ -114,6 +117,7 @@
     ActiveCall call = found.get();
     RoutedTarget target = call.target().orElseThrow();
     context.targetUse().markPromptRead(call.callId(), target.id());
+    speeds.onAnswerStarted(event.nowMs(), call, target);
     migrations.onAnswerStarted(event.nowMs(), call, target);
   }
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallPlacement.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallPlacement.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.sequoiareach.decision.limit.PermitStrategy;
 import org.sequoiareach.decision.limit.UrgencyPermitStrategy;
 import org.sequoiareach.model.route.RoutedTarget;
@@ -39,12 +40,14 @@
    * @param target the chosen target without a rate limit; empty if none has capacity
    * @param permitTarget the limited target to request a permit for instead; empty for none
    * @param latestStartMs the latest useful start of that permit, in milliseconds
+   * @param forecast what is expected of the chosen target, for the decision log; may be empty
    */
   record Choice(
       List<Candidate> all,
       Optional<Candidate> target,
       Optional<RoutedTarget> permitTarget,
-      long latestStartMs) {
+      long latestStartMs,
+      String forecast) {
 
     /** Describes the chosen target, for the decision log. */
     String describe() {
@@ -56,7 +59,8 @@
           + " memory="
           + use.memoryTokens()
           + " candidates="
-          + all.size();
+          + all.size()
+          + forecast;
     }
 
     /** Describes the target with the least memory in use, for the decision log. */
@@ -80,33 +84,57 @@
   }
 
   Choice choose(long nowMs, ActiveCall call) {
-    List<Candidate> all = context.candidates(call.service(), nowMs);
+    return choose(nowMs, call, context.candidates(call.service(), nowMs));
+  }
+
+  /** Chooses among some of the available targets. */
+  Choice choose(long nowMs, ActiveCall call, List<Candidate> all) {
     List<Candidate> untried =
         all.stream().filter(candidate -> !call.wasTried(candidate.target().id())).toList();
     List<Candidate> unlimited =
         untried.stream().filter(candidate -> !limits.isLimited(candidate.target())).toList();
-    Optional<Candidate> target = choose(call, unlimited).or(() -> chooseFull(call, unlimited));
+    Optional<Candidate> target =
+        chooseAmong(nowMs, call, unlimited).or(() -> chooseFull(call, unlimited));
     List<Candidate> limited =
         untried.stream().filter(candidate -> mayRequestPermit(call, candidate.target())).toList();
     Optional<RoutedTarget> permitTarget =
-        (limited.isEmpty() ? Optional.<Candidate>empty() : choose(call, limited))
+        (limited.isEmpty() ? Optional.<Candidate>empty() : chooseAmong(nowMs, call, limited))
             .map(Candidate::target)
             .filter(scarce -> prefersPermit(nowMs, target, scarce));
     long latestStartMs = target.isPresent() ? nowMs : latestStartMs(nowMs, call);
-    return new Choice(all, target, permitTarget, latestStartMs);
+    String forecast = target.map(chosen -> describe(call, chosen)).orElse("");
+    return new Choice(all, target, permitTarget, latestStartMs, forecast);
   }
 
-  private Optional<Candidate> choose(ActiveCall call, List<Candidate> candidates) {
-    Optional<GenerationDemand> demand = call.profile().generation();
+  private Optional<Candidate> chooseAmong(long nowMs, ActiveCall call, List<Candidate> candidates) {
     PlacementStrategy strategy =
-        demand.isPresent()
-            ? new PrefillPlacement(
-                durations.getEstimator(call.service()), context.placementToleranceMs())
-            : serviceStrategy;
-    return choose(strategy, call, candidates);
+        call.profile().generation().isPresent() ? engineStrategy(nowMs, call) : serviceStrategy;
+    return chooseBy(strategy, call, candidates);
+  }
+
+  private PlacementStrategy engineStrategy(long nowMs, ActiveCall call) {
+    PrefillPlacement prefill =
+        new PrefillPlacement(
+            durations.getEstimator(call.service()), context.placementToleranceMs());
+    OptionalLong gapMs = call.route().targetGapMs();
+    if (gapMs.isEmpty()) {
+      return prefill;
+    }
+    long firstEventMs = call.profile().arrivedMs() + call.route().targetLatencyMs() - nowMs;
+    return new GapAwarePlacement(prefill, forecast(call), gapMs.getAsLong(), firstEventMs);
+  }
+
+  private GapForecast forecast(ActiveCall call) {
+    return new GapForecast(context.speeds().stepTimes(call.service()));
+  }
+
+  private String describe(ActiveCall call, Candidate chosen) {
+    return call.route().targetGapMs().isEmpty() || call.profile().generation().isEmpty()
+        ? ""
+        : forecast(call).describe(chosen);
   }
 
-  private Optional<Candidate> choose(
+  private Optional<Candidate> chooseBy(
       PlacementStrategy strategy, ActiveCall call, List<Candidate> candidates) {
     return strategy.choose(call.profile().generation(), candidates, context.randomLong());
   }
@@ -116,7 +144,7 @@
    * a run that waits or is preempted is better than a stream that is cut.
    */
   private Optional<Candidate> chooseFull(ActiveCall call, List<Candidate> candidates) {
-    return call.isStarted() ? choose(serviceStrategy, call, candidates) : Optional.empty();
+    return call.isStarted() ? chooseBy(serviceStrategy, call, candidates) : Optional.empty();
   }
 
   private boolean mayRequestPermit(ActiveCall call, RoutedTarget target) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
@@ -19,11 +19,13 @@
 import org.sequoiareach.decision.routing.EjectionSettings;
 import org.sequoiareach.decision.routing.OutlierEjection;
 import org.sequoiareach.decision.routing.TargetView;
+import org.sequoiareach.decision.speed.SpeedRegistry;
 import org.sequoiareach.model.route.EngineTraits;
 import org.sequoiareach.model.route.RoutedService;
 import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.model.route.RoutingSheet;
 import org.sequoiareach.model.route.StoreHoldings;
+import org.sequoiareach.model.route.TargetUse;
 
 /** State and services shared by the handlers of the {@link DispatchReducer}. Not thread-safe. */
 final class DispatchContext {
@@ -50,6 +52,7 @@
   private final TargetTable targets = new TargetTable();
   private final TargetUseTracker targetUse = new TargetUseTracker();
   private final FleetStateTable fleetState = new FleetStateTable();
+  private final SpeedRegistry speeds = new SpeedRegistry();
   private final OutcomeTracker outcomes = new OutcomeTracker();
   private final BackoffRegistry backoffs = new BackoffRegistry();
   private final OutlierEjection ejection = new OutlierEjection(EJECTION);
@@ -98,6 +101,10 @@
     return targetUse;
   }
 
+  SpeedRegistry speeds() {
+    return speeds;
+  }
+
   OutcomeTracker outcomes() {
     return outcomes;
   }
@@ -238,7 +245,8 @@
     List<Candidate> candidates = new ArrayList<>();
     for (TargetView view : ejection.filter(nowMs, views)) {
       RoutedTarget target = targets.find(view.targetId()).orElseThrow();
-      candidates.add(new Candidate(target, view.sameZone(), targetUse.useOf(target.id()), engine));
+      TargetUse use = targetUse.useOf(target.id());
+      candidates.add(new Candidate(target, view.sameZone(), use, engine, speeds.find(target)));
     }
     return candidates;
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -37,6 +37,7 @@
   @JsonSubTypes.Type(DispatchEvent.SettingsChanged.class),
   @JsonSubTypes.Type(DispatchEvent.CallArrived.class),
   @JsonSubTypes.Type(DispatchEvent.AnswerStarted.class),
+  @JsonSubTypes.Type(DispatchEvent.StreamProgressed.class),
   @JsonSubTypes.Type(DispatchEvent.AnswerDelivered.class),
   @JsonSubTypes.Type(DispatchEvent.AnswersUnsent.class),
   @JsonSubTypes.Type(DispatchEvent.AttemptFailed.class),
@@ -226,6 +227,18 @@
    */
   record AnswerStarted(long nowMs, String callId, int attempt) implements DispatchEvent {}
 
+  /**
+   * Events of a generation were received; reported about once a second and at its end.
+   *
+   * @param nowMs when it was observed
+   * @param callId the identifier of the call
+   * @param attempt the number of the attempt
+   * @param events the number of events after the first one or after the report before
+   * @param durationMs the time in which they were received
+   */
+  record StreamProgressed(long nowMs, String callId, int attempt, int events, long durationMs)
+      implements DispatchEvent {}
+
   /**
    * A complete answer was delivered to the caller.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PrefillPlacement.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/PrefillPlacement.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.ToLongFunction;
 import org.sequoiareach.model.route.EngineTraits;
 
 /**
@@ -72,10 +73,20 @@
   @Override
   public Optional<Candidate> choose(
       Optional<GenerationDemand> demand, List<Candidate> candidates, long draw) {
+    return chooseCheapest(
+        findFitting(demand, candidates), candidate -> estimateCostTokens(candidate, demand), draw);
+  }
+
+  /** Returns the candidates whose slots and memory have room for a run. */
+  List<Candidate> findFitting(Optional<GenerationDemand> demand, List<Candidate> candidates) {
+    return candidates.stream().filter(candidate -> hasCapacity(candidate, demand)).toList();
+  }
+
+  /** Draws one of the candidates whose cost, in prefill tokens, exceeds the lowest one little. */
+  Optional<Candidate> chooseCheapest(
+      List<Candidate> candidates, ToLongFunction<Candidate> cost, long draw) {
     Map<Candidate, Long> costs = new LinkedHashMap<>();
-    candidates.stream()
-        .filter(candidate -> hasCapacity(candidate, demand))
-        .forEach(candidate -> costs.put(candidate, estimateCostTokens(candidate, demand)));
+    candidates.forEach(candidate -> costs.put(candidate, cost.applyAsLong(candidate)));
     if (costs.isEmpty()) {
       return Optional.empty();
     }
@@ -103,7 +114,8 @@
     return candidate.use().memoryTokens() + needed <= share * memory;
   }
 
-  private long estimateCostTokens(Candidate candidate, Optional<GenerationDemand> demand) {
+  /** Estimates the delay of a run on a candidate and what its memory costs, in prefill tokens. */
+  long estimateCostTokens(Candidate candidate, Optional<GenerationDemand> demand) {
     double delayMs = candidate.use().calls() * CALL_COST_MS;
     if (!candidate.sameZone()) {
       delayMs += CROSS_ZONE_COST_MS;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigrator.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/RunMigrator.java
@@ -307,9 +307,10 @@
 
   /**
    * Chooses the destination of a run. Prefers the engine that holds a copy, then engines whose
-   * memory is expected to hold the run to its end, then the source's availability zone, then
-   * engines that receive the fewest copies, then those with the least memory in use. Engines
-   * without enough memory are not excluded: a run that may be preempted is better than a lost one.
+   * memory is expected to hold the run to its end, then for a long run those that are not slow,
+   * then the source's availability zone, then engines that receive the fewest copies, then those
+   * with the least memory in use. Engines without enough memory are not excluded: a run that may be
+   * preempted is better than a lost one.
    */
   private Optional<Candidate> chooseDestination(
       RunMigration migration, Function<ActiveCall, List<Candidate>> engines) {
@@ -325,6 +326,7 @@
     Comparator<Candidate> order =
         Comparator.comparing((Candidate candidate) -> !migration.hasCopyAt(candidate.target().id()))
             .thenComparing(candidate -> !fits(candidate, needed))
+            .thenComparing(candidate -> candidate.isSlow() && isLong(migration, candidate))
             .thenComparing(
                 candidate -> !candidate.target().zone().equals(migration.source().zone()))
             .thenComparing(
@@ -337,6 +339,15 @@
         .min(order);
   }
 
+  private static boolean isLong(RunMigration migration, Candidate candidate) {
+    return migration
+        .call()
+        .profile()
+        .generation()
+        .filter(run -> GapForecast.isLong(run, GapForecast.tokensPerEvent(candidate)))
+        .isPresent();
+  }
+
   private static boolean fits(Candidate candidate, long needed) {
     long memory = candidate.engine().map(EngineTraits::memoryTokens).orElse(Long.MAX_VALUE);
     return candidate.use().memoryTokens() + needed <= memory;
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/FleetStateTable.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/fleet/FleetStateTable.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.BinaryOperator;
 import java.util.function.Predicate;
+import org.sequoiareach.decision.speed.SpeedBounds;
 import org.sequoiareach.model.route.EngineSpeed;
 import org.sequoiareach.model.route.FleetState;
 import org.sequoiareach.model.route.WaitingDemand;
@@ -58,7 +59,10 @@
    * @param state its state
    */
   public void updatePeer(long nowMs, String daemonId, FleetState state) {
-    peers.put(daemonId, new PeerReport(nowMs, state));
+    Map<String, EngineSpeed> bounded = new HashMap<>();
+    state.speeds().forEach((id, speed) -> bounded.put(id, SpeedBounds.bound(speed)));
+    FleetState plausible = new FleetState(state.maintenance(), state.demand(), bounded);
+    peers.put(daemonId, new PeerReport(nowMs, plausible));
     peerTotal = Optional.empty();
   }
 
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/AbstractFleet.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/AbstractFleet.java
@@ -16,6 +16,7 @@
 import org.sequoiareach.model.platform.VmEntry;
 import org.sequoiareach.model.platform.VmKind;
 import org.sequoiareach.model.route.RoutedTarget;
+import org.sequoiareach.model.route.RoutingSheet;
 
 /**
  * Simulates a fleet of dispatch reducers, joined by delayed messages. Each daemon's clock has an
@@ -50,6 +51,11 @@
   /** Performs an effect that is not a message about state or membership. */
   abstract void perform(Daemon daemon, Effect effect);
 
+  /** Returns the routing sheet that the store holds. */
+  RoutingSheet sheet() {
+    return DispatchFixture.sheet(1, KEY);
+  }
+
   /** Returns the time within which a change in the store has to be in force. */
   long changeBoundMs() {
     return 2_000;
@@ -154,7 +160,7 @@
               .map(seed -> new VmEntry(seed, VmKind.DAEMON, seed, "z0", false, List.of()))
               .toList();
       apply(nowMs -> new PlatformEvent.VmsListed(nowMs, nowMs, seeds));
-      apply(nowMs -> new DispatchEvent.SheetLearned(nowMs, DispatchFixture.sheet(1, KEY), "store"));
+      apply(nowMs -> new DispatchEvent.SheetLearned(nowMs, sheet(), "store"));
       apply(nowMs -> new DispatchEvent.TargetsListed(nowMs, 10, listedTargets(), "store"));
       clock.after(random.nextLong(TICK_MS), this::tick);
     }
