Round the observations of engines that daemons exchange

Cause: decayed sums have 17 digits each, and a relay repeats those of all engines in each message to each daemon of its zone.

Change: a daemon rounds its sums to 1/32, which stays exact when relays add them up. A plausible report is kept to the last digit; only a report out of bounds is changed. Not measured: the bytes saved on a fleet.

SpeedRegistryTest, SpeedHandlerTest and FleetStateTableTest pass.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/speed/SpeedBounds.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/speed/SpeedBounds.java
@@ -40,12 +40,17 @@
     return new EngineSpeed(
         reported.incarnation(),
         decodeWeight,
-        decodeWeight * meanRatio(reported.decodeRatio(), reported.decodeWeight()),
+        boundSum(reported.decodeRatio(), reported.decodeWeight()),
         prefillWeight,
-        prefillWeight * meanRatio(reported.prefillRatio(), reported.prefillWeight()));
+        boundSum(reported.prefillRatio(), reported.prefillWeight()));
   }
 
-  private static double meanRatio(double sum, double weight) {
-    return weight > 0 ? boundRatio(sum / weight) : 1;
+  /** Bounds a sum of ratios; a plausible one is kept to the last digit. */
+  private static double boundSum(double sum, double weight) {
+    if (weight <= 0) {
+      return 0;
+    }
+    boolean plausible = weight <= MAX_WEIGHT && boundRatio(sum / weight) == sum / weight;
+    return plausible ? sum : Math.min(MAX_WEIGHT, weight) * boundRatio(sum / weight);
   }
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/speed/SpeedObservations.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/speed/SpeedObservations.java
@@ -8,6 +8,12 @@
   /** Observations lose half of their weight in this time. */
   private static final double HALF_LIFE_MS = 4_000;
 
+  /**
+   * Sums are rounded to this fraction. A power of two keeps them short when relays add them up,
+   * where the digits of a decayed sum would be most of a message.
+   */
+  private static final double STEPS_PER_UNIT = 32;
+
   private final long incarnation;
   private double decodeWeight;
   private double decodeRatio;
@@ -38,7 +44,16 @@
 
   EngineSpeed sum(long nowMs) {
     decay(nowMs);
-    return new EngineSpeed(incarnation, decodeWeight, decodeRatio, prefillWeight, prefillRatio);
+    return new EngineSpeed(
+        incarnation,
+        round(decodeWeight),
+        round(decodeRatio),
+        round(prefillWeight),
+        round(prefillRatio));
+  }
+
+  private static double round(double value) {
+    return Math.rint(value * STEPS_PER_UNIT) / STEPS_PER_UNIT;
   }
 
   private void decay(long nowMs) {
