--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -30,6 +30,7 @@
   private final TargetHealthHandler health;
   private final LimitHandler limits;
   private final QuarantineHandler quarantines;
+  private final SpeedHandler speeds;
   private final PermitHandler permits;
   private final CallPlacement placement;
   private final CallRefuser refuser;
@@ -46,7 +47,9 @@
       TargetHealthHandler health,
       LimitHandler limits,
       QuarantineHandler quarantines,
+      SpeedHandler speeds,
       AdmissionStrategy admission) {
+    this.speeds = speeds;
     this.quarantines = quarantines;
     this.limits = limits;
     this.permits = new PermitHandler(calls, limits, this);
@@ -121,6 +124,7 @@
     ActiveCall call = found.get();
     RoutedTarget target = call.target().orElseThrow();
     context.targetUse().markPromptRead(call.callId(), target.id());
+    speeds.onAnswerStarted(event.nowMs(), call, target);
     migrations.onAnswerStarted(event.nowMs(), call, target);
   }
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -46,6 +46,7 @@
   private final LimitHandler limits;
   private final CrashHandler crashes;
   private final QuarantineHandler quarantines;
+  private final SpeedHandler speeds;
   private volatile long sheetRevision;
   private volatile int targetCount;
   private volatile int limitCount;
@@ -85,6 +86,7 @@
     CrashHistory history = new CrashHistory();
     this.crashes = new CrashHandler(context, history);
     this.quarantines = new QuarantineHandler(context, active, history, crashes);
+    this.speeds = new SpeedHandler(context, active);
     this.calls =
         new CallHandler(
             context,
@@ -95,6 +97,7 @@
             health,
             limits,
             quarantines,
+            speeds,
             admission.apply(context::randomDouble));
     this.follow = new StoreFollowHandler(context);
     this.peerSync = new PeerSyncHandler(context, follow);
@@ -115,6 +118,7 @@
       crashes.tick(tick.nowMs());
       quarantines.tick(tick.nowMs());
       calls.tick(tick.nowMs());
+      speeds.tick(tick.nowMs());
       calls.retryWaiting(tick.nowMs(), true);
       peerSync.tick(tick.nowMs());
       follow.tick(tick.nowMs());
@@ -152,6 +156,8 @@
       calls.onCallArrived(arrived);
     } else if (event instanceof DispatchEvent.AnswerStarted started) {
       calls.onAnswerStarted(started);
+    } else if (event instanceof DispatchEvent.StreamProgressed progress) {
+      speeds.onStreamProgressed(progress);
     } else if (event instanceof DispatchEvent.RateStated stated) {
       limits.onRateStated(stated);
     } else if (event instanceof DispatchEvent.LimitsTold told) {
