Send cold targets few requests from all daemons together

A target that has just started, or became cold again, crashes at more than a few requests in a second, and nothing read its coldness.

The entry of a server, the report of an engine and a start that the daemon sees tell how long a target is cold; the service states the rate. A call to a cold target needs a permit of its owner, which issues them evenly spaced at half of the rate (WarmUpRateStrategy beside StatedRateStrategy). Services without a rate are treated as before.

Tried: owners by each daemon's avoidance of silent owners. The membership alone decides now.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/EngineControl.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/EngineControl.java
@@ -1,5 +1,6 @@
 package org.sequoiareach.daemon.dialect;
 
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.sequoiareach.decision.dispatch.CopyOutcome;
 
@@ -32,8 +33,15 @@
    * @param state the state
    * @param retryAfterMs the time for which the engine asks to be sent nothing, in milliseconds; 0
    *     if it does not ask for it
+   * @param coldMs how long the engine stays cold, in milliseconds; empty if not stated
    */
-  record EngineReport(EngineState state, long retryAfterMs) {}
+  record EngineReport(EngineState state, long retryAfterMs, OptionalLong coldMs) {
+
+    /** Creates a report that does not state whether the engine is cold. */
+    public EngineReport(EngineState state, long retryAfterMs) {
+      this(state, retryAfterMs, OptionalLong.empty());
+    }
+  }
 
   /**
    * Copies the memory of a run to another engine.
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
@@ -17,6 +17,7 @@
 import org.sequoiareach.daemon.front.ResponseWriter;
 import org.sequoiareach.daemon.memory.HeldBytes;
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
+import org.sequoiareach.decision.dispatch.AvailabilityEvent;
 import org.sequoiareach.decision.dispatch.CallProfile;
 import org.sequoiareach.decision.dispatch.CopyOutcome;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
@@ -189,6 +190,13 @@
                         new DispatchEvent.BackoffRequested(
                             nowMs, target.id(), nowMs + report.retryAfterMs(), "report"));
               }
+              report
+                  .coldMs()
+                  .ifPresent(
+                      coldMs ->
+                          context
+                              .events()
+                              .post(new AvailabilityEvent.ColdStated(nowMs, target, coldMs)));
               switch (report.state()) {
                 case LEAVING ->
                     context.events().post(new DispatchEvent.TargetLeaves(nowMs, target.id()));
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreWatcher.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreWatcher.java
@@ -10,6 +10,7 @@
 import org.sequoiareach.daemon.control.EffectHandler;
 import org.sequoiareach.daemon.control.EventSink;
 import org.sequoiareach.daemon.exchange.SuspensionDetector;
+import org.sequoiareach.decision.dispatch.AvailabilityEvent;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.decision.dispatch.DispatchEvent;
 import org.sequoiareach.decision.effect.Effect;
@@ -141,7 +142,7 @@
 
     private void postMaintenance(long position) {
       events.post(
-          new DispatchEvent.MaintenanceLearned(
+          new AvailabilityEvent.MaintenanceLearned(
               MonotonicClock.nowMs(), new ZoneMaintenance(position, maintenanceZones), "store"));
     }
 
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
@@ -152,6 +152,7 @@
     metrics.register("sheet.revision", (Gauge<Long>) reducer::sheetRevision);
     metrics.register("targets", (Gauge<Integer>) reducer::targetCount);
     metrics.register("zones.maintenance", (Gauge<Integer>) reducer::maintenanceZoneCount);
+    metrics.register("targets.cold", (Gauge<Integer>) reducer::coldTargetCount);
     metrics.register("targets.limited", (Gauge<Integer>) reducer::limitCount);
     metrics.register("store.watching", (Gauge<Integer>) () -> reducer.isWatchingStore() ? 1 : 0);
     metrics.register(
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/PeerLimitBridge.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/PeerLimitBridge.java
@@ -1,5 +1,6 @@
 package org.sequoiareach.daemon.gateway;
 
+import java.util.OptionalLong;
 import org.sequoiareach.daemon.control.EffectHandler;
 import org.sequoiareach.daemon.control.EventSink;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
@@ -44,7 +45,8 @@
           new LimitMessage.PermitRequest(
               toMessage(nowMs, ask.limit()),
               ask.callId(),
-              Math.max(0, ask.latestStartMs() - nowMs)));
+              Math.max(0, ask.latestStartMs() - nowMs),
+              plus(ask.coldUntilMs(), -nowMs)));
     } else if (effect instanceof DispatchEffect.AnswerPermit answer) {
       sender.send(
           answer.daemonId(),
@@ -81,7 +83,8 @@
               fromDaemon,
               toModel(nowMs, request.limit()),
               request.callId(),
-              nowMs + request.startWithinMs()));
+              nowMs + request.startWithinMs(),
+              plus(request.coldMs(), nowMs)));
     } else if (message instanceof LimitMessage.PermitResponse response) {
       events.post(
           new DispatchEvent.PermitAnswered(
@@ -95,6 +98,12 @@
     }
   }
 
+  private static OptionalLong plus(OptionalLong timeMs, long addedMs) {
+    return timeMs.isPresent()
+        ? OptionalLong.of(Math.max(0, timeMs.getAsLong() + addedMs))
+        : OptionalLong.empty();
+  }
+
   private static LimitMessage.KnownLimit toMessage(long nowMs, TargetRateLimit limit) {
     return new LimitMessage.KnownLimit(
         limit.targetId(),
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/PeerStateBridge.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/PeerStateBridge.java
@@ -2,6 +2,7 @@
 
 import org.sequoiareach.daemon.control.EffectHandler;
 import org.sequoiareach.daemon.control.EventSink;
+import org.sequoiareach.decision.dispatch.AvailabilityEvent;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.decision.dispatch.DispatchEvent;
 import org.sequoiareach.decision.effect.Effect;
@@ -87,7 +88,8 @@
       // Before the sheet, by which this daemon may begin to route.
       held.maintenance()
           .ifPresent(
-              zones -> events.post(new DispatchEvent.MaintenanceLearned(nowMs, zones, fromDaemon)));
+              zones ->
+                  events.post(new AvailabilityEvent.MaintenanceLearned(nowMs, zones, fromDaemon)));
       held.sheet()
           .ifPresent(
               sheet -> events.post(new DispatchEvent.SheetLearned(nowMs, sheet, fromDaemon)));
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallPlacement.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallPlacement.java
@@ -17,6 +17,9 @@
   /** The targets with a rate limit that are tried for a call before it is refused. */
   private static final int MAX_PERMIT_REQUESTS = 2;
 
+  /** The time that a call waits for a permit of a cold target before the next one is tried. */
+  private static final long MAX_COLD_WAIT_MS = 50;
+
   /** The part of its time left that a plain call may need for its answer. */
   private static final double ANSWER_TIME_SHARE = 0.5;
 
@@ -84,15 +87,20 @@
     List<Candidate> untried =
         all.stream().filter(candidate -> !call.wasTried(candidate.target().id())).toList();
     List<Candidate> unlimited =
-        untried.stream().filter(candidate -> !limits.isLimited(candidate.target())).toList();
+        untried.stream().filter(candidate -> !limits.isLimited(nowMs, candidate.target())).toList();
     Optional<Candidate> target = choose(call, unlimited).or(() -> chooseFull(call, unlimited));
     List<Candidate> limited =
-        untried.stream().filter(candidate -> mayRequestPermit(call, candidate.target())).toList();
+        untried.stream()
+            .filter(candidate -> mayRequestPermit(nowMs, call, candidate.target()))
+            .toList();
     Optional<RoutedTarget> permitTarget =
         (limited.isEmpty() ? Optional.<Candidate>empty() : choose(call, limited))
             .map(Candidate::target)
             .filter(scarce -> prefersPermit(nowMs, target, scarce));
     long latestStartMs = target.isPresent() ? nowMs : latestStartMs(nowMs, call);
+    if (permitTarget.filter(scarce -> limits.isCold(nowMs, scarce)).isPresent()) {
+      latestStartMs = Math.min(latestStartMs, nowMs + MAX_COLD_WAIT_MS);
+    }
     return new Choice(all, target, permitTarget, latestStartMs);
   }
 
@@ -119,8 +127,8 @@
     return call.isStarted() ? choose(serviceStrategy, call, candidates) : Optional.empty();
   }
 
-  private boolean mayRequestPermit(ActiveCall call, RoutedTarget target) {
-    return limits.isLimited(target)
+  private boolean mayRequestPermit(long nowMs, ActiveCall call, RoutedTarget target) {
+    return limits.isLimited(nowMs, target)
         && !call.wasPermitDenied(target.id())
         && call.permitDenials() < MAX_PERMIT_REQUESTS;
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import org.sequoiareach.decision.effect.Effect;
@@ -15,6 +16,7 @@
 import org.sequoiareach.decision.fleet.TargetTable;
 import org.sequoiareach.decision.fleet.TargetUseTracker;
 import org.sequoiareach.decision.maintenance.MaintenanceTable;
+import org.sequoiareach.decision.maintenance.WarmUpRegistry;
 import org.sequoiareach.decision.membership.Member;
 import org.sequoiareach.decision.membership.MembershipReducer;
 import org.sequoiareach.decision.routing.EjectionSettings;
@@ -51,6 +53,7 @@
   private final TargetTable targets = new TargetTable();
   private final TargetUseTracker targetUse = new TargetUseTracker();
   private final FleetStateTable fleetState = new FleetStateTable();
+  private final WarmUpRegistry warmUps = new WarmUpRegistry();
   private final MaintenanceTable maintenance = new MaintenanceTable();
   private final OutcomeTracker outcomes = new OutcomeTracker();
   private final BackoffRegistry backoffs = new BackoffRegistry();
@@ -100,6 +103,23 @@
     return maintenance;
   }
 
+  WarmUpRegistry warmUps() {
+    return warmUps;
+  }
+
+  /** Returns the requests per second that a target takes while it is cold; empty if not limited. */
+  OptionalDouble findColdRate(long nowMs, RoutedTarget target) {
+    if (warmUps.findEndMs(nowMs, target).isEmpty()) {
+      return OptionalDouble.empty();
+    }
+    return index
+        .flatMap(known -> known.findService(target.service()))
+        .flatMap(RoutedService::warmUp)
+        .filter(traits -> traits.perSecond() > 0)
+        .map(traits -> OptionalDouble.of(traits.perSecond()))
+        .orElse(OptionalDouble.empty());
+  }
+
   TargetUseTracker targetUse() {
     return targetUse;
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.follow.StoreAccess;
 import org.sequoiareach.model.quarantine.CrashReport;
@@ -221,9 +222,16 @@
    * @param limit what this daemon knows of the limit
    * @param callId the identifier of the call
    * @param latestStartMs the latest useful start of the permit, in milliseconds
+   * @param coldUntilMs until when the target is known to be cold, in milliseconds; empty if it is
+   *     not
    */
   record AskPermit(
-      String daemonId, String address, TargetRateLimit limit, String callId, long latestStartMs)
+      String daemonId,
+      String address,
+      TargetRateLimit limit,
+      String callId,
+      long latestStartMs,
+      OptionalLong coldUntilMs)
       implements DispatchEffect {}
 
   /**
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -17,7 +17,6 @@
 import org.sequoiareach.model.route.TargetRateLimit;
 import org.sequoiareach.model.route.TargetUpdate;
 import org.sequoiareach.model.route.TargetUse;
-import org.sequoiareach.model.route.ZoneMaintenance;
 
 /**
  * An event of the dispatch: a change of a call, or an update of the state that routing depends on.
@@ -54,7 +53,8 @@
   @JsonSubTypes.Type(DispatchEvent.RunCopied.class),
   @JsonSubTypes.Type(DispatchEvent.PeerStateTold.class),
   @JsonSubTypes.Type(DispatchEvent.TargetsUpdated.class),
-  @JsonSubTypes.Type(DispatchEvent.MaintenanceLearned.class),
+  @JsonSubTypes.Type(AvailabilityEvent.MaintenanceLearned.class),
+  @JsonSubTypes.Type(AvailabilityEvent.ColdStated.class),
   @JsonSubTypes.Type(DispatchEvent.StoreRead.class),
   @JsonSubTypes.Type(DispatchEvent.StoreNewsTold.class),
   @JsonSubTypes.Type(DispatchEvent.ClockSuspended.class),
@@ -113,16 +113,6 @@
       long nowMs, OptionalLong afterRevision, List<TargetUpdate> updates, String source)
       implements DispatchEvent {}
 
-  /**
-   * The zones in maintenance were received.
-   *
-   * @param nowMs when it was observed
-   * @param maintenance all zones in maintenance, and the position up to which they are complete
-   * @param source their source: the store or the identifier of a daemon
-   */
-  record MaintenanceLearned(long nowMs, ZoneMaintenance maintenance, String source)
-      implements DispatchEvent {}
-
   /**
    * The sheet or the targets were read from the store, after what was read was posted.
    *
@@ -365,10 +355,23 @@
    * @param limit what it knows of the target's limit
    * @param callId its identifier of the call
    * @param latestStartMs the latest useful start of the permit, in milliseconds
+   * @param coldUntilMs until when the other daemon knows the target to be cold, in milliseconds;
+   *     empty if it does not
    */
   record PermitAsked(
-      long nowMs, String daemonId, TargetRateLimit limit, String callId, long latestStartMs)
-      implements DispatchEvent {}
+      long nowMs,
+      String daemonId,
+      TargetRateLimit limit,
+      String callId,
+      long latestStartMs,
+      OptionalLong coldUntilMs)
+      implements DispatchEvent {
+
+    /** Recorded sessions may lack the end of the warm-up. */
+    public PermitAsked {
+      coldUntilMs = coldUntilMs == null ? OptionalLong.empty() : coldUntilMs;
+    }
+  }
 
   /**
    * The owner of a target decided on a permit that this daemon asked for.
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -39,6 +39,7 @@
   private final PeerSyncHandler peerSync;
   private final LifecycleHandler lifecycle;
   private final MaintenanceHandler maintenance;
+  private final WarmUpHandler warmUps;
   private final LimitHandler limits;
   private final CrashHandler crashes;
   private final QuarantineHandler quarantines;
@@ -47,6 +48,7 @@
   private volatile int limitCount;
   private volatile int quarantineCount;
   private volatile int maintenanceZoneCount;
+  private volatile int coldTargetCount;
   private volatile boolean watchingStore;
   private volatile long confirmedMs;
 
@@ -75,6 +77,7 @@
             context, active, migrations, durations, targets, health, limits, quarantines);
     this.follow = new StoreFollowHandler(context);
     this.peerSync = new PeerSyncHandler(context, follow);
+    this.warmUps = new WarmUpHandler(context);
     this.maintenance = new MaintenanceHandler(context, follow);
     this.lifecycle = new LifecycleHandler(context, active, calls);
   }
@@ -85,6 +88,7 @@
       applyDispatch(dispatch);
     } else if (event instanceof TimeEvent.Ticked tick) {
       maintenance.tick(tick.nowMs());
+      warmUps.tick(tick.nowMs());
       targets.tick(tick.nowMs());
       migrations.startDueCopies(tick.nowMs());
       limits.tick(tick.nowMs());
@@ -105,6 +109,7 @@
     targetCount = context.targets().listedCount();
     limitCount = limits.inForceCount();
     maintenanceZoneCount = maintenance.zoneCount();
+    coldTargetCount = warmUps.coldCount();
     quarantineCount = quarantines.activeCount();
     watchingStore = follow.isWatching();
     confirmedMs = follow.confirmedMs();
@@ -150,7 +155,9 @@
       follow.onHoldingsChanged();
       calls.releaseHeld(learned.nowMs());
       lifecycle.tick(learned.nowMs());
-    } else if (event instanceof DispatchEvent.MaintenanceLearned learned) {
+    } else if (event instanceof AvailabilityEvent.ColdStated stated) {
+      warmUps.onColdStated(stated);
+    } else if (event instanceof AvailabilityEvent.MaintenanceLearned learned) {
       maintenance.onLearned(learned.nowMs(), learned.maintenance(), learned.source());
     } else if (event instanceof DispatchEvent.PeerStateTold told) {
       told.fleet()
@@ -175,6 +182,7 @@
       context.applySettings(changed.settings());
     } else {
       crashes.onTargetsChanged(event);
+      warmUps.onTargetsChanged(event);
       targets.apply(event);
       follow.onHoldingsChanged();
       calls.releaseHeld(event.nowMs());
@@ -211,7 +219,12 @@
     unknown
         .get()
         .updates()
-        .forEach(update -> crashes.onTargetsChanged(TargetHandler.toEvent(nowMs, update)));
+        .forEach(
+            update -> {
+              DispatchEvent change = TargetHandler.toEvent(nowMs, update);
+              crashes.onTargetsChanged(change);
+              warmUps.onTargetsChanged(change);
+            });
     targets.apply(nowMs, unknown.get());
     follow.onHoldingsChanged();
     follow.tell(nowMs, unknown);
@@ -264,6 +277,15 @@
     return maintenanceZoneCount;
   }
 
+  /**
+   * Returns the number of cold targets.
+   *
+   * @return the number of targets
+   */
+  public int coldTargetCount() {
+    return coldTargetCount;
+  }
+
   /**
    * Returns whether this daemon watches the store, rather than relying on others.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LimitHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LimitHandler.java
@@ -6,17 +6,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.sequoiareach.decision.limit.PermitDecision;
 import org.sequoiareach.decision.limit.PermitPool;
+import org.sequoiareach.decision.limit.PermitRateStrategy;
 import org.sequoiareach.decision.limit.RateLimitTable;
 import org.sequoiareach.decision.limit.ShareLease;
+import org.sequoiareach.decision.limit.StatedRateStrategy;
+import org.sequoiareach.decision.limit.WarmUpRateStrategy;
 import org.sequoiareach.decision.membership.Member;
 import org.sequoiareach.decision.membership.MembershipEvent;
-import org.sequoiareach.decision.membership.MembershipView;
-import org.sequoiareach.decision.membership.OwnershipStrategy;
-import org.sequoiareach.decision.membership.RendezvousOwnership;
-import org.sequoiareach.model.platform.MemberState;
 import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.model.route.TargetRateLimit;
 
@@ -36,30 +37,32 @@
    */
   private static final long PROBE_INTERVAL_MS = 1_000;
 
-  /** How long an owner that did not answer is not asked again. */
-  private static final long OWNER_AVOIDANCE_MS = 3_000;
-
   /** The interval of reports from engines with a limit, which count as requests. */
   private static final long REPORT_INTERVAL_MS = 2_000;
 
+  /** An age beyond that of any limit in force, so that no such knowledge is replaced. */
+  private static final long UNSTATED_AGE_MS = 3_600_000;
+
+  /** The time after which a denied caller finds daemons that agree about the owner of a target. */
+  private static final long OTHER_OWNER_RETURN_MS = 500;
+
   private final DispatchContext context;
   private final ActiveCalls calls;
   private final PeerRotation recipients;
-  private final OwnershipStrategy ownership = new RendezvousOwnership();
+  private final PermitOwners owners;
   private final RateLimitTable limits = new RateLimitTable();
   private final Map<String, PermitPool> pools = new HashMap<>();
   private final Map<String, ShareLease> leases = new HashMap<>();
-  private final Map<String, Long> avoidedUntilMs = new HashMap<>();
   private final Map<String, Long> nextProbeMs = new HashMap<>();
   private final Map<String, Long> nextReportMs = new HashMap<>();
   private final Set<String> watched = new HashSet<>();
   private final Map<String, TargetRateLimit> changed = new LinkedHashMap<>();
   private long nextRefreshMs;
-  private MembershipView issuers = new MembershipView(1, List.of());
 
   LimitHandler(DispatchContext context, ActiveCalls calls) {
     this.context = context;
     this.calls = calls;
+    this.owners = new PermitOwners(context.membership());
     this.recipients = new PeerRotation(context.membership());
   }
 
@@ -91,12 +94,16 @@
 
   void onPermitAsked(DispatchEvent.PermitAsked event) {
     merge(event.nowMs(), event.daemonId(), event.limit());
+    TargetRateLimit told = event.limit();
+    event
+        .coldUntilMs()
+        .ifPresent(
+            untilMs -> context.warmUps().merge(told.targetId(), told.incarnation(), untilMs));
     Optional<Member> asker = context.membership().find(event.daemonId());
     if (asker.isEmpty()) {
       return;
     }
-    PermitDecision decision =
-        reserve(event.nowMs(), event.limit().targetId(), event.latestStartMs());
+    PermitDecision decision = reserve(event.nowMs(), told.targetId(), event.latestStartMs());
     context
         .effects()
         .add(
@@ -109,17 +116,35 @@
                 decision.atMs()));
   }
 
+  /**
+   * Returns whether permits for a cold target are the matter of another daemon. Daemons that avoid
+   * different owners would otherwise make each of these issue permits; stated rates are safe from
+   * that, because shares are lent to one daemon only. Only the membership counts, on which daemons
+   * agree soon: until it has noticed that an owner is lost, nobody issues permits in its place.
+   */
+  private boolean isOwnedByOther(long nowMs, String targetId) {
+    return context
+        .targets()
+        .find(targetId)
+        .filter(target -> isCold(nowMs, target))
+        .filter(target -> limits.findInForce(target).isEmpty())
+        .flatMap(owners::findByMembership)
+        .isPresent();
+  }
+
   void onPermitSpent(DispatchEvent.PermitSpent event) {
     merge(event.nowMs(), event.daemonId(), event.limit());
-    findRate(event.limit().targetId())
+    findRate(event.nowMs(), event.limit().targetId())
         .ifPresent(
             rate -> poolOf(event.nowMs(), event.limit().targetId()).spend(event.nowMs(), rate));
   }
 
   void tick(long nowMs) {
     limits.retain(nowMs, id -> context.targets().find(id).isPresent());
-    avoidedUntilMs.values().removeIf(untilMs -> untilMs <= nowMs);
-    forgetUnlimited();
+    owners.tick(nowMs);
+    // A pool starts with a pause, in which a permit for a cold target would be denied.
+    context.warmUps().cold(nowMs).forEach(id -> poolOf(nowMs, id));
+    forgetUnlimited(nowMs);
     limits.all().stream()
         .filter(TargetRateLimit::isInForce)
         .forEach(limit -> lendShare(nowMs, limit));
@@ -138,8 +163,14 @@
     return (int) limits.all().stream().filter(TargetRateLimit::isInForce).count();
   }
 
-  boolean isLimited(RoutedTarget target) {
-    return limits.findInForce(target).isPresent();
+  /** Returns whether a call needs a permit, as the target states a rate or is cold. */
+  boolean isLimited(long nowMs, RoutedTarget target) {
+    return limits.findInForce(target).isPresent() || isCold(nowMs, target);
+  }
+
+  /** Returns whether a target takes few calls for now because it is cold. */
+  boolean isCold(long nowMs, RoutedTarget target) {
+    return context.findColdRate(nowMs, target).isPresent();
   }
 
   /** Returns whether a request should be sent to a limited target to learn of its limit. */
@@ -160,7 +191,6 @@
   Optional<PermitDecision> request(
       long nowMs, ActiveCall call, RoutedTarget target, long latestStartMs) {
     nextProbeMs.put(target.id(), nowMs + PROBE_INTERVAL_MS);
-    TargetRateLimit limit = limits.findInForce(target).orElseThrow();
     Optional<Member> owner = findOwner(nowMs, target);
     if (owner.isEmpty()) {
       return Optional.of(reserve(nowMs, target.id(), latestStartMs));
@@ -171,9 +201,12 @@
             new DispatchEffect.AskPermit(
                 owner.get().daemonId(),
                 owner.get().address(),
-                limit,
+                limits.findInForce(target).orElseGet(() -> unstated(nowMs, target)),
                 call.callId(),
-                latestStartMs));
+                latestStartMs,
+                isCold(nowMs, target)
+                    ? context.warmUps().findEndMs(nowMs, target)
+                    : OptionalLong.empty()));
     return Optional.empty();
   }
 
@@ -182,7 +215,7 @@
     findOwner(nowMs, target)
         .ifPresent(
             owner -> {
-              avoidedUntilMs.put(owner.daemonId(), nowMs + OWNER_AVOIDANCE_MS);
+              owners.avoid(nowMs, owner.daemonId());
               // Probed at once, so that the daemons that do not ask it learn of its failure.
               context
                   .effects()
@@ -197,20 +230,27 @@
 
   /** Records a request that is sent to a target although no permit was issued for it. */
   void spend(long nowMs, RoutedTarget target) {
-    Optional<TargetRateLimit> limit = limits.findInForce(target);
-    if (limit.isEmpty()) {
+    if (!isLimited(nowMs, target)) {
       return;
     }
     Optional<Member> owner = findOwner(nowMs, target);
     if (owner.isEmpty()) {
-      poolOf(nowMs, target.id()).spend(nowMs, limit.get().perSecond().orElseThrow());
+      findRate(nowMs, target.id()).ifPresent(rate -> poolOf(nowMs, target.id()).spend(nowMs, rate));
       return;
     }
     context
         .effects()
         .add(
             new DispatchEffect.ReportSpentPermit(
-                owner.get().daemonId(), owner.get().address(), limit.get()));
+                owner.get().daemonId(),
+                owner.get().address(),
+                limits.findInForce(target).orElseGet(() -> unstated(nowMs, target))));
+  }
+
+  /** Creates the statement that a target states no rate, which replaces no other knowledge. */
+  private static TargetRateLimit unstated(long nowMs, RoutedTarget target) {
+    return new TargetRateLimit(
+        target.id(), target.incarnation(), OptionalDouble.empty(), nowMs - UNSTATED_AGE_MS);
   }
 
   /** Returns whether the owner of an engine may request a report from it. */
@@ -242,7 +282,7 @@
                     + (nowMs - limit.observedAtMs())
                     + "ms owner="
                     + findOwner(nowMs, target).map(Member::daemonId).orElse("self"))
-        .orElse("limit=none");
+        .orElse(isCold(nowMs, target) ? "limit=cold" : "limit=none");
   }
 
   private void merge(long nowMs, String daemonId, TargetRateLimit told) {
@@ -270,14 +310,16 @@
     }
   }
 
-  private void forgetUnlimited() {
+  private void forgetUnlimited(long nowMs) {
     for (String targetId : Set.copyOf(watched)) {
       if (!limits.contains(targetId)) {
         watched.remove(targetId);
         context.effects().add(new DispatchEffect.WatchRate(targetId, false));
       }
     }
-    pools.keySet().retainAll(watched);
+    Set<String> retained = new HashSet<>(context.warmUps().cold(nowMs));
+    retained.addAll(watched);
+    pools.keySet().retainAll(retained);
     leases.keySet().retainAll(watched);
     nextProbeMs.keySet().retainAll(watched);
     nextReportMs.keySet().retainAll(watched);
@@ -312,47 +354,37 @@
 
   /** Returns the other daemon that issues permits for a target; empty if this daemon does. */
   private Optional<Member> findOwner(long nowMs, RoutedTarget target) {
-    updateIssuers(nowMs);
-    return ownership
-        .findOwner(target.id(), target.zone(), issuers)
-        .filter(owner -> !context.membership().isSelf(owner.daemonId()));
-  }
-
-  /**
-   * Updates the daemons that may issue permits: those that own targets, without the ones that are
-   * suspected to have failed or did not answer this daemon.
-   */
-  private void updateIssuers(long nowMs) {
-    List<Member> responsive =
-        context.membership().view().owners().stream()
-            .filter(member -> avoidedUntilMs.getOrDefault(member.daemonId(), nowMs) <= nowMs)
-            .filter(member -> !isSuspected(member.daemonId()))
-            .toList();
-    if (!responsive.equals(issuers.owners())) {
-      issuers = new MembershipView(issuers.version() + 1, responsive);
-    }
-  }
-
-  private boolean isSuspected(String daemonId) {
-    return context
-        .membership()
-        .find(daemonId)
-        .filter(member -> member.state() == MemberState.SUSPECT)
-        .isPresent();
+    return owners.find(nowMs, target);
   }
 
   /** Reserves a permit from the pool of this daemon; without a known limit it is granted. */
   private PermitDecision reserve(long nowMs, String targetId, long latestStartMs) {
-    return findRate(targetId)
+    if (isOwnedByOther(nowMs, targetId)) {
+      return new PermitDecision(false, nowMs + OTHER_OWNER_RETURN_MS);
+    }
+    return findRate(nowMs, targetId)
         .map(rate -> poolOf(nowMs, targetId).reserve(nowMs, latestStartMs, rate))
         .orElse(new PermitDecision(true, nowMs));
   }
 
-  private Optional<Double> findRate(String targetId) {
-    return limits.all().stream()
-        .filter(limit -> limit.targetId().equals(targetId) && limit.isInForce())
-        .map(limit -> limit.perSecond().getAsDouble())
-        .findFirst();
+  private Optional<PermitRateStrategy> findRate(long nowMs, String targetId) {
+    Optional<PermitRateStrategy> stated =
+        limits.all().stream()
+            .filter(limit -> limit.targetId().equals(targetId) && limit.isInForce())
+            .map(limit -> limit.perSecond().getAsDouble())
+            .<PermitRateStrategy>map(StatedRateStrategy::new)
+            .findFirst();
+    OptionalDouble cold =
+        context
+            .targets()
+            .find(targetId)
+            .map(target -> context.findColdRate(nowMs, target))
+            .orElse(OptionalDouble.empty());
+    if (cold.isEmpty()) {
+      return stated;
+    }
+    PermitRateStrategy warmUp = new WarmUpRateStrategy(cold.getAsDouble());
+    return Optional.of(stated.map(warmUp::and).orElse(warmUp));
   }
 
   private PermitPool poolOf(long nowMs, String targetId) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/MigrationHandler.java
@@ -124,7 +124,7 @@
     List<Candidate> unlimited =
         all.stream()
             .filter(engine -> !call.isAssignedTo(engine.target().id()))
-            .filter(engine -> !limits.isLimited(engine.target()))
+            .filter(engine -> !limits.isLimited(nowMs, engine.target()))
             .toList();
     return unlimited.isEmpty() ? all : unlimited;
   }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/limit/PermitPool.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/limit/PermitPool.java
@@ -87,7 +87,19 @@
    * @return the decision
    */
   public PermitDecision reserve(long nowMs, long latestStartMs, double limitPerSecond) {
-    double perSecond = permitsPerSecond(nowMs, limitPerSecond);
+    return reserve(nowMs, latestStartMs, new StatedRateStrategy(limitPerSecond));
+  }
+
+  /**
+   * Reserves the next permit if it starts early enough.
+   *
+   * @param nowMs the current time
+   * @param latestStartMs the latest useful start
+   * @param rate the rate of permits
+   * @return the decision
+   */
+  public PermitDecision reserve(long nowMs, long latestStartMs, PermitRateStrategy rate) {
+    double perSecond = rate.permitsPerSecond(nowMs, this);
     if (perSecond <= 0) {
       return new PermitDecision(false, nowMs + LEASE_MS);
     }
@@ -109,7 +121,17 @@
    * @param limitPerSecond the rate that the target accepts from all daemons, per second
    */
   public void spend(long nowMs, double limitPerSecond) {
-    double perSecond = permitsPerSecond(nowMs, limitPerSecond);
+    spend(nowMs, new StatedRateStrategy(limitPerSecond));
+  }
+
+  /**
+   * Records a request that was sent without a permit, so that later permits make up for it.
+   *
+   * @param nowMs the current time
+   * @param rate the rate of permits
+   */
+  public void spend(long nowMs, PermitRateStrategy rate) {
+    double perSecond = rate.permitsPerSecond(nowMs, this);
     if (perSecond > 0) {
       long intervalMs = (long) Math.ceil(MS_PER_SECOND / perSecond);
       lastStartMs = Math.max(nowMs, lastStartMs + intervalMs);
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/LimitedFleet.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/LimitedFleet.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.stream.IntStream;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.decision.event.Event;
@@ -196,11 +197,22 @@
     } else if (effect instanceof DispatchEffect.AskPermit ask) {
       long ageMs = nowMs - ask.limit().observedAtMs();
       long withinMs = ask.latestStartMs() - nowMs;
+      OptionalLong coldMs =
+          ask.coldUntilMs().isPresent()
+              ? OptionalLong.of(ask.coldUntilMs().getAsLong() - nowMs)
+              : OptionalLong.empty();
       daemon.deliver(
           ask.daemonId(),
           at ->
               new DispatchEvent.PermitAsked(
-                  at, daemon.id(), aged(at, ask.limit(), ageMs), ask.callId(), at + withinMs));
+                  at,
+                  daemon.id(),
+                  aged(at, ask.limit(), ageMs),
+                  ask.callId(),
+                  at + withinMs,
+                  coldMs.isPresent()
+                      ? OptionalLong.of(at + coldMs.getAsLong())
+                      : OptionalLong.empty()));
     } else if (effect instanceof DispatchEffect.AnswerPermit answer) {
       long afterMs = answer.atMs() - nowMs;
       daemon.deliver(
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MaintenanceFleet.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/MaintenanceFleet.java
@@ -48,7 +48,7 @@
   @Override
   Runnable readMore(Daemon daemon, long position) {
     ZoneMaintenance read = new ZoneMaintenance(position, entries.keySet());
-    return () -> daemon.apply(at -> new DispatchEvent.MaintenanceLearned(at, read, "store"));
+    return () -> daemon.apply(at -> new AvailabilityEvent.MaintenanceLearned(at, read, "store"));
   }
 
   /** Writes the entry of a zone. */
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/StoreFleet.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/StoreFleet.java
@@ -229,7 +229,8 @@
           .maintenance()
           .ifPresent(
               zones ->
-                  events.add(at -> new DispatchEvent.MaintenanceLearned(at, zones, daemon.id())));
+                  events.add(
+                      at -> new AvailabilityEvent.MaintenanceLearned(at, zones, daemon.id())));
       answer
           .sheet()
           .ifPresent(
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/ZoneMaintenanceTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/ZoneMaintenanceTest.java
@@ -209,9 +209,9 @@
     assertThat(fixture.sends(fixture.call("status"))).isNotEmpty();
   }
 
-  private static DispatchEvent.MaintenanceLearned maintenance(
+  private static AvailabilityEvent.MaintenanceLearned maintenance(
       DispatchFixture fixture, long position, Set<String> zones) {
-    return new DispatchEvent.MaintenanceLearned(
+    return new AvailabilityEvent.MaintenanceLearned(
         fixture.nowMs(), new ZoneMaintenance(position, zones), "store");
   }
 }
--- a/sequoiareach-model/src/main/java/org/sequoiareach/model/route/RoutedTarget.java
+++ b/sequoiareach-model/src/main/java/org/sequoiareach/model/route/RoutedTarget.java
@@ -1,5 +1,6 @@
 package org.sequoiareach.model.route;
 
+import java.util.OptionalLong;
 import org.sequoiareach.model.Check;
 
 /**
@@ -13,6 +14,8 @@
  * @param zone the availability zone
  * @param slots the maximum number of requests that it processes concurrently
  * @param leaving whether the target is about to stop
+ * @param coldMs how long the target stays cold from the writing of this description on, in
+ *     milliseconds; empty if not stated
  */
 public record RoutedTarget(
     String id,
@@ -21,15 +24,29 @@
     String address,
     String zone,
     int slots,
-    boolean leaving) {
+    boolean leaving,
+    OptionalLong coldMs) {
 
-  /** Validates the components. */
+  /** Validates the components; an earlier version of a daemon does not send the last one. */
   public RoutedTarget {
     Check.hasText(id, "id");
     Check.hasText(service, "service");
     Check.hasText(address, "address");
     Check.hasText(zone, "zone");
     Check.inRange(slots, 1, Integer.MAX_VALUE, "slots");
+    coldMs = coldMs == null ? OptionalLong.empty() : coldMs;
+  }
+
+  /** Creates a description that does not state whether the target is cold. */
+  public RoutedTarget(
+      String id,
+      long incarnation,
+      String service,
+      String address,
+      String zone,
+      int slots,
+      boolean leaving) {
+    this(id, incarnation, service, address, zone, slots, leaving, OptionalLong.empty());
   }
 
   /**
@@ -48,6 +65,6 @@
    * @return the copy
    */
   public RoutedTarget asLeaving() {
-    return new RoutedTarget(id, incarnation, service, address, zone, slots, true);
+    return new RoutedTarget(id, incarnation, service, address, zone, slots, true, coldMs);
   }
 }
--- a/sequoiareach-peer/src/main/java/org/sequoiareach/peer/LimitMessage.java
+++ b/sequoiareach-peer/src/main/java/org/sequoiareach/peer/LimitMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import org.sequoiareach.model.Check;
 
 /**
@@ -68,15 +69,18 @@
    * @param limit what the sender knows of the limit
    * @param callId the sender's identifier of the request
    * @param startWithinMs the time within which the permit must start, in milliseconds
+   * @param coldMs how long the sender knows the target to stay cold, in milliseconds; empty if it
+   *     is not cold
    */
-  record PermitRequest(KnownLimit limit, String callId, long startWithinMs)
+  record PermitRequest(KnownLimit limit, String callId, long startWithinMs, OptionalLong coldMs)
       implements LimitMessage {
 
-    /** Validates the components. */
+    /** Validates the components; an earlier version of a daemon does not send the last one. */
     public PermitRequest {
       Check.notNull(limit, "limit");
       Check.hasText(callId, "callId");
       Check.inRange(startWithinMs, 0, Long.MAX_VALUE, "startWithinMs");
+      coldMs = coldMs == null ? OptionalLong.empty() : coldMs;
     }
   }
 
--- a/sequoiareach-peer/src/test/java/org/sequoiareach/peer/PeerCodecTest.java
+++ b/sequoiareach-peer/src/test/java/org/sequoiareach/peer/PeerCodecTest.java
@@ -3,16 +3,22 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.Set;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.sequoiareach.model.platform.MemberState;
 import org.sequoiareach.model.platform.MemberUpdate;
 import org.sequoiareach.model.platform.TargetHint;
@@ -22,6 +28,10 @@
 import org.sequoiareach.model.request.RequestKind;
 import org.sequoiareach.model.request.RequestSpec;
 import org.sequoiareach.model.request.Verdict;
+import org.sequoiareach.model.route.StoreHoldings;
+import org.sequoiareach.model.route.StoreNews;
+import org.sequoiareach.model.route.StoreReading;
+import org.sequoiareach.model.route.ZoneMaintenance;
 import org.sequoiareach.model.sheet.LimitsEntry;
 import org.sequoiareach.model.sheet.ModelEntry;
 import org.sequoiareach.model.sheet.OperationEntry;
@@ -41,6 +51,44 @@
     assertThat(PeerCodec.decode(PeerCodec.encode(message))).isEqualTo(message);
   }
 
+  /** Guards against messages of daemons that do not know zones in maintenance and warm-ups yet. */
+  @Example
+  void messagesWithoutLaterComponentsAreRead() throws Exception {
+    assertThat(decodeWithoutLast(news(7, Optional.empty()), "/1/1", "/1/1/0"))
+        .isEqualTo(
+            new StateMessage.StoreNewsAnnouncement(
+                7,
+                new StoreNews(
+                    new StoreHoldings(1, 7, 3, 0L),
+                    Optional.of(new StoreReading("reader", 5, new StoreHoldings(1, 7, 3, 7L))),
+                    Optional.empty(),
+                    Optional.empty(),
+                    Optional.empty())));
+    PeerMessage snapshot =
+        new StateMessage.StateSnapshot(
+            Optional.empty(), Optional.empty(), Optional.of(new ZoneMaintenance(1, Set.of("z"))));
+    assertThat(decodeWithoutLast(snapshot, "/1"))
+        .isEqualTo(
+            new StateMessage.StateSnapshot(Optional.empty(), Optional.empty(), Optional.empty()));
+    LimitMessage.KnownLimit limit = new LimitMessage.KnownLimit("t", 1, OptionalDouble.empty(), 2);
+    assertThat(
+            decodeWithoutLast(
+                new LimitMessage.PermitRequest(limit, "c", 9, OptionalLong.of(3)), "/1"))
+        .isEqualTo(new LimitMessage.PermitRequest(limit, "c", 9, OptionalLong.empty()));
+  }
+
+  /** Decodes a message after removing the last component of each of the arrays at some paths. */
+  private static PeerMessage decodeWithoutLast(PeerMessage message, String... paths)
+      throws Exception {
+    ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
+    JsonNode tree = mapper.readTree(PeerCodec.encode(message));
+    for (String path : paths) {
+      ArrayNode components = (ArrayNode) tree.at(path);
+      components.remove(components.size() - 1);
+    }
+    return PeerCodec.decode(mapper.writeValueAsBytes(tree));
+  }
+
   @Property(tries = 2_000, seed = "1")
   void arbitraryBytesAreRejectedOrDecoded(@ForAll byte[] payload) {
     decodeOrReject(payload);
@@ -68,7 +116,7 @@
   @Provide
   Arbitrary<PeerMessage> messages() {
     return Arbitraries.oneOf(
-        attempts(), answers(), membership(), sheets(), limits(), quarantines());
+        attempts(), answers(), membership(), sheets(), limits(), quarantines(), states());
   }
 
   private static Arbitrary<PeerMessage> attempts() {
@@ -156,7 +204,12 @@
         Combinators.combine(known, Arbitraries.integers().greaterOrEqual(1))
             .as(LimitMessage.ShareLoan::new);
     Arbitrary<PeerMessage> request =
-        Combinators.combine(known, text(), millis()).as(LimitMessage.PermitRequest::new);
+        Combinators.combine(
+                known,
+                text(),
+                millis(),
+                Arbitraries.of(OptionalLong.empty(), OptionalLong.of(0), OptionalLong.of(850)))
+            .as(LimitMessage.PermitRequest::new);
     Arbitrary<PeerMessage> response =
         Combinators.combine(text(), text(), Arbitraries.of(true, false), millis())
             .as(LimitMessage.PermitResponse::new);
@@ -164,6 +217,30 @@
     return Arbitraries.oneOf(announced, loan, request, response, spent);
   }
 
+  private static Arbitrary<PeerMessage> states() {
+    Arbitrary<Optional<ZoneMaintenance>> zones =
+        Combinators.combine(millis(), text().set().ofMaxSize(3))
+            .as(ZoneMaintenance::new)
+            .optional();
+    Arbitrary<PeerMessage> snapshot =
+        zones.map(
+            known -> new StateMessage.StateSnapshot(Optional.empty(), Optional.empty(), known));
+    Arbitrary<PeerMessage> news = Combinators.combine(millis(), zones).as(PeerCodecTest::news);
+    return Arbitraries.oneOf(snapshot, news);
+  }
+
+  private static PeerMessage news(long position, Optional<ZoneMaintenance> zones) {
+    StoreHoldings holdings = new StoreHoldings(1, position, 3, position);
+    return new StateMessage.StoreNewsAnnouncement(
+        position,
+        new StoreNews(
+            holdings,
+            Optional.of(new StoreReading("reader", 5, holdings)),
+            Optional.empty(),
+            Optional.empty(),
+            zones));
+  }
+
   private static Arbitrary<PeerMessage> quarantines() {
     Arbitrary<List<String>> traits =
         Arbitraries.of("caller-1", "part-1", "part-2")
