--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -43,6 +43,7 @@
   private final PeerSyncHandler peerSync;
   private final LifecycleHandler lifecycle;
   private final MaintenanceHandler maintenance;
+  private final WarmUpHandler warmUps;
   private final LimitHandler limits;
   private final CrashHandler crashes;
   private final QuarantineHandler quarantines;
@@ -52,6 +53,7 @@
   private volatile int limitCount;
   private volatile int quarantineCount;
   private volatile int maintenanceZoneCount;
+  private volatile int coldTargetCount;
   private volatile boolean watchingStore;
   private volatile long confirmedMs;
   private volatile int waitingCount;
@@ -101,6 +103,7 @@
             admission.apply(context::randomDouble));
     this.follow = new StoreFollowHandler(context);
     this.peerSync = new PeerSyncHandler(context, follow);
+    this.warmUps = new WarmUpHandler(context);
     this.maintenance = new MaintenanceHandler(context, follow);
     this.lifecycle = new LifecycleHandler(context, active, calls);
   }
@@ -112,6 +115,7 @@
       calls.retryWaiting(dispatch.nowMs(), isOfOwnCall(event));
     } else if (event instanceof TimeEvent.Ticked tick) {
       maintenance.tick(tick.nowMs());
+      warmUps.tick(tick.nowMs());
       targets.tick(tick.nowMs());
       migrations.startDueCopies(tick.nowMs());
       limits.tick(tick.nowMs());
@@ -137,6 +141,7 @@
     targetCount = context.targets().listedCount();
     limitCount = limits.inForceCount();
     maintenanceZoneCount = maintenance.zoneCount();
+    coldTargetCount = warmUps.coldCount();
     quarantineCount = quarantines.activeCount();
     watchingStore = follow.isWatching();
     confirmedMs = follow.confirmedMs();
@@ -192,7 +197,9 @@
       follow.onHoldingsChanged();
       calls.releaseHeld(learned.nowMs());
       lifecycle.tick(learned.nowMs());
-    } else if (event instanceof DispatchEvent.MaintenanceLearned learned) {
+    } else if (event instanceof AvailabilityEvent.ColdStated stated) {
+      warmUps.onColdStated(stated);
+    } else if (event instanceof AvailabilityEvent.MaintenanceLearned learned) {
       maintenance.onLearned(learned.nowMs(), learned.maintenance(), learned.source());
     } else if (event instanceof DispatchEvent.PeerStateTold told) {
       told.fleet()
@@ -217,6 +224,7 @@
       context.applySettings(changed.settings());
     } else {
       crashes.onTargetsChanged(event);
+      warmUps.onTargetsChanged(event);
       targets.apply(event);
       follow.onHoldingsChanged();
       calls.releaseHeld(event.nowMs());
@@ -253,7 +261,12 @@
     unknown
         .get()
         .updates()
-        .forEach(update -> crashes.onTargetsChanged(TargetHandler.toEvent(nowMs, update)));
+        .forEach(
+            update -> {
+              DispatchEvent change = TargetHandler.toEvent(nowMs, update);
+              crashes.onTargetsChanged(change);
+              warmUps.onTargetsChanged(change);
+            });
     targets.apply(nowMs, unknown.get());
     follow.onHoldingsChanged();
     follow.tell(nowMs, unknown);
@@ -333,6 +346,15 @@
     return waitedMs;
   }
 
+  /**
+   * Returns the number of cold targets.
+   *
+   * @return the number of targets
+   */
+  public int coldTargetCount() {
+    return coldTargetCount;
+  }
+
   /**
    * Returns whether this daemon watches the store, rather than relying on others.
    *
