Send late repeatable requests to a second target

The reducer learns the recent answer times of each service and, once an answer takes longer than a quantile of them, sends the call to a second target (HedgeCall). The exchange lets the first complete answer win, aborts the other attempt and reports it (AttemptWon). A failed attempt leaves the call to the other one; the usual handling follows when both have failed. hedgeRatio limits the share of hedged requests by each daemon's own requests, inside the retry budget; the default of 0 turns all of it off.

Ruled out: streams, whose second run would cost a prefill, and a delay by the 50 ms tick, which is too coarse for answers of 21 ms (WakeAt requests a wake-up).

Checked: ProxyExchange, GatewaySettingsReader, DispatchReducer, DispatchFuzz, DeadlyRequest, DrainFuzz and architecture tests pass.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -475,6 +475,11 @@
   private void appendToBuffer(ByteBuf part) {
     buffered.writeBytes(part);
     int length = buffered.readableBytes();
+    boolean losing = mode == Mode.SERVER_ERROR && exchange.hasRival(this);
+    if (losing && (length > MAX_BUFFERED_BYTES || !hold(length))) {
+      abortWithFault(AttemptFault.BROKEN_ANSWER, "a server error is too long to be held");
+      return;
+    }
     if (length > MAX_BUFFERED_BYTES || !hold(length)) {
       exchange.sendHeadOnce(this, OptionalLong.empty());
       exchange.forwardPart(buffered);
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -58,7 +58,7 @@
   private long suspendedMsBefore;
   private final Runnable onEnded;
   private final StreamReader stream;
-  private Optional<AttemptResponseHandler> currentAttempt = Optional.empty();
+  private final ConcurrentAttempts attempts = new ConcurrentAttempts();
   private Optional<HeldErrorResponse> heldResponse = Optional.empty();
   private boolean headSent;
   private boolean ended;
@@ -86,9 +86,7 @@
     this.suspendedMsBefore = context.suspensionDetector().totalSuspendedMs();
     response.onWritabilityChanged(
         writable ->
-            currentAttempt
-                .flatMap(AttemptResponseHandler::connection)
-                .ifPresent(connection -> connection.setReadEnabled(writable)));
+            attempts.connection().ifPresent(connection -> connection.setReadEnabled(writable)));
   }
 
   String requestId() {
@@ -115,12 +113,13 @@
       suspendedMsBefore = context.suspensionDetector().totalSuspendedMs();
     }
     boolean sourceActive =
-        sendCall.continuation().isPresent() && currentAttempt.filter(r -> !r.isDone()).isPresent();
+        sendCall.continuation().isPresent()
+            && attempts.current().filter(r -> !r.isDone()).isPresent();
     if (!sourceActive) {
       startAttempt(sendCall);
       return;
     }
-    AttemptResponseHandler source = currentAttempt.get();
+    AttemptResponseHandler source = attempts.current().get();
     AtomicBoolean started = new AtomicBoolean();
     Runnable startOnce =
         () -> {
@@ -133,12 +132,33 @@
     context.loop().schedule(startOnce, SOURCE_END_TIMEOUT_MS, TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Starts a second attempt while the current one is in progress. The attempt that first has a
+   * complete answer, or an event of a stream, wins: it alone writes, and the other one is aborted.
+   */
+  void sendHedge(DispatchEffect.SendCall sendCall) {
+    if (ended) {
+      return;
+    }
+    if (headSent) {
+      attempts.current().ifPresent(this::postWinner);
+      return;
+    }
+    AttemptResponseHandler second = new AttemptResponseHandler(this, sendCall);
+    attempts.addHedged(second);
+    if (isOutdated(sendCall)) {
+      failOutdated(second);
+      return;
+    }
+    connect(sendCall, second);
+  }
+
   private void startAttempt(DispatchEffect.SendCall sendCall) {
-    if (ended || currentAttempt.filter(at -> at.number() > sendCall.attempt()).isPresent()) {
+    if (ended || attempts.current().filter(at -> at.number() > sendCall.attempt()).isPresent()) {
       return;
     }
     AttemptResponseHandler next = new AttemptResponseHandler(this, sendCall);
-    currentAttempt = Optional.of(next);
+    attempts.replace(next);
     if (isOutdated(sendCall)) {
       failOutdated(next);
       return;
@@ -179,8 +199,7 @@
       String detail) {
     unprovenAttempts--;
     context.metrics().meter("connections.closed-before-write").mark();
-    boolean current = currentAttempt.filter(latest -> latest == attempt).isPresent();
-    if (!reused || ended || !current) {
+    if (!reused || ended || !attempts.contains(attempt)) {
       return false;
     }
     LOGGER.info(
@@ -193,6 +212,15 @@
     return true;
   }
 
+  /** Returns whether another attempt is in progress that may still win. */
+  boolean hasRival(AttemptResponseHandler attempt) {
+    return attempts.findRival(attempt).isPresent();
+  }
+
+  private void postWinner(AttemptResponseHandler winner) {
+    post(new DispatchEvent.AttemptWon(MonotonicClock.nowMs(), callId, winner.number()));
+  }
+
   private void onConnected(
       DispatchEffect.SendCall sendCall,
       AttemptResponseHandler attempt,
@@ -203,7 +231,7 @@
       return;
     }
     long leftMs = sendCall.deadlineMs() - MonotonicClock.nowMs();
-    if (ended || !currentAttempt.filter(current -> current == attempt).isPresent() || leftMs <= 0) {
+    if (ended || !attempts.contains(attempt) || leftMs <= 0) {
       connection.releaseUnused();
       attempt.fail(
           AttemptFault.OUTDATED,
@@ -303,6 +331,10 @@
     if (headSent || ended) {
       return;
     }
+    if (attempts.declareWinner(attempt)) {
+      context.metrics().meter("answers.hedge-dropped").mark();
+      postWinner(attempt);
+    }
     headSent = true;
     response.sendHead(attempt.status(), attempt.headers(), length);
   }
@@ -359,7 +391,7 @@
    * @return receives the outcome of the order
    */
   Consumer<CopyOutcome> onStopOrdered() {
-    Optional<AttemptResponseHandler> stopped = currentAttempt;
+    Optional<AttemptResponseHandler> stopped = attempts.current();
     stopped.ifPresent(AttemptResponseHandler::onStopOrdered);
     return outcome -> stopped.ifPresent(attempt -> attempt.onStopAnswered(outcome));
   }
@@ -489,14 +521,17 @@
    * cannot be repeated; its response is discarded.
    */
   private void stopCurrentAttempt() {
-    currentAttempt.ifPresent(
-        attempt -> {
-          if (attempt.kind() == RouteKind.NON_IDEMPOTENT) {
-            attempt.discardResponse();
-          } else {
-            attempt.abort();
-          }
-        });
+    attempts.abortHedged();
+    attempts
+        .current()
+        .ifPresent(
+            attempt -> {
+              if (attempt.kind() == RouteKind.NON_IDEMPOTENT) {
+                attempt.discardResponse();
+              } else {
+                attempt.abort();
+              }
+            });
   }
 
   private void end() {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.sequoiareach.daemon.control.EffectHandler;
 import org.sequoiareach.daemon.control.EventSink;
@@ -99,6 +100,12 @@
   public void handle(Effect effect) {
     if (effect instanceof DispatchEffect.SendCall send) {
       withExchange(send.callId(), exchange -> exchange.send(send));
+    } else if (effect instanceof DispatchEffect.HedgeCall hedge) {
+      withExchange(hedge.send().callId(), exchange -> exchange.sendHedge(hedge.send()));
+    } else if (effect instanceof DispatchEffect.RecordHedge hedge) {
+      context.metrics().meter("hedges." + hedge.outcome()).mark();
+    } else if (effect instanceof DispatchEffect.WakeAt wake) {
+      wakeAt(wake.atMs());
     } else if (effect instanceof DispatchEffect.RefuseCall refuse) {
       context.metrics().meter("refused." + refuse.reason().label()).mark();
       withExchange(
@@ -126,6 +133,15 @@
     }
   }
 
+  private void wakeAt(long atMs) {
+    context
+        .loop()
+        .schedule(
+            () -> context.events().post(new DispatchEvent.WakeUp(MonotonicClock.nowMs())),
+            Math.max(0, atMs - MonotonicClock.nowMs()),
+            TimeUnit.MILLISECONDS);
+  }
+
   private void probe(RoutedTarget target) {
     context
         .connections()
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettings.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettings.java
@@ -25,6 +25,8 @@
  *     milliseconds
  * @param leavingBoundMs the time within which a target that is leaving according to the store must
  *     get no more requests, in milliseconds
+ * @param hedgeRatio the hedged requests that all daemons together may send to a service, as a ratio
+ *     of its requests, between 0 and 1; 0 for none
  */
 public record GatewaySettings(
     String name,
@@ -40,7 +42,8 @@
     double retryWindowSeconds,
     double retryExtra,
     double sheetBoundMs,
-    double leavingBoundMs) {
+    double leavingBoundMs,
+    double hedgeRatio) {
 
   /**
    * The load balancer stops sending connections after two failed checks, which are a second apart,
@@ -70,6 +73,43 @@
     Check.isTrue(retryExtra >= 0, "'retryExtra' must not be negative but is " + retryExtra + ".");
     requirePositive(sheetBoundMs, "sheetBoundMs");
     requirePositive(leavingBoundMs, "leavingBoundMs");
+    Check.isTrue(
+        hedgeRatio >= 0 && hedgeRatio <= 1,
+        "'hedgeRatio' must be between 0 and 1 but is " + hedgeRatio + ".");
+  }
+
+  /** Creates settings without hedged requests. */
+  public GatewaySettings(
+      String name,
+      String zone,
+      String callerAddress,
+      String readyAddress,
+      String peerAddress,
+      String metricsAddress,
+      List<String> seedAddresses,
+      String storeAddress,
+      double gracePeriodSeconds,
+      double retryRatio,
+      double retryWindowSeconds,
+      double retryExtra,
+      double sheetBoundMs,
+      double leavingBoundMs) {
+    this(
+        name,
+        zone,
+        callerAddress,
+        readyAddress,
+        peerAddress,
+        metricsAddress,
+        seedAddresses,
+        storeAddress,
+        gracePeriodSeconds,
+        retryRatio,
+        retryWindowSeconds,
+        retryExtra,
+        sheetBoundMs,
+        leavingBoundMs,
+        0);
   }
 
   /**
@@ -86,7 +126,8 @@
         Math.round(retryWindowSeconds * MS_PER_SECOND),
         retryExtra,
         Math.min(DRAIN_NOTICE_MS, drainMs()),
-        Math.round(Math.min(sheetBoundMs, leavingBoundMs)));
+        Math.round(Math.min(sheetBoundMs, leavingBoundMs)),
+        hedgeRatio);
   }
 
   /**
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettingsReader.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettingsReader.java
@@ -62,7 +62,8 @@
         readNumber(tree, "retryWindowSeconds"),
         readNumber(tree, "retryExtra"),
         readNumber(tree, "sheetBoundMs"),
-        readNumber(tree, "leavingBoundMs"));
+        readNumber(tree, "leavingBoundMs"),
+        readNumber(tree, "hedgeRatio"));
   }
 
   /** Returns the text of a field, or an empty text if the field is absent. */
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCall.java
@@ -30,7 +30,12 @@
   private OptionalLong permitReturnMs = OptionalLong.empty();
   private Optional<RequestTraits> traits = Optional.empty();
   private Optional<RoutedTarget> target = Optional.empty();
+  private Optional<SentAttempt> hedge = Optional.empty();
+  private boolean hedgeUsed;
+  private boolean hedgeUnsettled;
+  private boolean crashSuspected;
   private int attempt;
+  private int lastAttempt;
   private int reachedAttempts;
   private int forgivenAttempts;
   private int copyRounds;
@@ -145,7 +150,8 @@
     permitDeniedTargets.clear();
     permitReturnMs = OptionalLong.empty();
     lastSentAtMs = nowMs;
-    attempt++;
+    lastAttempt++;
+    attempt = lastAttempt;
     reachedAttempts++;
     target = Optional.of(to);
     triedTargets.add(to.id());
@@ -212,18 +218,97 @@
     return started ? startedAtMs : profile.arrivedMs();
   }
 
+  /** Records that the attempt in progress failed. A hedged attempt takes its place. */
   void attemptFailed(AttemptFault fault) {
+    recordFailure(target, fault);
+    target = Optional.empty();
+    promoteHedge();
+  }
+
+  private void recordFailure(Optional<RoutedTarget> failed, AttemptFault fault) {
     if (!fault.reachedTarget()) {
       reachedAttempts--;
     }
     if (fault.mayHaveRun()) {
-      target.ifPresent(failed -> recordPossibleRun(failed.id()));
+      failed.ifPresent(at -> recordPossibleRun(at.id()));
     }
     if (!fault.concernsTarget() && forgivenAttempts < MAX_FORGIVEN_ATTEMPTS) {
       forgivenAttempts++;
-      target.map(RoutedTarget::id).ifPresent(triedTargets::remove);
+      failed.map(RoutedTarget::id).ifPresent(triedTargets::remove);
     }
-    target = Optional.empty();
+  }
+
+  /** Records that a second attempt was sent while the first one is in progress. */
+  SentAttempt hedgeSent(long nowMs, RoutedTarget to) {
+    lastAttempt++;
+    reachedAttempts++;
+    triedTargets.add(to.id());
+    hedgeUsed = true;
+    hedgeUnsettled = true;
+    SentAttempt sent = new SentAttempt(to, lastAttempt, nowMs);
+    hedge = Optional.of(sent);
+    return sent;
+  }
+
+  /** Returns the second attempt while both attempts are in progress. */
+  Optional<SentAttempt> hedge() {
+    return hedge;
+  }
+
+  /** Returns whether a second attempt was ever sent while another one was in progress. */
+  boolean isHedgeUsed() {
+    return hedgeUsed;
+  }
+
+  /** Returns, on the first call only, whether the outcome of a hedged attempt is to be counted. */
+  boolean settleHedge() {
+    boolean unsettled = hedgeUnsettled;
+    hedgeUnsettled = false;
+    return unsettled;
+  }
+
+  /** Records that the hedged attempt failed; the first one goes on. */
+  void hedgeFailed(AttemptFault fault) {
+    recordFailure(hedge.map(SentAttempt::target), fault);
+    hedge = Optional.empty();
+  }
+
+  /** Records that the other of two attempts was aborted, because this one is delivered. */
+  void attemptWon(int number) {
+    if (hedge.filter(second -> second.number() == number).isPresent()) {
+      target.ifPresent(loser -> recordPossibleRun(loser.id()));
+      promoteHedge();
+      return;
+    }
+    hedge.ifPresent(loser -> recordPossibleRun(loser.target().id()));
+    hedge = Optional.empty();
+  }
+
+  private void promoteHedge() {
+    hedge.ifPresent(
+        second -> {
+          target = Optional.of(second.target());
+          attempt = second.number();
+          lastSentAtMs = second.sentAtMs();
+        });
+    hedge = Optional.empty();
+  }
+
+  /** Returns the attempt in progress that has a number. */
+  Optional<SentAttempt> findAttempt(int number) {
+    Optional<SentAttempt> first = target.map(at -> new SentAttempt(at, attempt, lastSentAtMs));
+    return first
+        .filter(sent -> sent.number() == number)
+        .or(() -> hedge.filter(sent -> sent.number() == number));
+  }
+
+  /** Records that one of two attempts may have crashed its target, so that none follows. */
+  void suspectCrash() {
+    crashSuspected = true;
+  }
+
+  boolean isCrashSuspected() {
+    return crashSuspected;
   }
 
   /** Records that a target may have run the call; nothing that follows can disprove it. */
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCalls.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCalls.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
@@ -21,6 +22,7 @@
   private final DispatchContext context;
   private final Map<String, ActiveCall> calls = new LinkedHashMap<>();
   private Consumer<ActiveCall> endListener = call -> {};
+  private BiConsumer<Long, ActiveCall> sendListener = (nowMs, call) -> {};
 
   ActiveCalls(DispatchContext context) {
     this.context = context;
@@ -31,6 +33,16 @@
     endListener = listener;
   }
 
+  /** Adds a listener that is notified of each call that ends, after the earlier ones. */
+  void addEndListener(Consumer<ActiveCall> listener) {
+    endListener = endListener.andThen(listener);
+  }
+
+  /** Sets the listener that is notified of the time and the call of each new run. */
+  void setSendListener(BiConsumer<Long, ActiveCall> listener) {
+    sendListener = listener;
+  }
+
   void add(ActiveCall call) {
     calls.put(call.callId(), call);
   }
@@ -72,21 +84,42 @@
     context
         .targetUse()
         .add(call.callId(), target.id(), waitingPromptTokens, call.expectedMemoryTokens());
+    context.effects().add(describeSend(nowMs, call, call.attempt(), target, continuation));
+    logDecision(continuation.isPresent() ? "continue" : "route", call, target.id(), inputs);
+    if (continuation.isEmpty()) {
+      sendListener.accept(nowMs, call);
+    }
+  }
+
+  /** Sends a plain call to a second target while its first attempt is in progress. */
+  void sendHedge(long nowMs, ActiveCall call, RoutedTarget target, String inputs) {
+    SentAttempt sent = call.hedgeSent(nowMs, target);
+    context.targetUse().add(call.callId(), target.id(), 0, 0);
     context
         .effects()
         .add(
-            new DispatchEffect.SendCall(
-                call.callId(),
-                call.attempt(),
-                target,
-                call.route().kind(),
-                call.organisation(),
-                call.priority(),
-                connectionShare(call.service()),
-                nowMs + SEND_TIMEOUT_MS,
-                call.deadlineMs(),
-                continuation));
-    logDecision(continuation.isPresent() ? "continue" : "route", call, target.id(), inputs);
+            new DispatchEffect.HedgeCall(
+                describeSend(nowMs, call, sent.number(), target, Optional.empty())));
+    logDecision("hedge", call, target.id(), "number=" + sent.number() + " " + inputs);
+  }
+
+  private DispatchEffect.SendCall describeSend(
+      long nowMs,
+      ActiveCall call,
+      int attempt,
+      RoutedTarget target,
+      Optional<Continuation> continuation) {
+    return new DispatchEffect.SendCall(
+        call.callId(),
+        attempt,
+        target,
+        call.route().kind(),
+        call.organisation(),
+        call.priority(),
+        connectionShare(call.service()),
+        nowMs + SEND_TIMEOUT_MS,
+        call.deadlineMs(),
+        continuation);
   }
 
   /** Stops counting a call towards the use of its target. */
@@ -94,6 +127,11 @@
     call.target().ifPresent(target -> context.targetUse().remove(call.callId(), target.id()));
   }
 
+  /** Stops counting a call towards the use of the target of its second attempt. */
+  void releaseHedge(ActiveCall call) {
+    call.hedge().ifPresent(sent -> context.targetUse().remove(call.callId(), sent.target().id()));
+  }
+
   /** Refuses a call. */
   void refuse(ActiveCall call, Reason reason, String message, long retryAfterMs) {
     refuse(call, reason, message, retryAfterMs, "");
@@ -130,6 +168,7 @@
   void end(ActiveCall call) {
     calls.remove(call.callId());
     releaseTarget(call);
+    releaseHedge(call);
     endListener.accept(call);
   }
 
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/CallHandler.java
@@ -27,6 +27,7 @@
   private final TargetHealthHandler health;
   private final LimitHandler limits;
   private final QuarantineHandler quarantines;
+  private final HedgeHandler hedges;
   private final PermitHandler permits;
   private final CallPlacement placement;
   private final CallRefuser refuser;
@@ -41,8 +42,10 @@
       TargetHandler targets,
       TargetHealthHandler health,
       LimitHandler limits,
-      QuarantineHandler quarantines) {
+      QuarantineHandler quarantines,
+      HedgeHandler hedges) {
     this.quarantines = quarantines;
+    this.hedges = hedges;
     this.limits = limits;
     this.permits = new PermitHandler(calls, limits, this);
     this.placement = new CallPlacement(context, limits, durations);
@@ -95,6 +98,7 @@
     ActiveCall call = admit(event, resolution);
     calls.add(call);
     context.retryBudget(call.service()).recordRequest(event.nowMs());
+    hedges.onArrived(event.nowMs(), call);
     if (event.nowMs() >= call.deadlineMs()) {
       String message =
           "the deadline passed " + (event.nowMs() - call.deadlineMs()) + " ms before placement";
@@ -134,6 +138,7 @@
 
   private void recordOutcome(DispatchEvent.AnswerDelivered event, ActiveCall call) {
     String targetId = ActiveCalls.targetIdOf(call);
+    hedges.onAnswered(event, call);
     recordSurvival(event.nowMs(), call);
     if (event.status() < MIN_SERVER_ERROR_STATUS) {
       health.onSuccess(event.nowMs(), targetId);
@@ -164,6 +169,9 @@
   }
 
   void onAttemptFailed(DispatchEvent.AttemptFailed event) {
+    if (hedges.onAttemptFailed(event)) {
+      return;
+    }
     Optional<ActiveCall> found = calls.findAttempt(event.callId(), event.attempt());
     if (found.isEmpty()) {
       return;
@@ -183,7 +191,7 @@
       call.answerStarted(event.nowMs());
     }
     call.attemptFailed(event.fault());
-    if (showsTargetHasLeft(event.fault())) {
+    if (showsTargetHasLeft(context, event.fault())) {
       targets.markLeaving(event.nowMs(), target.id());
     }
     if (quarantines.mayCrashAnother(event, call, target)) {
@@ -282,7 +290,7 @@
    * Returns whether a failure shows that its target has left: another one has its address, or
    * nothing listens there and the store cannot report its removal.
    */
-  private boolean showsTargetHasLeft(AttemptFault fault) {
+  static boolean showsTargetHasLeft(DispatchContext context, AttemptFault fault) {
     return fault == AttemptFault.WRONG_TARGET
         || fault == AttemptFault.NOBODY_THERE && context.targets().isStoreUnreachable();
   }
@@ -387,7 +395,9 @@
   }
 
   private boolean mayRepeat(ActiveCall call) {
-    return call.route().kind().isRepeatable() && call.possibleRuns() < call.route().maxTargets();
+    return call.route().kind().isRepeatable()
+        && !call.isCrashSuspected()
+        && call.possibleRuns() < call.route().maxTargets();
   }
 
   /** Returns whether a call may run once more and a target has capacity for that now. */
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchContext.java
@@ -75,7 +75,15 @@
   void applySettings(DispatchSettings changed) {
     settings = changed;
     logDecision(
-        "settings", "", "", "", "zone=" + changed.zone() + " retryRatio=" + changed.retryRatio());
+        "settings",
+        "",
+        "",
+        "",
+        "zone="
+            + changed.zone()
+            + " retryRatio="
+            + changed.retryRatio()
+            + (changed.hedgeRatio() > 0 ? " hedgeRatio=" + changed.hedgeRatio() : ""));
   }
 
   MembershipReducer membership() {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
@@ -28,6 +28,9 @@
   @JsonSubTypes.Type(DispatchEffect.UseRoutingSheet.class),
   @JsonSubTypes.Type(DispatchEffect.DropTarget.class),
   @JsonSubTypes.Type(DispatchEffect.SendCall.class),
+  @JsonSubTypes.Type(DispatchEffect.HedgeCall.class),
+  @JsonSubTypes.Type(DispatchEffect.RecordHedge.class),
+  @JsonSubTypes.Type(DispatchEffect.WakeAt.class),
   @JsonSubTypes.Type(DispatchEffect.RefuseCall.class),
   @JsonSubTypes.Type(DispatchEffect.DeliverHeldAnswer.class),
   @JsonSubTypes.Type(DispatchEffect.CutCall.class),
@@ -93,6 +96,27 @@
       Optional<Continuation> continuation)
       implements DispatchEffect {}
 
+  /**
+   * Sends a call to a second target while its attempt at the first one is in progress.
+   *
+   * @param send the second attempt
+   */
+  record HedgeCall(SendCall send) implements DispatchEffect {}
+
+  /**
+   * Counts a decision on a hedged request in the metrics.
+   *
+   * @param outcome what was decided, or how it ended
+   */
+  record RecordHedge(String outcome) implements DispatchEffect {}
+
+  /**
+   * Requests a {@link DispatchEvent.WakeUp}, for decisions that are due between two ticks.
+   *
+   * @param atMs when it is due, in milliseconds
+   */
+  record WakeAt(long atMs) implements DispatchEffect {}
+
   /**
    * Refuses a call and cancels any attempt in progress.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -39,6 +39,8 @@
   @JsonSubTypes.Type(DispatchEvent.AnswerStarted.class),
   @JsonSubTypes.Type(DispatchEvent.AnswerDelivered.class),
   @JsonSubTypes.Type(DispatchEvent.AnswersUnsent.class),
+  @JsonSubTypes.Type(DispatchEvent.AttemptWon.class),
+  @JsonSubTypes.Type(DispatchEvent.WakeUp.class),
   @JsonSubTypes.Type(DispatchEvent.AttemptFailed.class),
   @JsonSubTypes.Type(DispatchEvent.CallerLeft.class),
   @JsonSubTypes.Type(DispatchEvent.TargetProbed.class),
@@ -252,6 +254,23 @@
    */
   record AnswersUnsent(long nowMs, boolean unsent) implements DispatchEvent {}
 
+  /**
+   * The answer of one of two concurrent attempts is delivered; the other one was aborted or not
+   * sent.
+   *
+   * @param nowMs when it was observed
+   * @param callId the identifier of the call
+   * @param attempt the number of the attempt whose answer is delivered
+   */
+  record AttemptWon(long nowMs, String callId, int attempt) implements DispatchEvent {}
+
+  /**
+   * A time for which a wake-up was requested has come.
+   *
+   * @param nowMs when it was observed
+   */
+  record WakeUp(long nowMs) implements DispatchEvent {}
+
   /**
    * An attempt failed.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -41,6 +41,7 @@
   private final LimitHandler limits;
   private final CrashHandler crashes;
   private final QuarantineHandler quarantines;
+  private final HedgeHandler hedges;
   private volatile long sheetRevision;
   private volatile int targetCount;
   private volatile int limitCount;
@@ -68,9 +69,10 @@
     CrashHistory history = new CrashHistory();
     this.crashes = new CrashHandler(context, history);
     this.quarantines = new QuarantineHandler(context, active, history, crashes);
+    this.hedges = new HedgeHandler(context, active, targets, health, limits, quarantines);
     this.calls =
         new CallHandler(
-            context, active, migrations, durations, targets, health, limits, quarantines);
+            context, active, migrations, durations, targets, health, limits, quarantines, hedges);
     this.follow = new StoreFollowHandler(context);
     this.peerSync = new PeerSyncHandler(context, follow);
     this.lifecycle = new LifecycleHandler(context, active, calls);
@@ -87,6 +89,7 @@
       crashes.tick(tick.nowMs());
       quarantines.tick(tick.nowMs());
       calls.tick(tick.nowMs());
+      hedges.tick(tick.nowMs());
       peerSync.tick(tick.nowMs());
       follow.tick(tick.nowMs());
       lifecycle.tick(tick.nowMs());
@@ -111,6 +114,10 @@
       calls.onCallArrived(arrived);
     } else if (event instanceof DispatchEvent.AnswerStarted started) {
       calls.onAnswerStarted(started);
+    } else if (event instanceof DispatchEvent.AttemptWon won) {
+      hedges.onAttemptWon(won);
+    } else if (event instanceof DispatchEvent.WakeUp wakeUp) {
+      hedges.onWakeUp(wakeUp);
     } else if (event instanceof DispatchEvent.RateStated stated) {
       limits.onRateStated(stated);
     } else if (event instanceof DispatchEvent.LimitsTold told) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchSettings.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchSettings.java
@@ -13,6 +13,8 @@
  * @param drainNoticeMs how long a draining daemon accepts new connections, in milliseconds
  * @param changeBoundMs the time within which a change in the store has to be in force, in
  *     milliseconds
+ * @param hedgeRatio the hedged requests that all daemons together may send to a service, as a ratio
+ *     of its requests; 0 for none
  */
 public record DispatchSettings(
     String zone,
@@ -21,7 +23,8 @@
     long retryWindowMs,
     double retryExtra,
     long drainNoticeMs,
-    long changeBoundMs) {
+    long changeBoundMs,
+    double hedgeRatio) {
 
   /** Validates the components. */
   public DispatchSettings {
@@ -31,5 +34,26 @@
     Check.isTrue(retryExtra >= 0, "'retryExtra' must not be negative but is " + retryExtra + ".");
     Check.inRange(drainNoticeMs, 0, Integer.MAX_VALUE, "drainNoticeMs");
     Check.inRange(changeBoundMs, 1, Integer.MAX_VALUE, "changeBoundMs");
+    Check.isTrue(
+        hedgeRatio >= 0 && hedgeRatio <= 1,
+        "'hedgeRatio' must be between 0 and 1 but is " + hedgeRatio + ".");
+  }
+
+  /** Creates settings without hedged requests. */
+  public DispatchSettings(
+      String zone,
+      long seed,
+      double retryRatio,
+      long retryWindowMs,
+      double retryExtra,
+      long drainNoticeMs,
+      long changeBoundMs) {
+    this(zone, seed, retryRatio, retryWindowMs, retryExtra, drainNoticeMs, changeBoundMs, 0);
+  }
+
+  /** Copies the settings with another ratio of hedged requests. */
+  public DispatchSettings withHedgeRatio(double ratio) {
+    return new DispatchSettings(
+        zone, seed, retryRatio, retryWindowMs, retryExtra, drainNoticeMs, changeBoundMs, ratio);
   }
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LimitHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/LimitHandler.java
@@ -64,16 +64,13 @@
   }
 
   void onRateStated(DispatchEvent.RateStated event) {
-    Optional<ActiveCall> call = calls.findAttempt(event.callId(), event.attempt());
-    if (call.isEmpty()) {
+    Optional<ActiveCall> call = calls.find(event.callId());
+    Optional<SentAttempt> answered = call.flatMap(found -> found.findAttempt(event.attempt()));
+    if (answered.isEmpty()) {
       return;
     }
     limits
-        .observe(
-            event.nowMs(),
-            call.get().target().orElseThrow(),
-            event.rate(),
-            call.get().lastSentAtMs())
+        .observe(event.nowMs(), answered.get().target(), event.rate(), answered.get().sentAtMs())
         .ifPresent(
             limit ->
                 onChanged(event.nowMs(), limit, "answer to " + call.get().profile().requestId()));
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/QuarantineHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/QuarantineHandler.java
@@ -91,6 +91,18 @@
     return found;
   }
 
+  /** Returns whether a quarantine applies to a call in progress, or a crash points to it. */
+  boolean concerns(ActiveCall call) {
+    boolean quarantined =
+        registry.active().anyMatch(one -> call.traits().containsAll(one.traits()));
+    boolean suspected =
+        !crashes.isEmpty()
+            && call.target()
+                .filter(at -> strategy.isSuspect(call.traits(), at.id(), evidence))
+                .isPresent();
+    return quarantined || suspected;
+  }
+
   /** Returns the number of quarantines that were not lifted. */
   int activeCount() {
     return (int) registry.active().count();
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/SharedRetryBudget.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/SharedRetryBudget.java
@@ -32,12 +32,25 @@
     return true;
   }
 
+  /** Takes one retry from the budget if at least the given number is left after it. */
+  boolean tryAcquireLeaving(int left, long nowMs, DispatchSettings settings, int daemons) {
+    if (!isAvailable(1 + left, nowMs, settings, daemons)) {
+      return false;
+    }
+    retries.addLast(nowMs);
+    return true;
+  }
+
   /** Returns whether the budget has a retry left. */
   boolean isAvailable(long nowMs, DispatchSettings settings, int daemons) {
+    return isAvailable(1, nowMs, settings, daemons);
+  }
+
+  private boolean isAvailable(int wanted, long nowMs, DispatchSettings settings, int daemons) {
     expire(nowMs, settings.retryWindowMs());
     double extra = settings.retryExtra() / Math.max(1, daemons);
     double allowed = SAFETY_FACTOR * (settings.retryRatio() * requests.size() + extra);
-    return retries.size() + 1 <= allowed;
+    return retries.size() + wanted <= allowed;
   }
 
   private void expire(long nowMs, long windowMs) {
