--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/StreamDialect.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/StreamDialect.java
@@ -13,15 +13,21 @@
 import org.sequoiareach.model.route.RouteKind;
 import org.sequoiareach.model.route.StatedRate;
 
-/** Adds no headers to attempts, and takes every answer for a stream that answers request r-1. */
+/** Adds no headers to attempts, and takes every answer for one to request r-1, usually a stream. */
 final class StreamDialect implements CallDialect {
 
   private final EventStreamFormat format;
   private final OptionalLong lastEventId;
+  private final boolean stream;
 
   StreamDialect(EventStreamFormat format, OptionalLong lastEventId) {
+    this(format, lastEventId, true);
+  }
+
+  StreamDialect(EventStreamFormat format, OptionalLong lastEventId, boolean stream) {
     this.format = format;
     this.lastEventId = lastEventId;
+    this.stream = stream;
   }
 
   @Override
@@ -45,7 +51,7 @@
         false,
         false,
         false,
-        true,
+        stream,
         0,
         Optional.empty(),
         StatedRate.NONE,
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/gateway/GatewaySettingsReaderTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/gateway/GatewaySettingsReaderTest.java
@@ -40,11 +40,26 @@
                 4_000));
   }
 
+  /** Guards against hedged requests that nobody asked for. */
+  @Test
+  void readsHedgeRatioThatMayBeAbsent() {
+    assertThat(GatewaySettingsReader.parse(VALID).hedgeRatio()).isZero();
+    GatewaySettings settings =
+        GatewaySettingsReader.parse(VALID.replace("{", "{\"hedgeRatio\":0.05,"));
+
+    assertThat(settings.hedgeRatio()).isEqualTo(0.05);
+    assertThat(settings.toDispatchSettings(1).hedgeRatio()).isEqualTo(0.05);
+    assertThat(settings.canReloadTo(GatewaySettingsReader.parse(VALID))).isTrue();
+  }
+
   @ParameterizedTest
   @CsvSource(
       delimiter = '|',
       value = {
         "\"retryRatio\":0.2 | \"retryRatio\":\"much\" | 'retryRatio' must be a number",
+        "\"name\" | \"hedgeRatio\":1.5,\"name\" | 'hedgeRatio' must be between 0 and 1 but is 1.5",
+        "\"name\" | \"hedgeRatio\":-1,\"name\" | 'hedgeRatio' must be between 0 and 1 but is -1.0",
+        "\"name\" | \"hedgeRatio\":\"5%\",\"name\" | 'hedgeRatio' must be a number but is",
         "\"zone\":\"z1\" | \"zone\":7 | 'zone' must be a text but is 7",
         "\"zone\":\"z1\" | \"other\":7 | 'zone'",
         "[\"10.0.0.2:82\"] | [82] | 'seedAddresses' must be a list of texts but is [82]",
