Judge by its service whether a call is plain enough to be hedged

Callers may state token counts in any request; such a request to a plain service was never hedged. The targets' use now counts the second attempt with the expected memory of the first.

--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCalls.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/ActiveCalls.java
@@ -94,7 +94,7 @@
   /** Sends a plain call to a second target while its first attempt is in progress. */
   void sendHedge(long nowMs, ActiveCall call, RoutedTarget target, String inputs) {
     SentAttempt sent = call.hedgeSent(nowMs, target);
-    context.targetUse().add(call.callId(), target.id(), 0, 0);
+    context.targetUse().add(call.callId(), target.id(), 0, call.expectedMemoryTokens());
     context
         .effects()
         .add(
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/HedgeHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/HedgeHandler.java
@@ -290,14 +290,15 @@
   }
 
   /** Streams are left out: a second run would cost a prefill and memory of an engine. */
-  private static boolean mayHedge(ActiveCall call) {
+  private boolean mayHedge(ActiveCall call) {
     return call.route().kind() == RouteKind.IDEMPOTENT
         && isPlain(call)
         && call.route().maxTargets() > 1;
   }
 
-  private static boolean isPlain(ActiveCall call) {
-    return !call.route().kind().isStreaming() && call.profile().generation().isEmpty();
+  /** Judges by the service, since the caller may describe a generation in any request. */
+  private boolean isPlain(ActiveCall call) {
+    return !call.route().kind().isStreaming() && context.engineTraits(call.service()).isEmpty();
   }
 
   private ServiceHedging service(ActiveCall call) {
