--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -48,6 +48,7 @@
   private final CrashHandler crashes;
   private final QuarantineHandler quarantines;
   private final SpeedHandler speeds;
+  private final HedgeHandler hedges;
   private volatile long sheetRevision;
   private volatile int targetCount;
   private volatile int limitCount;
@@ -88,6 +89,7 @@
     CrashHistory history = new CrashHistory();
     this.crashes = new CrashHandler(context, history);
     this.quarantines = new QuarantineHandler(context, active, history, crashes);
+    this.hedges = new HedgeHandler(context, active, targets, health, limits, quarantines);
     this.speeds = new SpeedHandler(context, active);
     this.calls =
         new CallHandler(
@@ -100,7 +102,8 @@
             limits,
             quarantines,
             speeds,
-            admission.apply(context::randomDouble));
+            admission.apply(context::randomDouble),
+            hedges);
     this.follow = new StoreFollowHandler(context);
     this.peerSync = new PeerSyncHandler(context, follow);
     this.warmUps = new WarmUpHandler(context);
@@ -124,6 +127,7 @@
       calls.tick(tick.nowMs());
       speeds.tick(tick.nowMs());
       calls.retryWaiting(tick.nowMs(), true);
+      hedges.tick(tick.nowMs());
       peerSync.tick(tick.nowMs());
       follow.tick(tick.nowMs());
       lifecycle.tick(tick.nowMs());
@@ -163,6 +167,10 @@
       calls.onAnswerStarted(started);
     } else if (event instanceof DispatchEvent.StreamProgressed progress) {
       speeds.onStreamProgressed(progress);
+    } else if (event instanceof DispatchEvent.AttemptWon won) {
+      hedges.onAttemptWon(won);
+    } else if (event instanceof DispatchEvent.WakeUp wakeUp) {
+      hedges.onWakeUp(wakeUp);
     } else if (event instanceof DispatchEvent.RateStated stated) {
       limits.onRateStated(stated);
     } else if (event instanceof DispatchEvent.LimitsTold told) {
