Reserve memory for clients before it is kept, and stop reading what has to wait

Cause: objects were created and kept as bytes arrived, whatever they cost: header lines at many times their bytes, requests sent ahead of a response, responses that nobody read, a chunk for each byte.

Change: MemoryAccount derives limits from the heap and the direct memory. StrictRequestDecoder asks a DecodeGate before each object; the lines of a head are reserved at 176 bytes each before they are decoded. Requests behind one in progress, or behind an unread response, stay undecoded, and beyond 16 KiB the socket is not read (InputRegulator). One turn decodes 1,024 objects of a connection (DecodeTurns). StalledFirstStrategy decides who makes room, never a request that runs. Readiness and metrics are served by StatusServer in place of Reactor Netty's server, one request at a time. Limits on connections and header lines are settings with defaults, validated by name and value.

Tests changed: GatewayHttpServer takes an account and limits, so CallerConnectionTest and SlowCallerTest pass them; PlainDialect of the former is shared. No assertion changed.

Unread responses, bytes in flight to a target, peers and sequoiareachd are not accounted yet.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
@@ -36,9 +36,6 @@
   /** Engine states that arrive later than this are outdated. */
   private static final long ENGINE_STATE_TIMEOUT_MS = 600;
 
-  /** The part of the direct memory for incomplete events and answers that are not forwarded yet. */
-  private static final int RESPONSE_MEMORY_DIVISOR = 4;
-
   private final ProxyExchangeContext context;
   private final EngineControl engines;
   private final Map<String, ProxyExchange> exchanges = new HashMap<>();
@@ -53,6 +50,7 @@
    * @param events receives the events of requests and targets
    * @param metrics the registry for counters and latencies
    * @param loop the event loop that all exchanges run on
+   * @param responseMemory limits what is held of incomplete events and responses
    */
   public ProxyExchangeRegistry(
       CallDialect dialect,
@@ -60,7 +58,8 @@
       EngineControl engines,
       EventSink events,
       MetricRegistry metrics,
-      EventLoop loop) {
+      EventLoop loop,
+      HeldBytes responseMemory) {
     this.context =
         new ProxyExchangeContext(
             dialect,
@@ -70,7 +69,7 @@
             loop,
             new SuspensionDetector(),
             new HashSet<>(),
-            HeldBytes.shareOfDirectMemory(RESPONSE_MEMORY_DIVISOR));
+            responseMemory);
     this.engines = engines;
   }
 
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/AnswerEnd.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/AnswerEnd.java
@@ -16,6 +16,10 @@
   CONNECTION_ERROR("connection-error", "caller"),
   IDLE_TIMEOUT("idle-timeout", "daemon"),
   LINGER_TIMEOUT("linger-timeout", "daemon"),
+  /** The process held too much for its clients. */
+  MEMORY("memory", "daemon"),
+  /** The process had too many connections. */
+  CONNECTION_LIMIT("connection-limit", "daemon"),
   PROCESS_END("process-end", "daemon");
 
   private final String label;
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallerConnection.java
@@ -3,24 +3,16 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -28,17 +20,11 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.concurrent.ThreadLocalRandom;
-import java.util.function.Consumer;
+import java.util.function.LongPredicate;
 import org.sequoiareach.daemon.dialect.InvalidCallException;
 import org.sequoiareach.decision.dispatch.CallProfile;
-import org.sequoiareach.model.request.Reason;
-import org.sequoiareach.model.request.Verdict;
+import org.sequoiareach.decision.pressure.Holding;
 import org.sequoiareach.model.route.CallerLimits;
 import org.sequoiareach.store.time.MonotonicClock;
 
@@ -49,7 +35,7 @@
  * <p>Each phase has a deadline, which {@link GatewayHttpServer} checks periodically. Not
  * thread-safe; confined to the event loop.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements DecodeGate {
 
   private enum Phase {
     /** No request has started. */
@@ -75,14 +61,11 @@
 
   private static final String NO_MEMORY =
       "the bodies of other requests leave no memory for this one";
-
-  /** Bounds of the random time after which callers return whose requests were not read. */
-  private static final long MIN_RETRY_AFTER_MS = 300;
-
-  private static final long MAX_RETRY_AFTER_MS = 900;
+  private static final String NO_HEAD_MEMORY =
+      "the heads of other requests leave no memory for this one";
 
   private final GatewayHttpServer server;
-  private final Deque<HttpObject> pipelined = new ArrayDeque<>();
+  private final RequestMemory memory;
   private Channel channel;
   private Phase phase = Phase.IDLE;
   private long deadlineMs;
@@ -90,7 +73,11 @@
   private HttpRequest request;
   private CallProfile profile;
   private ByteBuf body;
-  private long reservedBytes;
+  private int headLines;
+  private boolean headStarted;
+  private long progressMs;
+  private boolean unreadFits = true;
+  private InputRegulator regulator;
   private CallResponseWriter responseWriter;
   private Runnable onDisconnect = () -> {};
   private Optional<AnswerProgress> lastAnswer = Optional.empty();
@@ -98,13 +85,87 @@
 
   CallerConnection(GatewayHttpServer server) {
     this.server = server;
+    this.memory = new RequestMemory(server.memory());
   }
 
-  /** Starts the deadline for the request head if the connection was idle. */
-  void bytesReceived() {
+  /** Sets the handler that reads ahead of the decoder, before the connection becomes active. */
+  void setRegulator(InputRegulator regulator) {
+    this.regulator = regulator;
+  }
+
+  @Override
+  public boolean mayDecode(ByteBuf input) {
+    if (phase == Phase.LINGERING) {
+      input.skipBytes(input.readableBytes());
+      return false;
+    }
+    if (!isReady() || !regulator.tryTakeObject()) {
+      return false;
+    }
+    progressMs = MonotonicClock.nowMs();
     if (phase == Phase.IDLE) {
-      enter(Phase.READING_HEAD, MonotonicClock.nowMs() + limits().headerTimeoutMs());
+      // The time for the request head starts with its first byte.
+      enter(Phase.READING_HEAD, progressMs + limits().headerTimeoutMs());
+    }
+    return phase != Phase.READING_HEAD || reserveHead(input);
+  }
+
+  /** Returns whether the next request may be read; not while unread responses exceed the memory. */
+  boolean isReady() {
+    return phase != Phase.RESPONDING && (phase != Phase.IDLE || unreadFits || channel.isWritable());
+  }
+
+  /** Closes the connection because the bytes that wait on it exceed the memory for them. */
+  void closeForMemory() {
+    server.connectionClosedFor("reads");
+    close(AnswerEnd.MEMORY);
+  }
+
+  /** Returns what is held for this connection, for the choice of whom to refuse. */
+  Holding holding() {
+    Holding.Stage stage =
+        switch (phase) {
+          case READING_HEAD, READING_BODY -> Holding.Stage.SENDING;
+          case RESPONDING -> Holding.Stage.RUNNING;
+          default -> countUnsentBytes() > 0 ? Holding.Stage.RUNNING : Holding.Stage.IDLE;
+        };
+    return new Holding(stage, memory.heldBytes(), progressMs);
+  }
+
+  /** Refuses the request that is being read, and releases its memory. */
+  void refuseForMemory() {
+    server.connectionClosedFor("memory");
+    if (phase == Phase.READING_BODY) {
+      rejectNotRun(NO_MEMORY);
+      return;
+    }
+    releaseRequest();
+    close(AnswerEnd.MEMORY);
+  }
+
+  /** Closes the connection to make room for another one. */
+  void closeForConnection() {
+    server.connectionClosedFor("connections");
+    close(AnswerEnd.CONNECTION_LIMIT);
+  }
+
+  private boolean reserveHead(ByteBuf input) {
+    HeadCost cost = HeadCost.of(input, headStarted);
+    headStarted = cost.started();
+    headLines += cost.lines();
+    boolean fits = headLines <= server.clientLimits().maxHeaderLines();
+    if (!fits) {
+      reject(
+          HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+          "the request head has more than " + server.clientLimits().maxHeaderLines() + " lines");
+    } else if (!tryReserve(memory::tryReserveHead, cost.heapBytes())) {
+      fits = false;
+      rejectNotRun(NO_HEAD_MEMORY);
+    }
+    if (!fits) {
+      input.skipBytes(input.readableBytes());
     }
+    return fits;
   }
 
   /** Rejects the request or closes the connection if the deadline of the phase has passed. */
@@ -173,7 +234,8 @@
   public void channelActive(ChannelHandlerContext ctx) {
     channel = ctx.channel();
     server.connectionOpened(this);
-    enter(Phase.IDLE, MonotonicClock.nowMs() + limits().idleTimeoutMs());
+    progressMs = MonotonicClock.nowMs();
+    enter(Phase.IDLE, progressMs + limits().idleTimeoutMs());
   }
 
   @Override
@@ -182,12 +244,10 @@
     incompleteAnswer()
         .ifPresent(
             answer -> server.answerEnds().onIncomplete(answer, closing, server.sheetVersion()));
-    pipelined.forEach(ReferenceCountUtil::release);
-    pipelined.clear();
-    releaseBody();
-    releaseReserved();
+    releaseRequest();
+    memory.tryHoldUnread(0);
     if (phase == Phase.RESPONDING) {
-      responseWriter.ended = true;
+      responseWriter.markEnded();
       onDisconnect.run();
     }
   }
@@ -200,17 +260,15 @@
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
     if (responseWriter != null) {
-      responseWriter.writableListener.accept(channel.isWritable());
+      responseWriter.onWritable(channel.isWritable());
+    }
+    if (phase == Phase.IDLE && channel.isWritable()) {
+      regulator.resume();
     }
   }
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
-    if (phase == Phase.RESPONDING) {
-      // A pipelined request, which is read once the current response has ended.
-      pipelined.add((HttpObject) message);
-      return;
-    }
     read((HttpObject) message);
   }
 
@@ -252,7 +310,7 @@
       return;
     }
     int length = (int) HttpUtil.getContentLength(head, 0L);
-    if (!tryReserve(length)) {
+    if (!tryReserve(memory::tryReserveBody, length)) {
       rejectNotRun(NO_MEMORY);
       return;
     }
@@ -271,8 +329,8 @@
       return;
     }
     // Copied, because callers choose the size of chunks, and each one kept would cost its objects.
-    long missingBytes = body.readableBytes() + part.content().readableBytes() - reservedBytes;
-    if (missingBytes > 0 && !tryReserve(missingBytes)) {
+    long missingBytes = body.readableBytes() + part.content().readableBytes() - memory.bodyBytes();
+    if (missingBytes > 0 && !tryReserve(memory::tryReserveBody, missingBytes)) {
       rejectNotRun(NO_MEMORY);
       return;
     }
@@ -280,8 +338,15 @@
     if (part instanceof LastHttpContent) {
       final ByteBuf requestBody = body;
       body = null;
-      responseWriter = new CallResponseWriter(HttpUtil.isKeepAlive(request), request.method());
-      lastAnswer = Optional.of(responseWriter.progress);
+      responseWriter =
+          new CallResponseWriter(
+              this,
+              server,
+              channel,
+              profile.requestId(),
+              HttpUtil.isKeepAlive(request),
+              request.method());
+      lastAnswer = Optional.of(responseWriter.progress());
       enter(Phase.RESPONDING, Long.MAX_VALUE);
       onDisconnect =
           server.requestHandler().handleRequest(profile, request, requestBody, responseWriter);
@@ -292,26 +357,29 @@
     return "the request body is longer than " + limits().bodyBytes() + " bytes";
   }
 
-  private boolean tryReserve(long bytes) {
-    if (!server.bodyMemory().tryReserve(reservedBytes, bytes)) {
-      return false;
+  private boolean tryReserve(LongPredicate reservation, long bytes) {
+    while (!reservation.test(bytes)) {
+      if (!server.makeRoom(this, memory.heldBytes() + bytes)) {
+        return false;
+      }
     }
-    reservedBytes += bytes;
     return true;
   }
 
-  private void releaseReserved() {
-    server.bodyMemory().release(reservedBytes);
-    reservedBytes = 0;
+  private void releaseRequest() {
+    releaseBody();
+    memory.releaseBody();
+    memory.releaseHead();
+    request = null;
+    headLines = 0;
+    headStarted = false;
   }
 
   private void rejectNotRun(String detail) {
-    HttpHeaders headers = new DefaultHttpHeaders();
-    headers.set("Sequoiareach-Verdict", Verdict.NOT_RUN.label());
-    long retryAfterMs =
-        ThreadLocalRandom.current().nextLong(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
-    server.dialect().setRetryAfter(headers, retryAfterMs);
-    reject(HttpResponseStatus.SERVICE_UNAVAILABLE, detail, headers);
+    reject(
+        HttpResponseStatus.SERVICE_UNAVAILABLE,
+        detail,
+        RejectionResponses.notRunHeaders(server.dialect()));
   }
 
   private void rejectMalformed(Throwable cause) {
@@ -332,41 +400,38 @@
   private void reject(HttpResponseStatus status, String detail, HttpHeaders headers) {
     server.requestRejected(profile, status.code(), detail);
     releaseBody();
-    releaseReserved();
-    ByteBuf text = Unpooled.copiedBuffer(detail + "\n", StandardCharsets.UTF_8);
-    DefaultFullHttpResponse response =
-        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text);
-    response.headers().set(headers);
-    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes());
-    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    channel.writeAndFlush(response);
+    memory.releaseBody();
+    if (request != null) {
+      // Otherwise the decoder holds a part of the head until the connection is closed.
+      releaseRequest();
+    }
+    channel.writeAndFlush(RejectionResponses.create(status, detail, headers));
     linger();
   }
 
-  private void linger() {
+  /** Drops further input until the connection closes. */
+  void linger() {
     enter(Phase.LINGERING, MonotonicClock.nowMs() + LINGER_MS);
   }
 
-  private void onResponseEnded(boolean keepAlive) {
-    releaseReserved();
+  /** Reads the next request, unless the connection closes after the response that has ended. */
+  void onResponseEnded(boolean keepAlive) {
+    releaseRequest();
+    unreadFits = memory.tryHoldUnread(countUnsentBytes());
     responseWriter = null;
     onDisconnect = () -> {};
     profile = null;
     if (!keepAlive) {
-      pipelined.forEach(ReferenceCountUtil::release);
-      pipelined.clear();
       enter(Phase.LINGERING, findIdleDeadlineMs());
-      return;
-    }
-    enter(Phase.IDLE, findIdleDeadlineMs());
-    while (phase != Phase.RESPONDING && !pipelined.isEmpty()) {
-      bytesReceived();
-      read(pipelined.poll());
+    } else {
+      enter(Phase.IDLE, findIdleDeadlineMs());
     }
+    regulator.resume();
   }
 
-  private void onResponseSent() {
+  /** Starts the idle time once the whole response is written. */
+  void onResponseSent() {
+    memory.tryHoldUnread(channel.isActive() ? countUnsentBytes() : 0);
     if (phase == Phase.LINGERING) {
       linger();
     } else if (phase == Phase.IDLE) {
@@ -390,105 +455,4 @@
   private CallerLimits limits() {
     return server.limits();
   }
-
-  /** Writes the response to the request in progress. */
-  private final class CallResponseWriter implements ResponseWriter {
-
-    private final HttpMethod method;
-    private final AnswerProgress progress =
-        new AnswerProgress(profile.requestId(), true, server.sheetVersion());
-    private boolean keepAlive;
-    private boolean ended;
-    private Consumer<Boolean> writableListener = writable -> {};
-
-    private CallResponseWriter(boolean keepAlive, HttpMethod method) {
-      this.keepAlive = keepAlive;
-      this.method = method;
-    }
-
-    @Override
-    public boolean isOpen() {
-      return !ended && channel.isActive();
-    }
-
-    @Override
-    public void sendHead(HttpResponseStatus status, HttpHeaders headers, OptionalLong length) {
-      if (!isOpen()) {
-        return;
-      }
-      HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers);
-      if (length.isPresent()) {
-        head.headers().set(HttpHeaderNames.CONTENT_LENGTH, length.getAsLong());
-      } else {
-        head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-      }
-      keepAlive = keepAlive && !server.isDraining();
-      if (!keepAlive) {
-        head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-      }
-      channel.write(head);
-    }
-
-    @Override
-    public void sendContent(ByteBuf part) {
-      if (!isOpen() || HttpMethod.HEAD.equals(method)) {
-        part.release();
-        return;
-      }
-      int length = part.readableBytes();
-      progress.onPart(length);
-      channel
-          .writeAndFlush(new DefaultHttpContent(part))
-          .addListener(
-              written -> {
-                if (written.isSuccess()) {
-                  progress.onWritten(length);
-                }
-              });
-    }
-
-    @Override
-    public void finish() {
-      if (!isOpen()) {
-        return;
-      }
-      ended = true;
-      ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-      written.addListener(
-          outcome -> {
-            if (outcome.isSuccess()) {
-              progress.onEndWritten();
-            }
-          });
-      if (!written.isDone()) {
-        // Before the handler learns that the response has ended.
-        server.responseUnsent();
-        written.addListener(ignored -> server.responseSent());
-      }
-      onResponseEnded(keepAlive);
-      // A slow caller may still have to take a part of the response.
-      written.addListener(ignored -> onResponseSent());
-    }
-
-    @Override
-    public void abort() {
-      abort(Reason.INTERNAL);
-    }
-
-    @Override
-    public void abort(Reason reason) {
-      if (!isOpen()) {
-        return;
-      }
-      ended = true;
-      server.answerEnds().onIncomplete(progress, AnswerEnd.ofCut(reason), server.sheetVersion());
-      linger();
-      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
-    }
-
-    @Override
-    public void onWritabilityChanged(Consumer<Boolean> listener) {
-      writableListener = listener;
-    }
-  }
 }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/GatewayHttpServer.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/GatewayHttpServer.java
@@ -3,8 +3,6 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -18,6 +16,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -27,10 +26,13 @@
 import org.apache.logging.log4j.message.StringMapMessage;
 import org.sequoiareach.daemon.control.EffectHandler;
 import org.sequoiareach.daemon.dialect.CallDialect;
-import org.sequoiareach.daemon.memory.HeldBytes;
+import org.sequoiareach.daemon.memory.MemoryAccount;
 import org.sequoiareach.decision.dispatch.CallProfile;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.decision.effect.Effect;
+import org.sequoiareach.decision.pressure.Holding;
+import org.sequoiareach.decision.pressure.PressureStrategy;
+import org.sequoiareach.decision.pressure.StalledFirstStrategy;
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.route.CallerLimits;
 import org.sequoiareach.store.time.MonotonicClock;
@@ -46,18 +48,22 @@
 
   private static final Logger LOGGER = LogManager.getLogger(GatewayHttpServer.class);
   private static final int ACCEPT_BACKLOG = 1_024;
+
+  /** Bounds what one read may leave undecoded behind a request in progress. */
+  private static final int MAX_READ_BYTES = 16 << 10;
+
   private static final long DEADLINE_CHECK_MS = 200;
   private static final long MAX_LOG_WAIT_MS = 100;
   private static final long CLOSE_CHECK_MS = 5;
 
-  /** The part of the direct memory for request bodies; the rest is for reads and responses. */
-  private static final int BODY_MEMORY_DIVISOR = 3;
-
   private final CallDialect dialect;
   private final RequestHandler requestHandler;
   private final MetricRegistry metrics;
   private final EventLoop loop;
-  private final HeldBytes bodyMemory;
+  private final MemoryAccount memory;
+  private final ClientLimits clientLimits;
+  private final DecodeTurns decodeTurns;
+  private final PressureStrategy pressureStrategy = new StalledFirstStrategy();
   private final Set<CallerConnection> connections = new HashSet<>();
   private int unsentResponses;
   private volatile CallerLimits limits = CallerLimits.INITIAL;
@@ -73,20 +79,19 @@
    * @param requestHandler handles complete requests
    * @param metrics the registry for the counts of rejected requests
    * @param loop the event loop that all connections run on
+   * @param memory accounts for what is held for callers
+   * @param clientLimits the limits on connections and header lines
    */
   public GatewayHttpServer(
-      CallDialect dialect, RequestHandler requestHandler, MetricRegistry metrics, EventLoop loop) {
-    this(
-        dialect, requestHandler, metrics, loop, HeldBytes.shareOfDirectMemory(BODY_MEMORY_DIVISOR));
-  }
-
-  GatewayHttpServer(
       CallDialect dialect,
       RequestHandler requestHandler,
       MetricRegistry metrics,
       EventLoop loop,
-      HeldBytes bodyMemory) {
-    this.bodyMemory = bodyMemory;
+      MemoryAccount memory,
+      ClientLimits clientLimits) {
+    this.memory = Check.notNull(memory, "memory");
+    this.clientLimits = Check.notNull(clientLimits, "clientLimits");
+    this.decodeTurns = new DecodeTurns(loop);
     this.dialect = Check.notNull(dialect, "dialect");
     this.requestHandler = Check.notNull(requestHandler, "requestHandler");
     this.metrics = Check.notNull(metrics, "metrics");
@@ -120,6 +125,7 @@
         .group(loop, loop)
         .channelFactory(() -> new NioServerSocketChannel(socket))
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, ReadSizes.upTo(MAX_READ_BYTES))
         .childHandler(new PipelineInitializer())
         .register()
         .syncUninterruptibly()
@@ -204,8 +210,40 @@
     return requestHandler;
   }
 
-  HeldBytes bodyMemory() {
-    return bodyMemory;
+  MemoryAccount memory() {
+    return memory;
+  }
+
+  ClientLimits clientLimits() {
+    return clientLimits;
+  }
+
+  /**
+   * Refuses the request of another connection to make room.
+   *
+   * @param requester the connection that needs memory
+   * @param bytes what it holds and needs, in bytes
+   * @return false if the requester is to be refused instead
+   */
+  boolean makeRoom(CallerConnection requester, long bytes) {
+    List<CallerConnection> others = others(requester);
+    OptionalInt chosen =
+        pressureStrategy.chooseForMemory(holdings(others), bytes, MonotonicClock.nowMs());
+    chosen.ifPresent(index -> others.get(index).refuseForMemory());
+    return chosen.isPresent();
+  }
+
+  /** Counts a connection that was closed because clients exceed a limit. */
+  void connectionClosedFor(String limit) {
+    metrics.meter("front.closed." + limit).mark();
+  }
+
+  private List<CallerConnection> others(CallerConnection connection) {
+    return connections.stream().filter(other -> other != connection).toList();
+  }
+
+  private static List<Holding> holdings(List<CallerConnection> connections) {
+    return connections.stream().map(CallerConnection::holding).toList();
   }
 
   CallerLimits limits() {
@@ -214,6 +252,16 @@
 
   void connectionOpened(CallerConnection connection) {
     connections.add(connection);
+    if (connections.size() <= clientLimits.maxCallerConnections()) {
+      return;
+    }
+    List<CallerConnection> others = others(connection);
+    OptionalInt chosen =
+        pressureStrategy.chooseForConnection(holdings(others), MonotonicClock.nowMs());
+    CallerConnection closed = chosen.isPresent() ? others.get(chosen.getAsInt()) : connection;
+    // At once, as more connections may be accepted before the closed one reports its end.
+    connections.remove(closed);
+    closed.closeForConnection();
   }
 
   void connectionClosed(CallerConnection connection) {
@@ -265,29 +313,16 @@
           new HttpDecoderConfig()
               .setMaxInitialLineLength(limits.headerBytes())
               .setMaxHeaderSize(limits.headerBytes());
-      channel
-          .pipeline()
-          .addLast(
-              new InboundBytesNotifier(connection),
-              new StrictRequestDecoder(config),
-              new HttpResponseEncoder(),
-              connection);
-    }
-  }
-
-  /** Notifies a connection of incoming bytes before they are decoded. */
-  private static final class InboundBytesNotifier extends ChannelInboundHandlerAdapter {
-
-    private final CallerConnection connection;
-
-    private InboundBytesNotifier(CallerConnection connection) {
-      this.connection = connection;
-    }
-
-    @Override
-    public void channelRead(ChannelHandlerContext ctx, Object message) {
-      connection.bytesReceived();
-      ctx.fireChannelRead(message);
+      StrictRequestDecoder decoder = new StrictRequestDecoder(config, connection);
+      InputRegulator regulator =
+          new InputRegulator(
+              decodeTurns,
+              decoder,
+              connection::isReady,
+              memory.reads(),
+              connection::closeForMemory);
+      connection.setRegulator(regulator);
+      channel.pipeline().addLast(regulator, decoder, new HttpResponseEncoder(), connection);
     }
   }
 }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/StrictRequestDecoder.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/StrictRequestDecoder.java
@@ -1,5 +1,7 @@
 package org.sequoiareach.daemon.front;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -11,12 +13,28 @@
 /**
  * HTTP request decoder that rejects ambiguous message framing. If two parsers disagree on the
  * length of a body, one may read a part of it as a separate request, which permits request
- * smuggling (RFC 9112, section 6.3).
+ * smuggling (RFC 9112, section 6.3). Bytes that its gate holds back stay undecoded.
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
 
-  StrictRequestDecoder(HttpDecoderConfig config) {
+  private final DecodeGate gate;
+
+  StrictRequestDecoder(HttpDecoderConfig config, DecodeGate gate) {
     super(config);
+    this.gate = gate;
+  }
+
+  /** Returns the number of bytes that were received and not decoded. */
+  int undecodedBytes() {
+    return actualReadableBytes();
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out)
+      throws Exception {
+    if (gate.mayDecode(buffer)) {
+      super.decode(ctx, buffer, out);
+    }
   }
 
   @Override
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
@@ -10,7 +10,6 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -25,6 +24,7 @@
 import org.sequoiareach.daemon.feed.StoreWatcher;
 import org.sequoiareach.daemon.front.GatewayHttpServer;
 import org.sequoiareach.daemon.measure.LatencyRegistry;
+import org.sequoiareach.daemon.memory.MemoryAccount;
 import org.sequoiareach.daemon.operator.ReadinessFlag;
 import org.sequoiareach.daemon.peer.MembershipBridge;
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
@@ -51,10 +51,7 @@
 import org.sequoiareach.store.http.HttpCaller;
 import org.sequoiareach.store.http.KeepAliveProbes;
 import org.sequoiareach.store.time.MonotonicClock;
-import reactor.core.publisher.Mono;
-import reactor.netty.DisposableServer;
 import reactor.netty.http.client.HttpClient;
-import reactor.netty.http.server.HttpServer;
 import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.resources.LoopResources;
 
@@ -86,8 +83,6 @@
   /** A part of what the end of the process may take after the end of the drain. */
   private static final long MAX_CLOSE_MS = 200;
 
-  private static final int STATUS_UNAVAILABLE = 503;
-
   private volatile GatewaySettings settings;
   private final long incarnation = System.currentTimeMillis();
   private final MetricRegistry metrics = new LatencyRegistry();
@@ -106,7 +101,7 @@
   private final PeerTransport transport;
   private final DispatchReducer reducer;
   private final GatewayHttpServer callerServer;
-  private final List<DisposableServer> servers = new ArrayList<>();
+  private final GatewayStatusServers statusServers;
   private final Channel callerChannel;
 
   private Gateway(
@@ -137,6 +132,7 @@
     peerState.complete(new PeerStateBridge(controlLoop, sender));
     peerLimits.complete(new PeerLimitBridge(controlLoop, sender));
     quarantines.complete(new PeerQuarantineBridge(controlLoop, sender));
+    final MemoryAccount memory = MemoryAccount.ofProcess();
     HttpCaller http = new HttpCaller(createClient(), MAX_STORE_RESPONSE_BYTES);
     TargetConnectionManager connections = new TargetConnectionManager(loop, resources);
     ProxyExchangeRegistry exchanges =
@@ -146,8 +142,12 @@
             binding.createEngineControl(http),
             controlLoop,
             metrics,
-            loop);
-    this.callerServer = new GatewayHttpServer(binding.dialect(), exchanges, metrics, loop);
+            loop,
+            memory.responses());
+    this.callerServer =
+        new GatewayHttpServer(
+            binding.dialect(), exchanges, metrics, loop, memory, settings.clientLimits());
+    memory.register(metrics);
     metrics.registerAll(ProcessGauges.create());
     metrics.register("sheet.revision", (Gauge<Long>) reducer::sheetRevision);
     metrics.register("targets", (Gauge<Integer>) reducer::targetCount);
@@ -179,8 +179,7 @@
             effect -> handleLocalEffect(effect, membership)));
     postSeedPeers();
     this.callerChannel = callerServer.accept(callerSocket);
-    servers.add(startReadinessServer());
-    servers.add(startMetricsServer());
+    this.statusServers = new GatewayStatusServers(settings, readiness, metrics, loop, memory);
   }
 
   /**
@@ -271,7 +270,7 @@
     controlLoop.close();
     timer.shutdownNow();
     transport.close();
-    servers.forEach(DisposableServer::disposeNow);
+    statusServers.close();
     platformPool.dispose();
     resources.dispose();
     stopped.countDown();
@@ -330,27 +329,6 @@
     return client.option(option, (T) value);
   }
 
-  private DisposableServer startReadinessServer() {
-    return HttpServer.create()
-        .runOn(resources, PREFER_NATIVE)
-        .bindAddress(() -> GatewaySettings.resolve(settings.readyAddress()))
-        .handle(
-            (request, response) ->
-                response
-                    .status(readiness.isReady() ? 200 : STATUS_UNAVAILABLE)
-                    .sendString(Mono.just(readiness.reason() + "\n")))
-        .bindNow();
-  }
-
-  private DisposableServer startMetricsServer() {
-    MetricsTextFormatter formatter = new MetricsTextFormatter(metrics);
-    return HttpServer.create()
-        .runOn(resources, PREFER_NATIVE)
-        .bindAddress(() -> GatewaySettings.resolve(settings.metricsAddress()))
-        .handle((request, response) -> response.sendString(Mono.fromSupplier(formatter::format)))
-        .bindNow();
-  }
-
   /**
    * Dispatches messages of peers by their type.
    *
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettings.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import org.sequoiareach.daemon.front.ClientLimits;
 import org.sequoiareach.decision.dispatch.DispatchSettings;
 import org.sequoiareach.model.Check;
 
@@ -25,6 +26,7 @@
  *     milliseconds
  * @param leavingBoundMs the time within which a target that is leaving according to the store must
  *     get no more requests, in milliseconds
+ * @param clientLimits limits on what clients may hold, whatever the routing sheet says
  */
 public record GatewaySettings(
     String name,
@@ -40,7 +42,8 @@
     double retryWindowSeconds,
     double retryExtra,
     double sheetBoundMs,
-    double leavingBoundMs) {
+    double leavingBoundMs,
+    ClientLimits clientLimits) {
 
   /**
    * The load balancer stops sending connections after two failed checks, which are a second apart,
@@ -70,6 +73,59 @@
     Check.isTrue(retryExtra >= 0, "'retryExtra' must not be negative but is " + retryExtra + ".");
     requirePositive(sheetBoundMs, "sheetBoundMs");
     requirePositive(leavingBoundMs, "leavingBoundMs");
+    Check.notNull(clientLimits, "clientLimits");
+  }
+
+  /**
+   * Creates settings with the default limits for clients.
+   *
+   * @param name the name of the daemon in logs
+   * @param zone the availability zone of the daemon
+   * @param callerAddress the address that accepts callers
+   * @param readyAddress the address that serves the readiness check
+   * @param peerAddress the address that accepts peers
+   * @param metricsAddress the address that serves the metrics
+   * @param seedAddresses peer addresses of other daemons
+   * @param storeAddress the address of the store
+   * @param gracePeriodSeconds the time from a stop request to the forced end of the process
+   * @param retryRatio the retry budget as a ratio of retries to requests
+   * @param retryWindowSeconds the time window of the retry budget
+   * @param retryExtra the number of retries per window in addition to the ratio
+   * @param sheetBoundMs the time within which a sheet has to be in force, in milliseconds
+   * @param leavingBoundMs the time within which a leaving target gets no more requests, in
+   *     milliseconds
+   */
+  public GatewaySettings(
+      String name,
+      String zone,
+      String callerAddress,
+      String readyAddress,
+      String peerAddress,
+      String metricsAddress,
+      List<String> seedAddresses,
+      String storeAddress,
+      double gracePeriodSeconds,
+      double retryRatio,
+      double retryWindowSeconds,
+      double retryExtra,
+      double sheetBoundMs,
+      double leavingBoundMs) {
+    this(
+        name,
+        zone,
+        callerAddress,
+        readyAddress,
+        peerAddress,
+        metricsAddress,
+        seedAddresses,
+        storeAddress,
+        gracePeriodSeconds,
+        retryRatio,
+        retryWindowSeconds,
+        retryExtra,
+        sheetBoundMs,
+        leavingBoundMs,
+        ClientLimits.DEFAULT);
   }
 
   /**
@@ -102,7 +158,7 @@
    * Returns whether a daemon that runs with these settings can change to others at runtime.
    *
    * @param other the new settings
-   * @return false if an address or the zone differs, which requires a restart
+   * @return false if an address, the zone or a limit for clients differs, which requires a restart
    */
   public boolean canReloadTo(GatewaySettings other) {
     return zone.equals(other.zone)
@@ -110,7 +166,8 @@
         && readyAddress.equals(other.readyAddress)
         && peerAddress.equals(other.peerAddress)
         && metricsAddress.equals(other.metricsAddress)
-        && storeAddress.equals(other.storeAddress);
+        && storeAddress.equals(other.storeAddress)
+        && clientLimits.equals(other.clientLimits);
   }
 
   /**
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettingsReader.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettingsReader.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import org.sequoiareach.daemon.front.ClientLimits;
 import org.sequoiareach.model.Check;
 import org.sequoiareach.model.json.Json;
 
@@ -62,7 +63,25 @@
         readNumber(tree, "retryWindowSeconds"),
         readNumber(tree, "retryExtra"),
         readNumber(tree, "sheetBoundMs"),
-        readNumber(tree, "leavingBoundMs"));
+        readNumber(tree, "leavingBoundMs"),
+        readClientLimits(tree));
+  }
+
+  private static ClientLimits readClientLimits(JsonNode tree) {
+    ClientLimits defaults = ClientLimits.DEFAULT;
+    return new ClientLimits(
+        readCount(tree, "maxCallerConnections", defaults.maxCallerConnections()),
+        readCount(tree, "maxStatusConnections", defaults.maxStatusConnections()),
+        readCount(tree, "maxHeaderLines", defaults.maxHeaderLines()));
+  }
+
+  /** Returns the integer of a field, or a default if the field is absent. */
+  private static int readCount(JsonNode tree, String name, int defaultValue) {
+    JsonNode value = tree.path(name);
+    Check.isTrue(
+        value.canConvertToInt() && value.isIntegralNumber() || value.isMissingNode(),
+        "'" + name + "' must be an integer but is " + value + ".");
+    return value.asInt(defaultValue);
   }
 
   /** Returns the text of a field, or an empty text if the field is absent. */
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/memory/HeldBytes.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/memory/HeldBytes.java
@@ -19,7 +19,7 @@
   private static final int SMALL_SHARE_DIVISOR = 4;
 
   private final long limitBytes;
-  private long heldBytes;
+  private volatile long heldBytes;
 
   /**
    * Creates an account that holds nothing.
@@ -58,6 +58,15 @@
     return true;
   }
 
+  /**
+   * Returns what is reserved. Any thread may call this.
+   *
+   * @return the number of bytes
+   */
+  public long heldBytes() {
+    return heldBytes;
+  }
+
   /**
    * Releases reserved memory.
    *
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/CallerConnectionTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/CallerConnectionTest.java
@@ -38,6 +38,7 @@
 import org.sequoiareach.daemon.dialect.CallDialect;
 import org.sequoiareach.daemon.dialect.InvalidCallException;
 import org.sequoiareach.daemon.memory.HeldBytes;
+import org.sequoiareach.daemon.memory.MemoryAccount;
 import org.sequoiareach.daemon.sse.EventStreamFormat;
 import org.sequoiareach.daemon.sse.NumberedEventStreamFormat;
 import org.sequoiareach.decision.dispatch.CallProfile;
@@ -72,7 +73,8 @@
           this::handle,
           new MetricRegistry(),
           loop,
-          new HeldBytes(BODY_MEMORY_BYTES));
+          MemoryAccount.withBodies(new HeldBytes(BODY_MEMORY_BYTES)),
+          ClientLimits.DEFAULT);
   private Channel channel;
   private Socket caller;
 
@@ -452,7 +454,7 @@
   }
 
   /** Dialect of requests that state only their id. */
-  private static final class PlainDialect implements CallDialect {
+  static final class PlainDialect implements CallDialect {
 
     @Override
     public CallProfile readRequest(HttpRequest request, long nowMs) throws InvalidCallException {
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/SlowCallerTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/SlowCallerTest.java
@@ -32,6 +32,7 @@
 import org.sequoiareach.daemon.dialect.AnswerHead;
 import org.sequoiareach.daemon.dialect.AttemptMetadata;
 import org.sequoiareach.daemon.dialect.CallDialect;
+import org.sequoiareach.daemon.memory.MemoryAccount;
 import org.sequoiareach.daemon.sse.EventStreamFormat;
 import org.sequoiareach.daemon.sse.NumberedEventStreamFormat;
 import org.sequoiareach.decision.dispatch.CallProfile;
@@ -61,7 +62,13 @@
   private final BlockingQueue<ResponseWriter> responses = new LinkedBlockingQueue<>();
   private final MetricRegistry metrics = new MetricRegistry();
   private final GatewayHttpServer server =
-      new GatewayHttpServer(new PlainDialect(), this::handle, metrics, loop);
+      new GatewayHttpServer(
+          new PlainDialect(),
+          this::handle,
+          metrics,
+          loop,
+          MemoryAccount.ofProcess(),
+          ClientLimits.DEFAULT);
   private Channel channel;
   private Socket caller;
 
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/gateway/GatewaySettingsReaderTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/gateway/GatewaySettingsReaderTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiareach.daemon.front.ClientLimits;
 
 /** Tests that settings are read field by field and that errors name the field and its value. */
 class GatewaySettingsReaderTest {
@@ -40,6 +41,17 @@
                 4_000));
   }
 
+  /** Guards against limits that are read but not applied. */
+  @Test
+  void readsLimitsForClients() {
+    String limits = ",\"maxCallerConnections\":7,\"maxStatusConnections\":8,\"maxHeaderLines\":9}";
+
+    GatewaySettings settings =
+        GatewaySettingsReader.parse(VALID.substring(0, VALID.length() - 1) + limits);
+
+    assertThat(settings.clientLimits()).isEqualTo(new ClientLimits(7, 8, 9));
+  }
+
   @ParameterizedTest
   @CsvSource(
       delimiter = '|',
@@ -50,6 +62,11 @@
         "[\"10.0.0.2:82\"] | [82] | 'seedAddresses' must be a list of texts but is [82]",
         "[\"10.0.0.2:82\"] | [\"host\"] | 'seedAddresses' must be an IPv4 address and a port",
         "10.0.0.9:84 | store | 'storeAddress' must be an IPv4 address and a port but is 'store'",
+        "\"zone\":\"z1\" | \"zone\":\"z1\",\"maxHeaderLines\":0 | 'maxHeaderLines'",
+        "\"zone\":\"z1\" | \"zone\":\"z1\",\"maxCallerConnections\":1.5 |"
+            + " 'maxCallerConnections' must be an integer but is 1.5",
+        "\"zone\":\"z1\" | \"zone\":\"z1\",\"maxStatusConnections\":\"x\" |"
+            + " 'maxStatusConnections' must be an integer but is \"x\"",
         "{\"name\" | [\"name\" | The settings are not valid JSON"
       })
   void namesInvalidFieldAndValue(String valid, String invalid, String message) {
