--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettings.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import org.sequoiareach.daemon.front.ClientLimits;
 import org.sequoiareach.decision.dispatch.DispatchSettings;
 import org.sequoiareach.model.Check;
 
@@ -27,6 +28,7 @@
  *     get no more requests, in milliseconds
  * @param hedgeRatio the hedged requests that all daemons together may send to a service, as a ratio
  *     of its requests, between 0 and 1; 0 for none
+ * @param clientLimits limits on what clients may hold, whatever the routing sheet says
  */
 public record GatewaySettings(
     String name,
@@ -43,7 +45,8 @@
     double retryExtra,
     double sheetBoundMs,
     double leavingBoundMs,
-    double hedgeRatio) {
+    double hedgeRatio,
+    ClientLimits clientLimits) {
 
   /**
    * The load balancer stops sending connections after two failed checks, which are a second apart,
@@ -76,9 +79,28 @@
     Check.isTrue(
         hedgeRatio >= 0 && hedgeRatio <= 1,
         "'hedgeRatio' must be between 0 and 1 but is " + hedgeRatio + ".");
+    Check.notNull(clientLimits, "clientLimits");
   }
 
-  /** Creates settings without hedged requests. */
+  /**
+   * Creates settings without hedged requests and with the default limits for clients.
+   *
+   * @param name the name of the daemon in logs
+   * @param zone the availability zone of the daemon
+   * @param callerAddress the address that accepts callers
+   * @param readyAddress the address that serves the readiness check
+   * @param peerAddress the address that accepts peers
+   * @param metricsAddress the address that serves the metrics
+   * @param seedAddresses peer addresses of other daemons
+   * @param storeAddress the address of the store
+   * @param gracePeriodSeconds the time from a stop request to the forced end of the process
+   * @param retryRatio the retry budget as a ratio of retries to requests
+   * @param retryWindowSeconds the time window of the retry budget
+   * @param retryExtra the number of retries per window in addition to the ratio
+   * @param sheetBoundMs the time within which a sheet has to be in force, in milliseconds
+   * @param leavingBoundMs the time within which a leaving target gets no more requests, in
+   *     milliseconds
+   */
   public GatewaySettings(
       String name,
       String zone,
@@ -109,7 +131,8 @@
         retryExtra,
         sheetBoundMs,
         leavingBoundMs,
-        0);
+        0,
+        ClientLimits.DEFAULT);
   }
 
   /**
@@ -143,7 +166,7 @@
    * Returns whether a daemon that runs with these settings can change to others at runtime.
    *
    * @param other the new settings
-   * @return false if an address or the zone differs, which requires a restart
+   * @return false if an address, the zone or a limit for clients differs, which requires a restart
    */
   public boolean canReloadTo(GatewaySettings other) {
     return zone.equals(other.zone)
@@ -151,7 +174,8 @@
         && readyAddress.equals(other.readyAddress)
         && peerAddress.equals(other.peerAddress)
         && metricsAddress.equals(other.metricsAddress)
-        && storeAddress.equals(other.storeAddress);
+        && storeAddress.equals(other.storeAddress)
+        && clientLimits.equals(other.clientLimits);
   }
 
   /**
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/HedgeHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/HedgeHandler.java
@@ -127,7 +127,7 @@
 
   private void sendToSecond(long nowMs, ActiveCall call) {
     List<Candidate> all = context.candidates(call.service(), nowMs);
-    List<Candidate> eligible = all.stream().filter(one -> isEligible(call, one)).toList();
+    List<Candidate> eligible = all.stream().filter(one -> isEligible(nowMs, call, one)).toList();
     Optional<RoutedTarget> second =
         eligible.isEmpty()
             ? Optional.empty()
@@ -161,9 +161,9 @@
     calls.sendHedge(nowMs, call, second.get(), inputs);
   }
 
-  private boolean isEligible(ActiveCall call, Candidate candidate) {
+  private boolean isEligible(long nowMs, ActiveCall call, Candidate candidate) {
     return !call.wasTried(candidate.target().id())
-        && !limits.isLimited(candidate.target())
+        && !limits.isLimited(nowMs, candidate.target())
         && freeSlots(candidate) > 0;
   }
 
