Let prompts be read in the tests of engine speeds

Admission makes a call wait where unread prompts are ahead of it, so the fixture, which never read them, held back the runs whose placement the tests check. Each run's first event is now played.

--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/SpeedHandlerTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/SpeedHandlerTest.java
@@ -24,7 +24,10 @@
     fixture.tick(600);
 
     for (int i = 0; i < 6; i++) {
-      assertThat(fixture.lastSend(fixture.generate(3_000, 1_500)).target()).isNotEqualTo(slow);
+      String run = fixture.generate(3_000, 1_500);
+      assertThat(fixture.lastSend(run).target()).isNotEqualTo(slow);
+      // A prompt that is not read yet makes further runs wait.
+      fixture.started(run);
     }
     assertThat(lastRouteReason()).contains("slowness=", "gap=");
   }
@@ -56,7 +59,9 @@
     fixture.tick(600);
 
     for (int i = 0; i < 12; i++) {
-      assertThat(fixture.sends(fixture.generate(3_000, 1_500))).hasSize(1);
+      String run = fixture.generate(3_000, 1_500);
+      assertThat(fixture.sends(run)).hasSize(1);
+      fixture.started(run);
     }
   }
 
