--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -28,6 +28,7 @@
 import org.sequoiareach.decision.dispatch.CopyOutcome;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.decision.dispatch.DispatchEvent;
+import org.sequoiareach.decision.dispatch.HedgeEvent;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.model.route.RouteKind;
@@ -218,7 +219,7 @@
   }
 
   private void postWinner(AttemptResponseHandler winner) {
-    post(new DispatchEvent.AttemptWon(MonotonicClock.nowMs(), callId, winner.number()));
+    post(new HedgeEvent.AttemptWon(MonotonicClock.nowMs(), callId, winner.number()));
   }
 
   private void onConnected(
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
@@ -23,6 +23,7 @@
 import org.sequoiareach.decision.dispatch.CopyOutcome;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.decision.dispatch.DispatchEvent;
+import org.sequoiareach.decision.dispatch.HedgeEvent;
 import org.sequoiareach.decision.effect.Effect;
 import org.sequoiareach.model.route.RoutedTarget;
 import org.sequoiareach.store.time.MonotonicClock;
@@ -137,7 +138,7 @@
     context
         .loop()
         .schedule(
-            () -> context.events().post(new DispatchEvent.WakeUp(MonotonicClock.nowMs())),
+            () -> context.events().post(new HedgeEvent.WakeUp(MonotonicClock.nowMs())),
             Math.max(0, atMs - MonotonicClock.nowMs()),
             TimeUnit.MILLISECONDS);
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/StreamProgressMeter.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/StreamProgressMeter.java
@@ -1,7 +1,7 @@
 package org.sequoiareach.daemon.exchange;
 
 import org.sequoiareach.daemon.control.EventSink;
-import org.sequoiareach.decision.dispatch.DispatchEvent;
+import org.sequoiareach.decision.dispatch.StreamEvent;
 
 /**
  * Reports how fast the events of a generation are received: about once a second and at its end,
@@ -46,7 +46,7 @@
   void report() {
     if (count >= MIN_EVENTS) {
       events.post(
-          new DispatchEvent.StreamProgressed(lastMs, callId, attempt, count, lastMs - sinceMs));
+          new StreamEvent.StreamProgressed(lastMs, callId, attempt, count, lastMs - sinceMs));
       restart(lastMs);
     }
   }
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/HedgedExchangeTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/HedgedExchangeTest.java
@@ -40,6 +40,7 @@
 import org.sequoiareach.decision.dispatch.CallProfile;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.decision.dispatch.DispatchEvent;
+import org.sequoiareach.decision.dispatch.HedgeEvent;
 import org.sequoiareach.decision.event.Event;
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
@@ -108,7 +109,7 @@
     assertClosed(loser);
 
     assertThat(response.text.toString()).isEqualTo("head 200 " + "w".repeat(bodyBytes) + "finish");
-    assertThat(numbers(DispatchEvent.AttemptWon.class)).containsExactly(winner);
+    assertThat(numbers(HedgeEvent.AttemptWon.class)).containsExactly(winner);
     assertThat(numbers(DispatchEvent.AnswerDelivered.class)).containsExactly(winner);
     assertThat(numbers(DispatchEvent.AttemptFailed.class)).isEmpty();
     assertThat(metrics.meter("answers.hedge-dropped").getCount()).isEqualTo(1);
@@ -127,7 +128,7 @@
     await(() -> response.text.toString().endsWith("finish"));
 
     assertThat(response.text.toString()).isEqualTo("head 200 okfinish");
-    assertThat(numbers(DispatchEvent.AttemptWon.class)).isEmpty();
+    assertThat(numbers(HedgeEvent.AttemptWon.class)).isEmpty();
   }
 
   /** Guards against an answer that is lost with the connection of the other attempt. */
@@ -175,7 +176,7 @@
     await(() -> response.text.length() > LONG_BODY_BYTES);
     onLoop(() -> exchange.sendHedge(sendCall(3)));
 
-    assertThat(numbers(DispatchEvent.AttemptWon.class)).containsExactly(1, 1);
+    assertThat(numbers(HedgeEvent.AttemptWon.class)).containsExactly(1, 1);
     assertThat(numbers(DispatchEvent.AttemptFailed.class)).isEmpty();
   }
 
@@ -243,7 +244,7 @@
         .filter(type::isInstance)
         .map(
             event ->
-                event instanceof DispatchEvent.AttemptWon won
+                event instanceof HedgeEvent.AttemptWon won
                     ? won.attempt()
                     : event instanceof DispatchEvent.AttemptFailed failed
                         ? failed.attempt()
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/StreamProgressMeterTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/StreamProgressMeterTest.java
@@ -5,7 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.sequoiareach.decision.dispatch.DispatchEvent;
+import org.sequoiareach.decision.dispatch.StreamEvent;
 import org.sequoiareach.decision.event.Event;
 
 class StreamProgressMeterTest {
@@ -24,9 +24,9 @@
 
     assertThat(posted)
         .containsExactly(
-            new DispatchEvent.StreamProgressed(2_000, "c1", 1, 20, 1_000),
-            new DispatchEvent.StreamProgressed(3_000, "c1", 1, 20, 1_000),
-            new DispatchEvent.StreamProgressed(3_500, "c1", 1, 10, 500));
+            new StreamEvent.StreamProgressed(2_000, "c1", 1, 20, 1_000),
+            new StreamEvent.StreamProgressed(3_000, "c1", 1, 20, 1_000),
+            new StreamEvent.StreamProgressed(3_500, "c1", 1, 10, 500));
   }
 
   /** Guards against reports of runs that are too short to tell anything. */
@@ -48,7 +48,6 @@
       meter.onEvent(2_500 + i * 200, 2);
     }
 
-    assertThat(posted)
-        .containsExactly(new DispatchEvent.StreamProgressed(3_500, "c1", 2, 5, 1_000));
+    assertThat(posted).containsExactly(new StreamEvent.StreamProgressed(3_500, "c1", 2, 5, 1_000));
   }
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEffect.java
@@ -113,7 +113,7 @@
   record RecordHedge(String outcome) implements DispatchEffect {}
 
   /**
-   * Requests a {@link DispatchEvent.WakeUp}, for decisions that are due between two ticks.
+   * Requests a {@link HedgeEvent.WakeUp}, for decisions that are due between two ticks.
    *
    * @param atMs when it is due, in milliseconds
    */
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -37,11 +37,11 @@
   @JsonSubTypes.Type(DispatchEvent.SettingsChanged.class),
   @JsonSubTypes.Type(DispatchEvent.CallArrived.class),
   @JsonSubTypes.Type(DispatchEvent.AnswerStarted.class),
-  @JsonSubTypes.Type(DispatchEvent.StreamProgressed.class),
+  @JsonSubTypes.Type(StreamEvent.StreamProgressed.class),
   @JsonSubTypes.Type(DispatchEvent.AnswerDelivered.class),
   @JsonSubTypes.Type(DispatchEvent.AnswersUnsent.class),
-  @JsonSubTypes.Type(DispatchEvent.AttemptWon.class),
-  @JsonSubTypes.Type(DispatchEvent.WakeUp.class),
+  @JsonSubTypes.Type(HedgeEvent.AttemptWon.class),
+  @JsonSubTypes.Type(HedgeEvent.WakeUp.class),
   @JsonSubTypes.Type(DispatchEvent.AttemptFailed.class),
   @JsonSubTypes.Type(DispatchEvent.CallerLeft.class),
   @JsonSubTypes.Type(DispatchEvent.TargetProbed.class),
@@ -231,18 +231,6 @@
    */
   record AnswerStarted(long nowMs, String callId, int attempt) implements DispatchEvent {}
 
-  /**
-   * Events of a generation were received; reported about once a second and at its end.
-   *
-   * @param nowMs when it was observed
-   * @param callId the identifier of the call
-   * @param attempt the number of the attempt
-   * @param events the number of events after the first one or after the report before
-   * @param durationMs the time in which they were received
-   */
-  record StreamProgressed(long nowMs, String callId, int attempt, int events, long durationMs)
-      implements DispatchEvent {}
-
   /**
    * A complete answer was delivered to the caller.
    *
@@ -269,23 +257,6 @@
    */
   record AnswersUnsent(long nowMs, boolean unsent) implements DispatchEvent {}
 
-  /**
-   * The answer of one of two concurrent attempts is delivered; the other one was aborted or not
-   * sent.
-   *
-   * @param nowMs when it was observed
-   * @param callId the identifier of the call
-   * @param attempt the number of the attempt whose answer is delivered
-   */
-  record AttemptWon(long nowMs, String callId, int attempt) implements DispatchEvent {}
-
-  /**
-   * A time for which a wake-up was requested has come.
-   *
-   * @param nowMs when it was observed
-   */
-  record WakeUp(long nowMs) implements DispatchEvent {}
-
   /**
    * An attempt failed.
    *
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -165,11 +165,11 @@
       calls.onCallArrived(arrived);
     } else if (event instanceof DispatchEvent.AnswerStarted started) {
       calls.onAnswerStarted(started);
-    } else if (event instanceof DispatchEvent.StreamProgressed progress) {
+    } else if (event instanceof StreamEvent.StreamProgressed progress) {
       speeds.onStreamProgressed(progress);
-    } else if (event instanceof DispatchEvent.AttemptWon won) {
+    } else if (event instanceof HedgeEvent.AttemptWon won) {
       hedges.onAttemptWon(won);
-    } else if (event instanceof DispatchEvent.WakeUp wakeUp) {
+    } else if (event instanceof HedgeEvent.WakeUp wakeUp) {
       hedges.onWakeUp(wakeUp);
     } else if (event instanceof DispatchEvent.RateStated stated) {
       limits.onRateStated(stated);
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/HedgeHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/HedgeHandler.java
@@ -79,7 +79,7 @@
     }
   }
 
-  void onWakeUp(DispatchEvent.WakeUp event) {
+  void onWakeUp(HedgeEvent.WakeUp event) {
     wakeUpMs = Long.MAX_VALUE;
     tick(event.nowMs());
   }
@@ -224,7 +224,7 @@
     return true;
   }
 
-  void onAttemptWon(DispatchEvent.AttemptWon event) {
+  void onAttemptWon(HedgeEvent.AttemptWon event) {
     calls
         .find(event.callId())
         .filter(call -> call.hedge().isPresent())
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/SpeedHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/SpeedHandler.java
@@ -37,7 +37,7 @@
     samples.put(call.callId(), new LoadSamples());
   }
 
-  void onStreamProgressed(DispatchEvent.StreamProgressed event) {
+  void onStreamProgressed(StreamEvent.StreamProgressed event) {
     Optional<ActiveCall> found = calls.findAttempt(event.callId(), event.attempt());
     LoadSamples observed = samples.get(event.callId());
     if (found.isEmpty() || observed == null) {
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/HedgeHandlerTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/HedgeHandlerTest.java
@@ -161,7 +161,7 @@
     } else {
       int winner = how.equals("won2") ? 2 : 1;
       if (!how.equals("unannounced")) {
-        fixture.apply(new DispatchEvent.AttemptWon(fixture.nowMs(), call, winner));
+        fixture.apply(new HedgeEvent.AttemptWon(fixture.nowMs(), call, winner));
       }
       fixture.apply(new DispatchEvent.AnswerDelivered(fixture.nowMs(), call, winner, 200, ""));
     }
@@ -175,7 +175,7 @@
   @Test
   void handlesFailureOfAnswerThatHasStartedAsThatOfTheOnlyAttempt() {
     String call = hedgedCall();
-    fixture.apply(new DispatchEvent.AttemptWon(fixture.nowMs(), call, 2));
+    fixture.apply(new HedgeEvent.AttemptWon(fixture.nowMs(), call, 2));
     fixture.apply(new DispatchEvent.AnswerStarted(fixture.nowMs(), call, 2));
     fixture.apply(
         new DispatchEvent.AttemptFailed(
@@ -190,7 +190,7 @@
   void pausesWhereSecondAttemptsRarelyWinAndTriesAgainLater() {
     for (int i = 0; i < 7; i++) {
       String call = hedgedCall();
-      fixture.apply(new DispatchEvent.AttemptWon(fixture.nowMs(), call, 1));
+      fixture.apply(new HedgeEvent.AttemptWon(fixture.nowMs(), call, 1));
       fixture.apply(new DispatchEvent.AnswerDelivered(fixture.nowMs(), call, 1, 200, ""));
     }
     final int before = HedgeFixtures.hedges(fixture).size();
@@ -212,7 +212,7 @@
     while (!HedgeFixtures.outcomes(fixture).contains("withheld.retry-budget") && calls < 200) {
       String call = fixture.call("status");
       fixture.tick(50);
-      fixture.apply(new DispatchEvent.AttemptWon(fixture.nowMs(), call, 2));
+      fixture.apply(new HedgeEvent.AttemptWon(fixture.nowMs(), call, 2));
       fixture.apply(new DispatchEvent.AnswerDelivered(fixture.nowMs(), call, 2, 200, ""));
       calls++;
     }
@@ -239,7 +239,7 @@
 
   private void wakeUp(long afterMs) {
     fixture.advance(afterMs);
-    fixture.apply(new DispatchEvent.WakeUp(fixture.nowMs()));
+    fixture.apply(new HedgeEvent.WakeUp(fixture.nowMs()));
   }
 
   private DispatchEffect.SendCall hedge() {
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/HedgeLoadTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/HedgeLoadTest.java
@@ -103,7 +103,7 @@
         targets.values().forEach(this::progress);
         if (nowMs >= wakeUpMs) {
           wakeUpMs = Long.MAX_VALUE;
-          perform(fixture.apply(new DispatchEvent.WakeUp(nowMs)));
+          perform(fixture.apply(new HedgeEvent.WakeUp(nowMs)));
         }
         if (nowMs % 50 == 0) {
           perform(fixture.apply(new TimeEvent.Ticked(nowMs)));
@@ -141,7 +141,7 @@
         answers.add(nowMs - arrivedMs);
       }
       if (cancel(work.callId())) {
-        perform(fixture.apply(new DispatchEvent.AttemptWon(nowMs, work.callId(), work.attempt())));
+        perform(fixture.apply(new HedgeEvent.AttemptWon(nowMs, work.callId(), work.attempt())));
       }
       perform(
           fixture.apply(
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/HedgePropertyTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/HedgePropertyTest.java
@@ -78,7 +78,7 @@
       int quietSteps = random.nextInt(8);
       for (int step = 0; step < STEPS; step++) {
         fixture.advance(STEP_MS);
-        apply(new DispatchEvent.WakeUp(fixture.nowMs()));
+        apply(new HedgeEvent.WakeUp(fixture.nowMs()));
         if (step % 5 == 0) {
           fixture.apply(new TimeEvent.Ticked(fixture.nowMs())).forEach(this::receive);
         }
@@ -132,7 +132,7 @@
       ended = true;
       written.add("answer of " + winner.target().id());
       if (!inProgress.isEmpty()) {
-        events.add(new DispatchEvent.AttemptWon(fixture.nowMs(), callId, number));
+        events.add(new HedgeEvent.AttemptWon(fixture.nowMs(), callId, number));
       }
       inProgress.clear();
       events.add(new DispatchEvent.AnswerDelivered(fixture.nowMs(), callId, number, 200, ""));
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/SpeedHandlerTest.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/SpeedHandlerTest.java
@@ -106,7 +106,7 @@
     fixture.started(run);
     for (int i = 0; i < 5; i++) {
       fixture.tick(1_000);
-      fixture.apply(new DispatchEvent.StreamProgressed(fixture.nowMs(), run, 1, 12, 1_000));
+      fixture.apply(new StreamEvent.StreamProgressed(fixture.nowMs(), run, 1, 12, 1_000));
     }
     RoutedTarget slow = fixture.lastSend(run).target();
     fixture.delivered(run);
--- a/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/UnevenFleet.java
+++ b/sequoiareach-decision/src/test/java/org/sequoiareach/decision/dispatch/UnevenFleet.java
@@ -249,7 +249,7 @@
         long durationMs = nowMs - sinceMs;
         daemon.apply(
             at ->
-                new DispatchEvent.StreamProgressed(
+                new StreamEvent.StreamProgressed(
                     at, send.callId(), send.attempt(), events, durationMs));
         count = 0;
         sinceMs = nowMs;
