Read the memory that tests check on the loop that releases it

The loop writes the response first and releases the head in the same task, so the caller can have the response before the memory is released, and the account is not thread-safe. The four checks of held memory now run as tasks of the loop, which come after that one. Nothing is loosened: it still has to be zero.

--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/CallerPressureTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/CallerPressureTest.java
@@ -97,7 +97,7 @@
       assertThat(readResponse(socket)).startsWith("HTTP/1.1 200");
     }
     sender.join(TIMEOUT_MS);
-    assertThat(memory.reads().heldBytes()).isZero();
+    assertThat(loop.submit(() -> memory.reads().heldBytes()).get()).isZero();
   }
 
   /** Guards against heads of many short lines that stop short and keep others from being served. */
@@ -113,7 +113,8 @@
     assertThat(readResponse(next)).startsWith("HTTP/1.1 200");
     assertThat(readToEnd(stalled)).isEmpty();
     assertThat(metrics.meter("front.closed.memory").getCount()).isEqualTo(1);
-    assertThat(memory.heads().heldBytes()).isZero();
+    // Read on the loop, which releases the memory after it has written the response.
+    assertThat(loop.submit(() -> memory.heads().heldBytes()).get()).isZero();
   }
 
   /** Guards against a request refused for pressure without the promise that it has not run. */
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/StatusServerTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/front/StatusServerTest.java
@@ -78,7 +78,8 @@
     }
 
     assertThat(responses).hasValue(10 + count);
-    assertThat(memory.heads().heldBytes()).isZero();
+    assertThat(loop.submit(() -> memory.heads().heldBytes()).syncUninterruptibly().getNow())
+        .isZero();
   }
 
   @Test
@@ -120,7 +121,8 @@
     write(socket, start + "a:\r\n".repeat(HEADER_LINES + 1));
 
     assertThat(readToEnd(socket)).doesNotContain("HTTP/1.1 400");
-    assertThat(memory.heads().heldBytes()).isZero();
+    assertThat(loop.submit(() -> memory.heads().heldBytes()).syncUninterruptibly().getNow())
+        .isZero();
   }
 
   private FullHttpResponse respond() {
