Turn late binding on by a setting, off by default

Suspected: admission.

The gateway admits at once again unless its settings say "lateBinding": true. Ruled out: keeping it for large fleets only, as nothing measured supports it there.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
@@ -28,6 +28,8 @@
 import org.sequoiareach.daemon.operator.ReadinessFlag;
 import org.sequoiareach.daemon.peer.MembershipBridge;
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
+import org.sequoiareach.decision.admission.ImmediateAdmission;
+import org.sequoiareach.decision.admission.LateBindingAdmission;
 import org.sequoiareach.decision.dispatch.DispatchEvent;
 import org.sequoiareach.decision.dispatch.DispatchReducer;
 import org.sequoiareach.decision.effect.Effect;
@@ -117,7 +119,9 @@
                 settings.peerAddress(),
                 settings.zone(),
                 incarnation,
-                incarnation));
+                incarnation),
+            draw ->
+                settings.lateBinding() ? new LateBindingAdmission(draw) : new ImmediateAdmission());
     CompletableFuture<PeerTransport> started = new CompletableFuture<>();
     MembershipBridge membership = new MembershipBridge(controlLoop, started);
     CompletableFuture<PeerStateBridge> peerState = new CompletableFuture<>();
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettings.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettings.java
@@ -29,6 +29,8 @@
  * @param hedgeRatio the hedged requests that all daemons together may send to a service, as a ratio
  *     of its requests, between 0 and 1; 0 for none
  * @param clientLimits limits on what clients may hold, whatever the routing sheet says
+ * @param lateBinding whether generations wait at the daemon, rather than at an engine, until an
+ *     engine can begin them
  */
 public record GatewaySettings(
     String name,
@@ -46,7 +48,8 @@
     double sheetBoundMs,
     double leavingBoundMs,
     double hedgeRatio,
-    ClientLimits clientLimits) {
+    ClientLimits clientLimits,
+    boolean lateBinding) {
 
   /**
    * The load balancer stops sending connections after two failed checks, which are a second apart,
@@ -83,7 +86,8 @@
   }
 
   /**
-   * Creates settings without hedged requests and with the default limits for clients.
+   * Creates settings without hedged requests and late binding, and with the default limits for
+   * clients.
    *
    * @param name the name of the daemon in logs
    * @param zone the availability zone of the daemon
@@ -132,7 +136,8 @@
         sheetBoundMs,
         leavingBoundMs,
         0,
-        ClientLimits.DEFAULT);
+        ClientLimits.DEFAULT,
+        false);
   }
 
   /**
@@ -170,6 +175,7 @@
    */
   public boolean canReloadTo(GatewaySettings other) {
     return zone.equals(other.zone)
+        && lateBinding == other.lateBinding
         && callerAddress.equals(other.callerAddress)
         && readyAddress.equals(other.readyAddress)
         && peerAddress.equals(other.peerAddress)
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettingsReader.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/GatewaySettingsReader.java
@@ -65,7 +65,17 @@
         readNumber(tree, "sheetBoundMs"),
         readNumber(tree, "leavingBoundMs"),
         readNumber(tree, "hedgeRatio"),
-        readClientLimits(tree));
+        readClientLimits(tree),
+        readFlag(tree, "lateBinding"));
+  }
+
+  /** Returns the value of a flag, or false if the field is absent. */
+  private static boolean readFlag(JsonNode tree, String name) {
+    JsonNode value = tree.path(name);
+    Check.isTrue(
+        value.isBoolean() || value.isMissingNode(),
+        "'" + name + "' must be true or false but is " + value + ".");
+    return value.asBoolean(false);
   }
 
   private static ClientLimits readClientLimits(JsonNode tree) {
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/gateway/GatewaySettingsReaderTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/gateway/GatewaySettingsReaderTest.java
@@ -53,6 +53,17 @@
     assertThat(settings.canReloadTo(GatewaySettingsReader.parse(VALID))).isTrue();
   }
 
+  /** Guards against late binding in deployments whose settings do not ask for it. */
+  @Test
+  void readsLateBindingThatMayBeAbsent() {
+    assertThat(GatewaySettingsReader.parse(VALID).lateBinding()).isFalse();
+    GatewaySettings settings =
+        GatewaySettingsReader.parse(VALID.replace("{", "{\"lateBinding\":true,"));
+
+    assertThat(settings.lateBinding()).isTrue();
+    assertThat(settings.canReloadTo(GatewaySettingsReader.parse(VALID))).isFalse();
+  }
+
   /** Guards against limits that are read but not applied. */
   @Test
   void readsLimitsForClients() {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -71,8 +71,14 @@
     this(settings, member, LateBindingAdmission::new);
   }
 
-  /** Creates a reducer with another strategy of admission, which draws from a random source. */
-  DispatchReducer(
+  /**
+   * Creates a reducer with another strategy of admission.
+   *
+   * @param settings the settings of the dispatch
+   * @param member the settings of the daemon's membership
+   * @param admission creates the strategy, which may draw from a random source
+   */
+  public DispatchReducer(
       DispatchSettings settings,
       MembershipSettings member,
       Function<DoubleSupplier, AdmissionStrategy> admission) {
