Keep an order to stop possible whatever the engine answers to a later one

Cause: AttemptResponseHandler kept one value for all orders to stop a run. The answer to the first order came after its deadline of 1.5 s, so the run was possibly stopped; the 409 to the next order replaced this by "refused", and the end of the stream by its connection then counted as the end of the run. 404 to a later order had the same effect.

StopOrderHistory keeps what is known of all orders of a request to one engine. An order without an answer stays possible until the engine confirms a stop, and a refusal settles only the order that it answers. The history belongs to the engine that was addressed, so that it also counts for a further attempt there and not for an attempt elsewhere. An end marked by a chunk or a length is not that of the run once the engine has confirmed that it stopped it.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -19,7 +19,6 @@
 import org.sequoiareach.daemon.upstream.ResponseListener;
 import org.sequoiareach.daemon.upstream.TargetConnection;
 import org.sequoiareach.decision.dispatch.AttemptFault;
-import org.sequoiareach.decision.dispatch.CopyOutcome;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.model.route.RouteKind;
 import org.sequoiareach.store.time.MonotonicClock;
@@ -79,13 +78,14 @@
   private boolean done;
   private boolean disconnected;
   private boolean startReported;
-  private StopOrder stopOrder = StopOrder.NONE;
-  private boolean endUndecided;
+  private final StopOrderHistory stopOrders;
+  private Optional<ResponseFraming> undecidedEnd = Optional.empty();
   private Runnable onEnded = () -> {};
 
   AttemptResponseHandler(ProxyExchange exchange, DispatchEffect.SendCall sendCall) {
     this.exchange = exchange;
     this.sendCall = sendCall;
+    this.stopOrders = exchange.stopOrdersTo(sendCall.target().address());
   }
 
   int number() {
@@ -341,11 +341,12 @@
 
   private void completeStream(ResponseFraming framing) {
     boolean insideEvent = splitter.orElseThrow().isInsideEvent();
-    StreamEnd end = StreamEnd.of(framing, insideEvent, receivedEvents > 0, stopOrder);
-    endUndecided = end == StreamEnd.UNDECIDED;
-    if (endUndecided) {
+    StreamEnd end = StreamEnd.of(framing, insideEvent, receivedEvents > 0, stopOrders.state());
+    if (end == StreamEnd.UNDECIDED) {
+      undecidedEnd = Optional.of(framing);
       return;
     }
+    undecidedEnd = Optional.empty();
     String progress = describeProgress(framing.label());
     if (end != StreamEnd.COMPLETE) {
       disconnected = framing == ResponseFraming.CONNECTION;
@@ -361,17 +362,9 @@
     }
   }
 
-  /** Records that the engine is ordered to stop the run. */
-  void onStopOrdered() {
-    stopOrder = StopOrder.SENT;
-  }
-
-  /** Records the outcome of the order to stop, and decides on an end that waited for it. */
-  void onStopAnswered(CopyOutcome outcome) {
-    stopOrder = StopOrder.of(outcome);
-    if (endUndecided && !done) {
-      completeStream(ResponseFraming.CONNECTION);
-    }
+  /** Decides on an end of the stream that waited for the result of an order to stop the run. */
+  void onStopAnswered() {
+    undecidedEnd.filter(end -> !done).ifPresent(this::completeStream);
   }
 
   /**
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ConcurrentAttempts.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ConcurrentAttempts.java
@@ -1,6 +1,8 @@
 package org.sequoiareach.daemon.exchange;
 
 import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.sequoiareach.daemon.upstream.TargetConnection;
 
 /**
@@ -36,6 +38,11 @@
         || hedged.filter(second -> second == attempt).isPresent();
   }
 
+  /** Passes the latest attempt and the hedged one, which may have ended, to an action. */
+  void forEach(Consumer<AttemptResponseHandler> action) {
+    Stream.of(current, hedged).flatMap(Optional::stream).toList().forEach(action);
+  }
+
   /** Returns the connection of the latest attempt. */
   Optional<TargetConnection> connection() {
     return current.flatMap(AttemptResponseHandler::connection);
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -9,7 +9,9 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +20,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.sequoiareach.daemon.dialect.AttemptMetadata;
+import org.sequoiareach.daemon.dialect.EngineControl.CopyResult;
 import org.sequoiareach.daemon.front.ResponseWriter;
 import org.sequoiareach.daemon.sse.BlockReading;
 import org.sequoiareach.daemon.sse.EventBlock;
@@ -25,7 +28,6 @@
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
 import org.sequoiareach.decision.dispatch.AttemptFault;
 import org.sequoiareach.decision.dispatch.CallProfile;
-import org.sequoiareach.decision.dispatch.CopyOutcome;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.decision.dispatch.DispatchEvent;
 import org.sequoiareach.decision.dispatch.HedgeEvent;
@@ -60,6 +62,7 @@
   private final Runnable onEnded;
   private final StreamReader stream;
   private final ConcurrentAttempts attempts = new ConcurrentAttempts();
+  private final Map<String, StopOrderHistory> stopOrders = new HashMap<>(2);
   private Optional<HeldErrorResponse> heldResponse = Optional.empty();
   private boolean headSent;
   private boolean ended;
@@ -165,6 +168,7 @@
       return;
     }
     boolean newRun = sendCall.continuation().isEmpty();
+    stopOrdersTo(sendCall.target().address()).recordAttempt();
     if (newRun && unprovenAttempts > 0 && !sendCall.kind().isRepeatable()) {
       next.fail(AttemptFault.LOST, 0, "not sent: an earlier attempt of the request may have run");
       return;
@@ -387,15 +391,23 @@
     end();
   }
 
+  /** Returns what is known of the orders to an engine to stop the run of this request. */
+  StopOrderHistory stopOrdersTo(String engineAddress) {
+    return stopOrders.computeIfAbsent(engineAddress, address -> new StopOrderHistory());
+  }
+
   /**
-   * Records that the engine of the current attempt is ordered to stop its run.
+   * Records that an engine is ordered to stop the run.
    *
-   * @return receives the outcome of the order
+   * @return receives the result of the order
    */
-  Consumer<CopyOutcome> onStopOrdered() {
-    Optional<AttemptResponseHandler> stopped = attempts.current();
-    stopped.ifPresent(AttemptResponseHandler::onStopOrdered);
-    return outcome -> stopped.ifPresent(attempt -> attempt.onStopAnswered(outcome));
+  Consumer<CopyResult> onStopOrdered(String engineAddress) {
+    StopOrderHistory orders = stopOrdersTo(engineAddress);
+    orders.recordOrder();
+    return result -> {
+      orders.recordResult(result);
+      attempts.forEach(AttemptResponseHandler::onStopAnswered);
+    };
   }
 
   /** Records that a target answered an earlier request once more instead of this one. */
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
@@ -20,7 +20,6 @@
 import org.sequoiareach.daemon.upstream.TargetConnectionManager;
 import org.sequoiareach.decision.dispatch.AvailabilityEvent;
 import org.sequoiareach.decision.dispatch.CallProfile;
-import org.sequoiareach.decision.dispatch.CopyOutcome;
 import org.sequoiareach.decision.dispatch.DispatchEffect;
 import org.sequoiareach.decision.dispatch.DispatchEvent;
 import org.sequoiareach.decision.dispatch.HedgeEvent;
@@ -165,7 +164,8 @@
   }
 
   private void copyRun(ProxyExchange exchange, DispatchEffect.CopyRun copy) {
-    Consumer<CopyOutcome> stopListener = copy.stop() ? exchange.onStopOrdered() : outcome -> {};
+    Consumer<EngineControl.CopyResult> stopListener =
+        copy.stop() ? exchange.onStopOrdered(copy.sourceAddress()) : result -> {};
     engines
         .copyRun(
             copy.sourceAddress(),
@@ -179,9 +179,9 @@
   private void onRunCopied(
       DispatchEffect.CopyRun copy,
       EngineControl.CopyResult result,
-      Consumer<CopyOutcome> stopListener) {
+      Consumer<EngineControl.CopyResult> stopListener) {
     // A stream that ended while the order was under way is decided on before the copy is used.
-    stopListener.accept(result.outcome());
+    stopListener.accept(result);
     context
         .events()
         .post(
