--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/EngineControl.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/dialect/EngineControl.java
@@ -23,7 +23,9 @@
     LEAVING,
     /** Nothing listens at the address of the engine. */
     NOBODY_THERE,
-    /** The engine did not answer, or its answer was invalid. */
+    /** The engine answered with bytes that are no report. */
+    INVALID,
+    /** The engine did not answer, or its answer does not tell its state. */
     UNKNOWN
   }
 
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchangeRegistry.java
@@ -218,11 +218,17 @@
                     context.events().post(new DispatchEvent.TargetLeaves(nowMs, target.id()));
                 case NOBODY_THERE ->
                     context.events().post(new DispatchEvent.NobodyThere(nowMs, target.id()));
+                case INVALID -> onReportInvalid(nowMs, target.id());
                 default -> {}
               }
             });
   }
 
+  private void onReportInvalid(long nowMs, String targetId) {
+    context.metrics().meter("reports.invalid").mark();
+    context.events().post(new AvailabilityEvent.ReportInvalid(nowMs, targetId));
+  }
+
   private void withExchange(String callId, Consumer<ProxyExchange> action) {
     context.loop().execute(() -> Optional.ofNullable(exchanges.get(callId)).ifPresent(action));
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/gateway/Gateway.java
@@ -52,6 +52,7 @@
 import org.sequoiareach.peer.TcpPeerTransport;
 import org.sequoiareach.store.http.HttpCaller;
 import org.sequoiareach.store.http.KeepAliveProbes;
+import org.sequoiareach.store.http.ResponseMemory;
 import org.sequoiareach.store.time.MonotonicClock;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
@@ -76,6 +77,9 @@
   /** Fits a value of one megabyte in base64 and the envelope around it. */
   private static final int MAX_STORE_RESPONSE_BYTES = 4 << 20;
 
+  /** The part of the heap for responses of engines to the daemon's own calls, as a divisor. */
+  private static final int ENGINE_RESPONSES_DIVISOR = 32;
+
   private static final int MAX_PLATFORM_CONNECTIONS = 32;
   private static final int CONNECT_TIMEOUT_MS = 600;
 
@@ -138,12 +142,16 @@
     quarantines.complete(new PeerQuarantineBridge(controlLoop, sender));
     final MemoryAccount memory = MemoryAccount.ofProcess();
     HttpCaller http = new HttpCaller(createClient(), MAX_STORE_RESPONSE_BYTES);
+    ResponseMemory engineResponses =
+        new ResponseMemory(Runtime.getRuntime().maxMemory() / ENGINE_RESPONSES_DIVISOR);
+    metrics.register(
+        "memory.held.engine.responses.bytes", (Gauge<Long>) engineResponses::heldBytes);
     TargetConnectionManager connections = new TargetConnectionManager(loop, resources);
     ProxyExchangeRegistry exchanges =
         new ProxyExchangeRegistry(
             binding.dialect(),
             connections,
-            binding.createEngineControl(http),
+            binding.createEngineControl(http.withResponseMemory(engineResponses)),
             controlLoop,
             metrics,
             loop,
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/AvailabilityEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/AvailabilityEvent.java
@@ -24,4 +24,12 @@
    * @param coldMs how long it stays cold, in milliseconds; 0 if it is not cold
    */
   record ColdStated(long nowMs, RoutedTarget target, long coldMs) implements AvailabilityEvent {}
+
+  /**
+   * A target answered a request for its report with bytes that are no report.
+   *
+   * @param nowMs when it was observed
+   * @param targetId the identifier of the target
+   */
+  record ReportInvalid(long nowMs, String targetId) implements AvailabilityEvent {}
 }
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchEvent.java
@@ -58,6 +58,7 @@
   @JsonSubTypes.Type(DispatchEvent.TargetsUpdated.class),
   @JsonSubTypes.Type(AvailabilityEvent.MaintenanceLearned.class),
   @JsonSubTypes.Type(AvailabilityEvent.ColdStated.class),
+  @JsonSubTypes.Type(AvailabilityEvent.ReportInvalid.class),
   @JsonSubTypes.Type(DispatchEvent.StoreRead.class),
   @JsonSubTypes.Type(DispatchEvent.StoreNewsTold.class),
   @JsonSubTypes.Type(DispatchEvent.ClockSuspended.class),
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/DispatchReducer.java
@@ -213,6 +213,8 @@
       lifecycle.tick(learned.nowMs());
     } else if (event instanceof AvailabilityEvent.ColdStated stated) {
       warmUps.onColdStated(stated);
+    } else if (event instanceof AvailabilityEvent.ReportInvalid invalid) {
+      health.onReportInvalid(invalid);
     } else if (event instanceof AvailabilityEvent.MaintenanceLearned learned) {
       maintenance.onLearned(learned.nowMs(), learned.maintenance(), learned.source());
     } else if (event instanceof DispatchEvent.PeerStateTold told) {
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHealthHandler.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/dispatch/TargetHealthHandler.java
@@ -46,6 +46,12 @@
     ejectIfOutlier(nowMs, targetId);
   }
 
+  /** Counts a report of wrong bytes like an answer of wrong bytes to a request. */
+  void onReportInvalid(AvailabilityEvent.ReportInvalid event) {
+    context.logDecision("report-invalid", "", "", event.targetId(), "counted as a failure");
+    onFailure(event.nowMs(), event.targetId());
+  }
+
   void onPeerStateTold(DispatchEvent.PeerStateTold event) {
     context
         .outcomes()
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/http/HttpCaller.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/http/HttpCaller.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
@@ -33,8 +32,12 @@
     ABANDONED
   }
 
+  /** A message of the HTTP decoder quotes what a server sent. */
+  private static final int MAX_DESCRIPTION_CHARACTERS = 256;
+
   private final HttpClient http;
   private final int maxBodyBytes;
+  private final ResponseMemory memory;
 
   /**
    * Creates a caller.
@@ -45,9 +48,38 @@
    *     call fails if it is exceeded
    */
   public HttpCaller(HttpClient http, int maxBodyBytes) {
+    this(
+        InterimResponseLimit.applyTo(Check.notNull(http, "http")).disableRetry(true),
+        maxBodyBytes,
+        ResponseMemory.unlimited());
+  }
+
+  private HttpCaller(HttpClient http, int maxBodyBytes, ResponseMemory memory) {
     Check.inRange(maxBodyBytes, 1, Integer.MAX_VALUE, "maxBodyBytes");
-    this.http = InterimResponseLimit.applyTo(Check.notNull(http, "http")).disableRetry(true);
+    this.http = http;
     this.maxBodyBytes = maxBodyBytes;
+    this.memory = memory;
+  }
+
+  /**
+   * Creates a caller that uses the same connections and has another size limit.
+   *
+   * @param maxBytes the maximum size of a response body, or of a line of a streamed one
+   * @return the caller
+   */
+  public HttpCaller withMaxBodyBytes(int maxBytes) {
+    return new HttpCaller(http, maxBytes, memory);
+  }
+
+  /**
+   * Creates a caller that uses the same connections and whose responses, except streamed ones,
+   * share a limit with those of other calls.
+   *
+   * @param shared the account of the memory for response bodies; a call fails if it is exceeded
+   * @return the caller
+   */
+  public HttpCaller withResponseMemory(ResponseMemory shared) {
+    return new HttpCaller(http, maxBodyBytes, Check.notNull(shared, "shared"));
   }
 
   /**
@@ -150,15 +182,20 @@
   }
 
   private Mono<HttpCallResponse> collect(HttpClientResponse response, ByteBufFlux content) {
-    return content
-        .asByteArray()
-        .collect(ByteArrayOutputStream::new, (buffer, bytes) -> append(buffer, bytes))
-        .map(
-            buffer ->
-                new HttpCallResponse(
-                    response.status().code(),
-                    buffer.toString(StandardCharsets.UTF_8),
-                    response.responseHeaders()));
+    return Mono.using(
+        () -> new ResponseBuffer(maxBodyBytes, memory),
+        buffer ->
+            content
+                .asByteArray()
+                .doOnNext(buffer::append)
+                .then(
+                    Mono.fromSupplier(
+                        () ->
+                            new HttpCallResponse(
+                                response.status().code(),
+                                buffer.text(),
+                                response.responseHeaders()))),
+        ResponseBuffer::release);
   }
 
   private Publisher<String> toLines(
@@ -172,13 +209,6 @@
     return content.asByteArray().concatMapIterable(splitter::split);
   }
 
-  private void append(ByteArrayOutputStream buffer, byte[] bytes) {
-    if (buffer.size() + (long) bytes.length > maxBodyBytes) {
-      throw new IllegalStateException("the response is longer than " + maxBodyBytes + " bytes");
-    }
-    buffer.writeBytes(bytes);
-  }
-
   private static HttpCallException toException(
       HttpMethod method,
       String address,
@@ -194,6 +224,9 @@
 
   private static String describe(Throwable cause) {
     String message = cause.getMessage();
-    return message == null ? cause.getClass().getSimpleName() : message;
+    if (message == null) {
+      return cause.getClass().getSimpleName();
+    }
+    return message.substring(0, Math.min(message.length(), MAX_DESCRIPTION_CHARACTERS));
   }
 }
