Derive the wait and the patience of watches from the bound on changes

Cause: in a fleet of up to eight daemons a watch waited for 8 s and its answer for one second more, whatever leavingBoundMs and sheetBoundMs say. Keep-alive probes were trusted to show a loss, but the connection of a lost answer is alive and silent. The configuration's watch had the same fault, and a reader of a large fleet came close to the bound.

A watch now waits for half of the shortest bound, and its answer may be later by an eighth of it. The patience grows with what the last answers took, so that a slow store is not read again and again. A late answer leads to a read of all keys at once on another connection; the store counts as unreachable only if that fails too, since missing targets are kept for a while after an outage.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreWatcher.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/feed/StoreWatcher.java
@@ -76,8 +76,8 @@
     if (effect instanceof DispatchEffect.AccessStore access) {
       switch (access.access().mode()) {
         case WATCH -> {
-          sheetWatcher.watch(access.access().pollMs());
-          targetWatcher.watch(access.access().pollMs());
+          sheetWatcher.watch(access.access().pollMs(), access.access().patienceMs());
+          targetWatcher.watch(access.access().pollMs(), access.access().patienceMs());
         }
         case READ_ONCE -> {
           sheetWatcher.readOnce();
--- a/sequoiareach-decision/src/main/java/org/sequoiareach/decision/follow/StoreFollower.java
+++ b/sequoiareach-decision/src/main/java/org/sequoiareach/decision/follow/StoreFollower.java
@@ -18,9 +18,6 @@
   /** The fleet size up to which every daemon watches; more would save few calls. */
   public static final int MAX_WATCHING_FLEET = 8;
 
-  /** How long a small fleet watches at a time; keep-alive probes detect a dead connection. */
-  public static final long SMALL_FLEET_POLL_MS = 8_000;
-
   /** The time after the start in which a daemon learns of the fleet before it watches. */
   static final long STARTUP_MS = 3_000;
 
@@ -81,7 +78,7 @@
     if (!fleetKnown || largeFleet && !situation.reader()) {
       return follow(nowMs, situation);
     }
-    return watch(largeFleet ? settings.pollMs() : SMALL_FLEET_POLL_MS);
+    return watch(largeFleet ? settings.readerPollMs() : settings.smallFleetPollMs());
   }
 
   /**
@@ -116,7 +113,7 @@
   private Optional<StoreAccess> watch(long pollMs) {
     nextReadMs = NONE;
     backoffMs = INITIAL_BACKOFF_MS;
-    return change(StoreAccess.watch(pollMs));
+    return change(StoreAccess.watch(pollMs, settings.patienceMs()));
   }
 
   private Optional<StoreAccess> follow(long nowMs, Situation situation) {
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixWatcher.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/prefix/PrefixWatcher.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.sequoiareach.model.Check;
@@ -16,16 +17,15 @@
  * Reads the keys under a prefix, once or by watching them: a watch is a long poll, and all keys are
  * read again when a call has failed or the history has been discarded.
  *
- * <p>At most one call is in use at a time. After a failure a watch is delayed by a bounded
- * exponential backoff, while a single read is not repeated. Thread-safe.
+ * <p>At most one call is in use at a time. The connection of a lost answer may stay open and
+ * silent, so a watch whose answer is late is given up, and all keys are read at once on another
+ * connection. After any other failure a watch is delayed by a bounded exponential backoff, while a
+ * single read is not repeated. Thread-safe.
  */
 public final class PrefixWatcher {
 
   private static final Logger LOGGER = LogManager.getLogger(PrefixWatcher.class);
 
-  /** Allows for a slow store, which takes fifty times the usual few milliseconds. */
-  private static final long CALL_TIMEOUT_MS = 1_000;
-
   private static final long INITIAL_BACKOFF_MS = 50;
   private static final long MAX_BACKOFF_MS = 400;
 
@@ -41,6 +41,8 @@
   private final String prefix;
   private final PrefixListener listener;
   private final ScheduledExecutorService timer;
+  private final LongSupplier clock;
+  private final AnswerPatience patience = new AnswerPatience();
   private Optional<Long> revision = Optional.empty();
   private long backoffMs = INITIAL_BACKOFF_MS;
   private Call call = Call.NONE;
@@ -58,6 +60,25 @@
    */
   public PrefixWatcher(
       PrefixStore store, String prefix, ScheduledExecutorService timer, PrefixListener listener) {
+    this(store, prefix, timer, listener, MonotonicClock::nowMs);
+  }
+
+  /**
+   * Creates a watcher that makes no calls yet.
+   *
+   * @param store the store
+   * @param prefix the prefix
+   * @param timer the single-threaded executor that runs the watcher
+   * @param listener the listener to notify
+   * @param clock the clock of the timer, in milliseconds
+   */
+  public PrefixWatcher(
+      PrefixStore store,
+      String prefix,
+      ScheduledExecutorService timer,
+      PrefixListener listener,
+      LongSupplier clock) {
+    this.clock = Check.notNull(clock, "clock");
     this.store = Check.notNull(store, "store");
     this.prefix = Check.hasText(prefix, "prefix");
     this.timer = Check.notNull(timer, "timer");
@@ -68,12 +89,16 @@
    * Reads all keys and watches them from then on. A watcher that does so already keeps its call.
    *
    * @param maxWaitMs the maximum time that one call waits for changes, in milliseconds
+   * @param patienceMs how late an answer of a store that answers at once may be before it counts as
+   *     lost, in milliseconds; a slow store is given more time
    */
-  public void watch(long maxWaitMs) {
+  public void watch(long maxWaitMs, long patienceMs) {
     Check.inRange(maxWaitMs, 1, 30_000, "maxWaitMs");
+    Check.isTrue(patienceMs > 0, "'patienceMs' must be positive but is " + patienceMs + ".");
     submit(
         () -> {
           pollMs = maxWaitMs;
+          patience.setMinMs(patienceMs);
           if (watching) {
             return;
           }
@@ -109,22 +134,33 @@
   private void startCall() {
     callNumber++;
     final long number = callNumber;
-    final long startedMs = MonotonicClock.nowMs();
+    final long startedMs = clock.getAsLong();
     if (revision.isEmpty()) {
       call = Call.READ;
       store
-          .read(prefix, startedMs + CALL_TIMEOUT_MS)
+          .read(prefix, startedMs + AnswerPatience.MAX_MS)
           .whenComplete(
               (snapshot, error) -> execute(number, () -> onRead(startedMs, snapshot, error)));
       return;
     }
     call = Call.WATCH;
     long waitUntilMs = startedMs + pollMs;
+    long deadlineMs = patience.deadlineMs(waitUntilMs);
     store
-        .awaitChanges(prefix, revision.get(), waitUntilMs, waitUntilMs + CALL_TIMEOUT_MS)
+        .awaitChanges(prefix, revision.get(), waitUntilMs, deadlineMs)
         .whenComplete(
             (changes, error) ->
-                execute(number, () -> onChanges(startedMs, waitUntilMs, changes, error)));
+                execute(
+                    number,
+                    () -> {
+                      if (error == null) {
+                        onChanges(startedMs, waitUntilMs, changes);
+                      } else if (clock.getAsLong() >= deadlineMs) {
+                        onAnswerLate();
+                      } else {
+                        handleFailure(error);
+                      }
+                    }));
   }
 
   private void continueWatching() {
@@ -140,17 +176,25 @@
       return;
     }
     handleSuccess();
+    patience.record(clock.getAsLong() - startedMs);
     listener.onSnapshot(snapshot);
     listener.onCurrent(startedMs);
     revision = Optional.of(snapshot.revision());
     continueWatching();
   }
 
-  private void onChanges(long startedMs, long waitUntilMs, PrefixChanges changes, Throwable error) {
-    if (error != null) {
-      handleFailure(error);
-      return;
+  /** Reads all keys at once. The store counts as unreachable only if this call fails as well. */
+  private void onAnswerLate() {
+    LOGGER.info(
+        "A watch of prefix {} was not answered in time; reading all its keys again", prefix);
+    if (watching) {
+      readAll();
+    } else {
+      call = Call.NONE;
     }
+  }
+
+  private void onChanges(long startedMs, long waitUntilMs, PrefixChanges changes) {
     handleSuccess();
     long known = revision.orElse(0L);
     if (StorePosition.eraOf(changes.revision()) != StorePosition.eraOf(known)) {
@@ -166,7 +210,11 @@
     if (!changes.changes().isEmpty()) {
       listener.onChanges(changes.changes());
     }
-    boolean waitedInVain = changes.changes().isEmpty() && MonotonicClock.nowMs() >= waitUntilMs;
+    long nowMs = clock.getAsLong();
+    boolean waitedInVain = changes.changes().isEmpty() && nowMs >= waitUntilMs;
+    if (waitedInVain) {
+      patience.record(nowMs - waitUntilMs);
+    }
     listener.onCurrent(waitedInVain ? waitUntilMs : startedMs);
     revision = Optional.of(Math.max(known, changes.revision()));
     continueWatching();
--- a/sequoiareach-store/src/test/java/org/sequoiareach/store/prefix/PrefixWatcherTest.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/prefix/PrefixWatcherTest.java
@@ -30,7 +30,7 @@
   @BeforeEach
   void start() {
     watcher = new PrefixWatcher(store, "p/", timer, listener);
-    watcher.watch(1_000);
+    watcher.watch(1_000, 250);
   }
 
   @AfterEach
