Limit the blocks of a stream without an event, and flush once for each read

One engine of ten sent line feeds without end on its streams.

Cause: two line feeds are a block. Each was parsed and sent to the caller with a system call of its own, and a stream was given up only after 256 KiB without an event: 131,000 blocks, some 0.6 s of the only event loop for each stream.

A stream may now have 1,024 comments or blank lines, and 16,384 parts, between two events. Blocks are taken one by one, so that nothing is done for those behind the one that ends the stream. What a read of a target contains is flushed once, and a connection is read four times at most before others have their turn.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/AttemptResponseHandler.java
@@ -259,6 +259,11 @@
     }
   }
 
+  @Override
+  public void onReadComplete() {
+    exchange.flushResponse();
+  }
+
   @Override
   public void onComplete(ResponseFraming framing) {
     if (done) {
@@ -396,6 +401,7 @@
       return;
     }
     done = true;
+    exchange.flushResponse();
     hold(0);
     splitter.ifPresent(ServerSentEventSplitter::release);
     splitter = Optional.empty();
@@ -406,18 +412,32 @@
   }
 
   private void forwardEvents(ByteBuf part) {
+    ServerSentEventSplitter events = splitter.orElseThrow();
+    events.append(part);
+    exchange.stream().countPart();
     try {
-      splitter.orElseThrow().split(part).forEach(this::forwardBlock);
+      Optional<EventBlock> block = events.next();
+      while (block.isPresent()) {
+        forwardBlock(block.get());
+        block = done ? Optional.empty() : events.next();
+      }
     } catch (IllegalStateException e) {
       abortWithFault(AttemptFault.BROKEN_ANSWER, e.getMessage());
     }
-    if (!done && !hold(splitter.orElseThrow().remainderBytes())) {
+    if (!done && exchange.stream().isFlooded()) {
+      abortAsFlooded();
+    }
+    if (!done && !hold(events.remainderBytes())) {
       abortWithFault(
           AttemptFault.BROKEN_ANSWER,
           "other responses leave no memory for an event of this length");
     }
   }
 
+  private void abortAsFlooded() {
+    abortWithFault(AttemptFault.BROKEN_ANSWER, "the event stream continues without new events");
+  }
+
   /** Forwards a block, unless the attempt has ended; an invalid block ends it. */
   private void forwardBlock(EventBlock block) {
     if (done) {
@@ -433,7 +453,7 @@
               + ": "
               + reading.fault().get().label());
     } else if (exchange.stream().isFlooded()) {
-      abortWithFault(AttemptFault.BROKEN_ANSWER, "the event stream continues without new events");
+      abortAsFlooded();
     } else if (reading.kind() != BlockReading.Kind.FILLER) {
       receivedEvents++;
     }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ProxyExchange.java
@@ -374,6 +374,11 @@
     response.sendContent(part);
   }
 
+  /** Sends what was written of the response, once for all that a read from a target contained. */
+  void flushResponse() {
+    response.flush();
+  }
+
   void onDelivered(AttemptResponseHandler attempt, String progress) {
     if (ended) {
       return;
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ServerSentEventSplitter.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/ServerSentEventSplitter.java
@@ -2,8 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.Optional;
 import org.sequoiareach.daemon.sse.EventBlock;
 import org.sequoiareach.daemon.sse.EventBoundaryTracker;
 import org.sequoiareach.model.Check;
@@ -24,26 +23,32 @@
   }
 
   /**
-   * Appends bytes of the stream.
+   * Appends bytes of the stream. The blocks that they complete are taken before the next bytes.
    *
    * @param part the bytes; not released
-   * @return the blocks that these bytes complete
-   * @throws IllegalStateException if an incomplete event exceeds the maximum length
    */
-  List<EventBlock> split(ByteBuf part) {
+  void append(ByteBuf part) {
+    buffer.discardSomeReadBytes();
     buffer.writeBytes(part);
-    List<EventBlock> events = new ArrayList<>();
+  }
+
+  /**
+   * Returns the next complete block. Its receiver may end the stream, so that no work is done for
+   * the blocks behind it.
+   *
+   * @return the block; empty if the rest is incomplete
+   * @throws IllegalStateException if an incomplete event exceeds the maximum length
+   */
+  Optional<EventBlock> next() {
     int end = findEventEnd();
-    while (end >= 0) {
-      events.add(readBlock(end));
-      end = findEventEnd();
+    if (end >= 0) {
+      return Optional.of(readBlock(end));
     }
-    buffer.discardSomeReadBytes();
     if (buffer.readableBytes() > maxEventBytes) {
       throw new IllegalStateException(
           "a server-sent event is longer than " + maxEventBytes + " bytes");
     }
-    return events;
+    return Optional.empty();
   }
 
   /** Returns whether the bytes after the last complete event are a part of another one. */
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/StreamReader.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/exchange/StreamReader.java
@@ -66,7 +66,12 @@
     return events.isResumable();
   }
 
-  /** Returns whether more bytes were received without progress than a sound stream contains. */
+  /** Counts a part of the stream, in which a block may end or not. */
+  void countPart() {
+    events.countPart();
+  }
+
+  /** Returns whether more was received without progress than a sound stream contains. */
   boolean isFlooded() {
     return events.isFlooded();
   }
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallResponseWriter.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallResponseWriter.java
@@ -92,7 +92,7 @@
     int length = part.readableBytes();
     progress.onPart(length);
     channel
-        .writeAndFlush(new DefaultHttpContent(part))
+        .write(new DefaultHttpContent(part))
         .addListener(
             written -> {
               if (written.isSuccess()) {
@@ -101,6 +101,13 @@
             });
   }
 
+  @Override
+  public void flush() {
+    if (isOpen()) {
+      channel.flush();
+    }
+  }
+
   @Override
   public void finish() {
     if (!isOpen()) {
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/ResponseWriter.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/ResponseWriter.java
@@ -23,7 +23,7 @@
   boolean isOpen();
 
   /**
-   * Sends the response head.
+   * Writes the response head, which is sent like a part of the body.
    *
    * @param status the HTTP status
    * @param headers the headers without those that frame the message, such as Content-Length
@@ -32,12 +32,15 @@
   void sendHead(HttpResponseStatus status, HttpHeaders headers, OptionalLong length);
 
   /**
-   * Sends a part of the body.
+   * Writes a part of the body, which is sent at the next {@link #flush()} or at the end.
    *
    * @param part the bytes, which are released
    */
   void sendContent(ByteBuf part);
 
+  /** Sends what was written, so that many short parts cost one system call. */
+  default void flush() {}
+
   /** Ends a complete response. */
   void finish();
 
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/ResponseListener.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/ResponseListener.java
@@ -23,6 +23,9 @@
    */
   void onContent(ByteBuf part);
 
+  /** Called after all parts of the body that a read of the connection contained. */
+  default void onReadComplete() {}
+
   /**
    * Called when the response is complete as far as its framing tells.
    *
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnection.java
@@ -256,6 +256,12 @@
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    listener.ifPresent(ResponseListener::onReadComplete);
+    ctx.fireChannelReadComplete();
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     pool.remove(this);
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnectionManager.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetConnectionManager.java
@@ -1,6 +1,7 @@
 package org.sequoiareach.daemon.upstream;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -39,6 +40,9 @@
   private static final int MAX_HEADER_BYTES = 64 << 10;
   private static final long EXPIRY_CHECK_MS = 250;
 
+  /** Lets other connections have their turn while a target sends without a pause. */
+  private static final int READS_PER_TURN = 4;
+
   private final Bootstrap bootstrap;
   private final Map<String, TargetConnectionPool> pools = new HashMap<>();
 
@@ -55,7 +59,10 @@
             .group(loop)
             .channel(resources.onChannelClass(SocketChannel.class, loop))
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-            .option(ChannelOption.TCP_NODELAY, true);
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(
+                ChannelOption.RCVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(READS_PER_TURN));
     KeepAliveProbes.options().forEach((option, value) -> setOption(option, value));
     loop.scheduleWithFixedDelay(
         this::closeExpired, EXPIRY_CHECK_MS, EXPIRY_CHECK_MS, TimeUnit.MILLISECONDS);
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/EventSequencePropertyTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/EventSequencePropertyTest.java
@@ -23,6 +23,8 @@
  */
 class EventSequencePropertyTest {
 
+  private static final int MAX_SOUND_FILLERS = 1_000;
+
   /**
    * An attempt that continues or resumes a stream.
    *
@@ -41,6 +43,45 @@
         .containsExactlyElementsOf(LongStream.rangeClosed(1, forwarded.size()).boxed().toList());
   }
 
+  /** Guards against a target that uses up the processor by blocks of a few bytes each. */
+  @Property
+  void boundsTheFillersOfWhichNoEventFollows(
+      @ForAll("fillers") List<Integer> fillersBeforeEvents, @ForAll("filler") String filler) {
+    EventSequence sequence = new EventSequence();
+    long id = 0;
+    for (int fillers : fillersBeforeEvents) {
+      for (int i = 0; i < fillers; i++) {
+        receive(sequence, filler);
+      }
+      id++;
+      assertThat(sequence.isFlooded()).as("flooded after %s fillers", fillers).isEqualTo(false);
+      receive(sequence, "id: " + id + "\ndata: a\n\n");
+    }
+    int endless = 0;
+    while (!sequence.isFlooded()) {
+      receive(sequence, filler);
+      endless++;
+    }
+    assertThat(endless).isLessThanOrEqualTo(2 * MAX_SOUND_FILLERS);
+  }
+
+  private static void receive(EventSequence sequence, String block) {
+    sequence.receive(
+        EventBlock.parse(Unpooled.copiedBuffer(block, StandardCharsets.US_ASCII)),
+        new NumberedEventStreamFormat(Set.of()));
+  }
+
+  /** A sound server sends some comments to keep a connection alive. */
+  @Provide
+  Arbitrary<List<Integer>> fillers() {
+    return Arbitraries.integers().between(0, MAX_SOUND_FILLERS).list().ofMaxSize(4);
+  }
+
+  @Provide
+  Arbitrary<String> filler() {
+    return Arbitraries.of("\n\n", ":\n\n", ": ping\n\n", "retry: 1\n\n", "\r\n\r\n");
+  }
+
   @Provide
   Arbitrary<List<Attempt>> attempts() {
     return Combinators.combine(
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/EventSequenceTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/exchange/EventSequenceTest.java
@@ -73,6 +73,17 @@
     assertThat(events.isFlooded()).isEqualTo(flooded);
   }
 
+  @ParameterizedTest
+  @CsvSource({"16384, false", "16385, true"})
+  void isFloodedByPartsOfEventWithoutEnd(int parts, boolean flooded) {
+    events.receive(block("id: 1\ndata: a"), NUMBERED);
+    for (int i = 0; i < parts; i++) {
+      events.countPart();
+    }
+
+    assertThat(events.isFlooded()).isEqualTo(flooded);
+  }
+
   /** Returns a block of {@link #BLOCK_BYTES} bytes. */
   private static EventBlock longBlock(String start) {
     String lines = start + (start.equals(":") ? "" : "\ndata: ");
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/AbstractTargetConnectionTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/AbstractTargetConnectionTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.sequoiareach.model.route.RoutedTarget;
@@ -200,6 +201,8 @@
 
     final List<String> events = new CopyOnWriteArrayList<>();
     final StringBuffer content = new StringBuffer();
+    final AtomicInteger parts = new AtomicInteger();
+    final AtomicInteger reads = new AtomicInteger();
     final BlockingQueue<String> heads = new LinkedBlockingQueue<>();
     final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
     volatile TargetConnection connection;
@@ -218,6 +221,12 @@
     @Override
     public void onContent(ByteBuf part) {
       content.append(part.toString(StandardCharsets.ISO_8859_1));
+      parts.incrementAndGet();
+    }
+
+    @Override
+    public void onReadComplete() {
+      reads.incrementAndGet();
     }
 
     @Override
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/upstream/TargetConnectionTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiareach.standin.server.RawServer;
+import org.sequoiareach.store.time.MonotonicClock;
 
 /** Tests what a listener is told when connections fail or targets misbehave. */
 class TargetConnectionTest extends AbstractTargetConnectionTest {
@@ -219,4 +220,24 @@
       // Nothing depends on it.
     }
   }
+
+  /** Guards against a system call for each of many short parts. */
+  @Test
+  void tellsOfEndOfReadOnceForItsParts() throws Exception {
+    final RecordingListener listener = new RecordingListener();
+    TargetConnection connection = acquire();
+    listener.connection = connection;
+    RawServer.Connection accepted = startExchange(connection, "GET", listener);
+
+    accepted.send(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(500));
+    long deadlineMs = MonotonicClock.nowMs() + TIMEOUT_MS;
+    while (listener.reads.get() == 0 || listener.parts.get() < 500) {
+      assertThat(MonotonicClock.nowMs()).isLessThan(deadlineMs);
+      TimeUnit.MILLISECONDS.sleep(5);
+    }
+
+    assertThat(listener.parts).hasValue(500);
+    assertThat(listener.reads).hasValueBetween(1, 50);
+  }
 }
