Flush an aborted response before its connection lingers

Cause: since a part of a response is flushed at the end of a read, so it could be written after the connection had begun to linger, and its bytes then counted as read by the caller. abort() flushes first, as before.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallResponseWriter.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/front/CallResponseWriter.java
@@ -141,6 +141,8 @@
     if (!isOpen()) {
       return;
     }
+    // What is flushed later would look as if the caller still read the response.
+    channel.flush();
     ended = true;
     server.answerEnds().onIncomplete(progress, AnswerEnd.ofCut(reason), server.sheetVersion());
     connection.linger();
