Reject responses whose status line is not valid

With "not executed" in the same head it became 503 with "not-run" and a Retry-After, a promise that nobody had made.

Cause: Netty's decoder repairs status lines. It parses the status as any integer, so 000, 0, +200 and 2000 are statuses; skips blanks and control bytes in front of the line and between its words; takes any version; and hands on the reason with its control bytes. TargetConnection sees the message that results, in which the repair does not show. Ruled out: the dialect and the classification of attempts, which treat the status that they are given as they should.

Evidence: BrokenHeadTest sends 37 status lines through the real gateway. On, 26 of them reached the caller, the same for a booking, a status and a draft, on fresh and on kept connections, and the false "not-run" was reported on all three routes: 9 of 14 cases failed. The other 11 lines were rejected before; their tests stay.

Change: StrictResponseDecoder validates the received bytes before its superclass decodes them. ResponseSyntaxValidator has the grammar of RFC 9112 for a status line; a status is 100 to 599. A violation is a decoder failure, which TargetConnection already handles: the attempt fails as one that may have run, the connection is closed, and the log names the byte and its offset. No decision depends on the decoded status any more unless the received bytes had one.

After: BrokenHeadTest passes (14 cases, among them 8 unusual but valid heads on each route), StrictResponseDecoderPropertyTest agrees with a regular expression of the grammar in 20,000 status lines with one byte changed, and the tests of connections, joined and unrequested answers and GatewayTest pass.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetResponseDecoder.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetResponseDecoder.java
@@ -4,16 +4,16 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.ReferenceCountUtil;
+import org.sequoiareach.store.http.StrictResponseDecoder;
 
 /**
- * HTTP response decoder that closes the connection when bytes arrive that no request waits for.
- * Kept in the decoder, the start of an unrequested response would be joined with the response to
- * the next request.
+ * Strict HTTP response decoder that closes the connection when bytes arrive that no request waits
+ * for. Kept in the decoder, the start of an unrequested response would be joined with the response
+ * to the next request.
  */
-final class TargetResponseDecoder extends HttpResponseDecoder {
+final class TargetResponseDecoder extends StrictResponseDecoder {
 
   private final TargetConnection connection;
 
--- /dev/null
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/http/ResponseSyntaxValidator.java
@@ -0,0 +1,96 @@
+package org.sequoiareach.store.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.CorruptedFrameException;
+import java.util.Locale;
+
+/**
+ * Validates the received bytes of HTTP/1.x responses against the grammar of RFC 9112, before a
+ * decoder repairs or skips what the grammar forbids. Not thread-safe.
+ */
+final class ResponseSyntaxValidator {
+
+  /** The part of a response that the next byte belongs to. */
+  private enum Part {
+    STATUS_LINE,
+    UNCHECKED
+  }
+
+  /** A status line up to its reason: v, c and d are a minor version, a class and a digit. */
+  private static final String STATUS_LINE = "HTTP/1.v cdd ";
+
+  private static final int MIN_STATUS_LINE_BYTES = STATUS_LINE.length() - 1;
+
+  private Part part = Part.STATUS_LINE;
+  private int linePosition;
+  private boolean carriageReturn;
+
+  /** Expects the head of a response. */
+  void startHead() {
+    startLine(Part.STATUS_LINE);
+  }
+
+  /**
+   * Validates bytes up to the end of the part that is validated.
+   *
+   * @param bytes the received bytes
+   * @param start the index of the first byte that has not been validated
+   * @return the number of bytes that have been validated
+   * @throws CorruptedFrameException if a byte is invalid; the message names the byte
+   */
+  int validate(ByteBuf bytes, int start) {
+    int index = start;
+    while (index < bytes.writerIndex() && part != Part.UNCHECKED) {
+      accept(bytes.getUnsignedByte(index));
+      index++;
+    }
+    return index - start;
+  }
+
+  private void accept(int octet) {
+    if (carriageReturn) {
+      require(octet == '\n', octet);
+      startLine(Part.UNCHECKED);
+      return;
+    }
+    carriageReturn = octet == '\r' && linePosition >= MIN_STATUS_LINE_BYTES;
+    require(carriageReturn || isAllowedInStatusLine(octet), octet);
+    linePosition++;
+  }
+
+  private boolean isAllowedInStatusLine(int octet) {
+    if (linePosition >= STATUS_LINE.length()) {
+      return isText(octet);
+    }
+    char expected = STATUS_LINE.charAt(linePosition);
+    return switch (expected) {
+      case 'v' -> octet == '0' || octet == '1';
+      case 'c' -> octet >= '1' && octet <= '5';
+      case 'd' -> octet >= '0' && octet <= '9';
+      default -> octet == expected;
+    };
+  }
+
+  private void startLine(Part next) {
+    part = next;
+    linePosition = 0;
+    carriageReturn = false;
+  }
+
+  private void require(boolean valid, int octet) {
+    if (!valid) {
+      throw new CorruptedFrameException(
+          String.format(
+              Locale.ROOT,
+              "byte 0x%02x at offset %d of the %s is invalid",
+              octet,
+              linePosition,
+              part.name().toLowerCase(Locale.ROOT).replace('_', ' ')));
+    }
+  }
+
+  /** Returns whether a byte is a tab, a blank or a visible character, which includes obs-text. */
+  private static boolean isText(int octet) {
+    return octet == '\t' || octet >= ' ' && octet != 0x7f;
+  }
+}
