Reject responses with an invalid field name

Cause: for a response, Netty's decoder ends a name at the first blank or tab and skips the bytes up to the colon. Another field results, about which the server said nothing: "Content-Length X: 3" framed the body, "X-Sequoiareach-Not-Executed X: 1" turned a 200 into 503 with "not-run" for a booking that had been answered, "Server-Limit X: 0" and "Server-Leaving X: 1" kept all further requests from the target. Interim heads have the same cause, and lines without a colon that contain a blank. Ruled out: validateHeaders is on; it sees the name only after it was cut.

Change: ResponseSyntaxValidator also has the grammar of field lines and of the empty line that ends them. A blank between name and colon, which a proxy may remove (RFC 9112, section 5.1), is rejected too, as nothing tells which name was meant.

--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/http/ResponseSyntaxValidator.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/http/ResponseSyntaxValidator.java
@@ -13,12 +13,17 @@
   /** The part of a response that the next byte belongs to. */
   private enum Part {
     STATUS_LINE,
+    /** Also the empty line that ends a section of fields. */
+    FIELD_NAME,
+    FIELD_VALUE,
     UNCHECKED
   }
 
   /** A status line up to its reason: v, c and d are a minor version, a class and a digit. */
   private static final String STATUS_LINE = "HTTP/1.v cdd ";
 
+  private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
+
   private static final int MIN_STATUS_LINE_BYTES = STATUS_LINE.length() - 1;
 
   private Part part = Part.STATUS_LINE;
@@ -50,14 +55,34 @@
   private void accept(int octet) {
     if (carriageReturn) {
       require(octet == '\n', octet);
-      startLine(Part.UNCHECKED);
+      boolean sectionEnd = part == Part.FIELD_NAME;
+      startLine(sectionEnd ? Part.UNCHECKED : Part.FIELD_NAME);
       return;
     }
-    carriageReturn = octet == '\r' && linePosition >= MIN_STATUS_LINE_BYTES;
-    require(carriageReturn || isAllowedInStatusLine(octet), octet);
+    carriageReturn = octet == '\r' && mayLineEnd();
+    require(carriageReturn || isAllowed(octet), octet);
+    if (part == Part.FIELD_NAME && octet == ':') {
+      part = Part.FIELD_VALUE;
+    }
     linePosition++;
   }
 
+  private boolean mayLineEnd() {
+    return switch (part) {
+      case STATUS_LINE -> linePosition >= MIN_STATUS_LINE_BYTES;
+      case FIELD_NAME -> linePosition == 0;
+      default -> true;
+    };
+  }
+
+  private boolean isAllowed(int octet) {
+    return switch (part) {
+      case STATUS_LINE -> isAllowedInStatusLine(octet);
+      case FIELD_NAME -> isTokenCharacter(octet) || octet == ':' && linePosition > 0;
+      default -> isText(octet);
+    };
+  }
+
   private boolean isAllowedInStatusLine(int octet) {
     if (linePosition >= STATUS_LINE.length()) {
       return isText(octet);
@@ -89,6 +114,13 @@
     }
   }
 
+  private static boolean isTokenCharacter(int octet) {
+    return octet >= '0' && octet <= '9'
+        || octet >= 'A' && octet <= 'Z'
+        || octet >= 'a' && octet <= 'z'
+        || TOKEN_SYMBOLS.indexOf(octet) >= 0;
+  }
+
   /** Returns whether a byte is a tab, a blank or a visible character, which includes obs-text. */
   private static boolean isText(int octet) {
     return octet == '\t' || octet >= ' ' && octet != 0x7f;
--- a/sequoiareach-store/src/test/java/org/sequoiareach/store/http/StrictResponseDecoderPropertyTest.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/http/StrictResponseDecoderPropertyTest.java
@@ -7,6 +7,8 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -49,6 +51,11 @@
   private static final Pattern STATUS_LINE =
       Pattern.compile("HTTP/1\\.[01] ([1-5][0-9]{2})(?: ([\\t\\x20-\\x7e\\x80-\\xff]*))?\r\n");
 
+  private static final String FIELD =
+      "([!#$%&'*+.^_`|~0-9A-Za-z-]+):([\\t\\x20-\\x7e\\x80-\\xff]*)\r\n";
+
+  private static final Pattern FIELDS = Pattern.compile("((?:" + FIELD + ")*)\r\n");
+
   @Property(tries = 20_000)
   void acceptsStatusLineExactlyIfGrammarDoes(
       @ForAll("statusLines") String line,
@@ -70,6 +77,47 @@
         });
   }
 
+  @Property(tries = 20_000)
+  void acceptsFieldsExactlyIfGrammarDoes(
+      @ForAll("fields") String fields,
+      @ForAll Kind kind,
+      @ForAll @IntRange(max = 100) int index,
+      @ForAll("octets") char octet,
+      @ForAll boolean divided) {
+    String changed = kind.apply(fields, index % fields.length(), octet);
+    Matcher sound = FIELDS.matcher(changed);
+
+    Optional<HttpResponse> decoded = decode("HTTP/1.1 200 OK\r\n" + changed, divided);
+
+    // What follows an empty line is a body.
+    assertThat(decoded.isPresent()).as(changed).isEqualTo(sound.lookingAt());
+    decoded.ifPresent(
+        response ->
+            assertThat(describe(response.headers().entries()))
+                .isEqualTo(describe(parseFields(sound.group(1)))));
+  }
+
+  private static List<Map.Entry<String, String>> parseFields(String fields) {
+    return Pattern.compile(FIELD)
+        .matcher(fields)
+        .results()
+        .map(field -> Map.entry(field.group(1), field.group(2).strip()))
+        .toList();
+  }
+
+  private static List<String> describe(List<Map.Entry<String, String>> fields) {
+    return fields.stream().map(field -> field.getKey() + ": " + field.getValue()).toList();
+  }
+
+  @Provide
+  Arbitrary<String> fields() {
+    return Arbitraries.of(
+        "\r\n",
+        "A:\r\n\r\n",
+        "X-A: 1\r\nX-B:\ta b\t\r\n\r\n",
+        "Server-Leaving: 1\r\n!#$%&'*+-.^_`|~09azAZ: Grüße \"(),/:;<=>?@[]{}\\\"\r\n\r\n");
+  }
+
   @Provide
   Arbitrary<String> statusLines() {
     return Arbitraries.of(
