Reject responses with invalid chunk sizes or trailers

A body in chunks whose last part broke the protocol was delivered as complete, also a stream.

The decoder cuts the name of a trailer at a blank as it does in a head, and takes the hexadecimal digits of a chunk's size up to the first byte that is none, after skipping blanks.

Trailers are not passed on to callers, before and now.

Change: StrictResponseDecoder tells the validator when a body in chunks begins. ResponseSyntaxValidator has the grammar of its size lines, skips the data, and reads trailers as the fields of a head. A blank behind the size that no extension follows is invalid by the grammar (RFC 9112, section 7.1.1) and rejected. Extensions are ignored, so that only control bytes in them are.

--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/http/ResponseSyntaxValidator.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/http/ResponseSyntaxValidator.java
@@ -16,6 +16,12 @@
     /** Also the empty line that ends a section of fields. */
     FIELD_NAME,
     FIELD_VALUE,
+    CHUNK_SIZE,
+    /** The blanks that may separate the size of a chunk from its extensions. */
+    CHUNK_SIZE_END,
+    CHUNK_EXTENSIONS,
+    CHUNK_DATA,
+    CHUNK_DATA_END,
     UNCHECKED
   }
 
@@ -26,8 +32,13 @@
 
   private static final int MIN_STATUS_LINE_BYTES = STATUS_LINE.length() - 1;
 
+  private static final int HEX_RADIX = 16;
+  private static final int HEX_DIGIT_BITS = 4;
+  private static final int MAX_CHUNK_SIZE_DIGITS = 15;
+
   private Part part = Part.STATUS_LINE;
   private int linePosition;
+  private long chunkSize;
   private boolean carriageReturn;
 
   /** Expects the head of a response. */
@@ -35,6 +46,11 @@
     startLine(Part.STATUS_LINE);
   }
 
+  /** Expects a body that is sent in chunks, whose data are not validated. */
+  void startChunks() {
+    startLine(Part.CHUNK_SIZE);
+  }
+
   /**
    * Validates bytes up to the end of the part that is validated.
    *
@@ -46,31 +62,73 @@
   int validate(ByteBuf bytes, int start) {
     int index = start;
     while (index < bytes.writerIndex() && part != Part.UNCHECKED) {
-      accept(bytes.getUnsignedByte(index));
-      index++;
+      if (part == Part.CHUNK_DATA) {
+        index += skipChunkData(bytes.writerIndex() - index);
+      } else {
+        accept(bytes.getUnsignedByte(index));
+        index++;
+      }
     }
     return index - start;
   }
 
+  private int skipChunkData(int available) {
+    int skipped = (int) Math.min(available, chunkSize);
+    chunkSize -= skipped;
+    if (chunkSize == 0) {
+      startLine(Part.CHUNK_DATA_END);
+    }
+    return skipped;
+  }
+
   private void accept(int octet) {
     if (carriageReturn) {
       require(octet == '\n', octet);
-      boolean sectionEnd = part == Part.FIELD_NAME;
-      startLine(sectionEnd ? Part.UNCHECKED : Part.FIELD_NAME);
+      startLine(partAfterLine());
       return;
     }
     carriageReturn = octet == '\r' && mayLineEnd();
     require(carriageReturn || isAllowed(octet), octet);
-    if (part == Part.FIELD_NAME && octet == ':') {
-      part = Part.FIELD_VALUE;
+    if (!carriageReturn) {
+      advance(octet);
     }
     linePosition++;
   }
 
+  /** Changes the part if a byte ends it inside its line. */
+  private void advance(int octet) {
+    switch (part) {
+      case FIELD_NAME -> part = octet == ':' ? Part.FIELD_VALUE : part;
+      case CHUNK_SIZE, CHUNK_SIZE_END -> advanceInChunkSize(octet);
+      default -> {}
+    }
+  }
+
+  private void advanceInChunkSize(int octet) {
+    if (octet == ';') {
+      part = Part.CHUNK_EXTENSIONS;
+    } else if (isBlank(octet)) {
+      part = Part.CHUNK_SIZE_END;
+    } else {
+      chunkSize = (chunkSize << HEX_DIGIT_BITS) + Character.digit(octet, HEX_RADIX);
+    }
+  }
+
+  private Part partAfterLine() {
+    return switch (part) {
+      case STATUS_LINE, FIELD_VALUE -> Part.FIELD_NAME;
+      case CHUNK_SIZE, CHUNK_EXTENSIONS -> chunkSize > 0 ? Part.CHUNK_DATA : Part.FIELD_NAME;
+      case CHUNK_DATA_END -> Part.CHUNK_SIZE;
+      default -> Part.UNCHECKED;
+    };
+  }
+
   private boolean mayLineEnd() {
     return switch (part) {
       case STATUS_LINE -> linePosition >= MIN_STATUS_LINE_BYTES;
       case FIELD_NAME -> linePosition == 0;
+      case CHUNK_SIZE -> linePosition > 0;
+      case CHUNK_SIZE_END -> false;
       default -> true;
     };
   }
@@ -79,6 +137,11 @@
     return switch (part) {
       case STATUS_LINE -> isAllowedInStatusLine(octet);
       case FIELD_NAME -> isTokenCharacter(octet) || octet == ':' && linePosition > 0;
+      case CHUNK_SIZE ->
+          Character.digit(octet, HEX_RADIX) >= 0 && linePosition < MAX_CHUNK_SIZE_DIGITS
+              || linePosition > 0 && (octet == ';' || isBlank(octet));
+      case CHUNK_SIZE_END -> octet == ';' || isBlank(octet);
+      case CHUNK_DATA_END -> false;
       default -> isText(octet);
     };
   }
@@ -121,6 +184,10 @@
         || TOKEN_SYMBOLS.indexOf(octet) >= 0;
   }
 
+  private static boolean isBlank(int octet) {
+    return octet == ' ' || octet == '\t';
+  }
+
   /** Returns whether a byte is a tab, a blank or a visible character, which includes obs-text. */
   private static boolean isText(int octet) {
     return octet == '\t' || octet >= ' ' && octet != 0x7f;
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/http/StrictResponseDecoder.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/http/StrictResponseDecoder.java
@@ -7,7 +7,9 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 
@@ -60,6 +62,10 @@
 
   private void onDecoded(Object message) {
     failed |= message instanceof HttpObject object && object.decoderResult().isFailure();
+    if (message instanceof HttpResponse response && HttpUtil.isTransferEncodingChunked(response)) {
+      validator.startChunks();
+    }
+    // Of a response without a body, too, which is decoded as its head and an empty end.
     if (message instanceof LastHttpContent) {
       validator.startHead();
     }
