Reject invalid responses to control calls and of services

What engines and the store answered to the gateway's own calls was read from invalid heads too, as were the answers that the product's own daemon reads.

Evidence: MalformedControlResponseTest on, 15 of 16 cases failed. "Server-Leaving X: 1" made a report say that the engine leaves, and 0503 or "Retry-After X: 3" that it asks to be left alone for 3 s; 0200 was a copied run, +404 and a cut name the proof that there is no run, and a 410 with a control byte made the daemon read the whole store again. The 16th, the status 000 of the store, was rejected before and stays a test. MalformedTargetResponseTest on the same code: of 111 invalid responses to eight kinds of call, 93 ended as successes and one as "not run"; the other 17 failed for another reason than the one to be reported.

Change: ResponseHardening puts StrictClientCodec in the place of Netty's client codec on each connection and keeps the limit of interim responses. HttpCaller, EngineClient and ServiceClient use it. The rule for responses to HEAD moves to StrictResponseDecoder, which TargetResponseDecoder shares. An invalid response to a request for a report counts as an invalid report, as one that is too long does. Handling messages behind the codec was ruled out: they do not show what was repaired.

After: both tests pass (16 and 135 cases, among them 24 sound responses), and so do the tests of the clients, the store and the architecture. The calls fail as ones that may have run, and their connections are closed.

--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/EngineClient.java
@@ -27,7 +27,7 @@
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.RequestFailedException;
 import org.sequoiareach.model.request.Verdict;
-import org.sequoiareach.store.http.InterimResponseLimit;
+import org.sequoiareach.store.http.ResponseHardening;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
@@ -80,7 +80,7 @@
   }
 
   private static HttpClient createClient(LoopResources eventLoops, ConnectionProvider connections) {
-    return InterimResponseLimit.applyTo(HttpClient.create(connections))
+    return ResponseHardening.applyTo(HttpClient.create(connections))
         .runOn(eventLoops, false)
         .disableRetry(true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/ServiceClient.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/target/ServiceClient.java
@@ -17,7 +17,7 @@
 import org.sequoiareach.model.request.Reason;
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.peer.Header;
-import org.sequoiareach.store.http.InterimResponseLimit;
+import org.sequoiareach.store.http.ResponseHardening;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
@@ -59,7 +59,7 @@
    */
   public ServiceClient(LoopResources eventLoops) {
     this.client =
-        InterimResponseLimit.applyTo(HttpClient.create(ConnectionProvider.newConnection()))
+        ResponseHardening.applyTo(HttpClient.create(ConnectionProvider.newConnection()))
             .runOn(eventLoops, false)
             .disableRetry(true)
             .keepAlive(false)
--- a/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetResponseDecoder.java
+++ b/sequoiareach-daemon/src/main/java/org/sequoiareach/daemon/upstream/TargetResponseDecoder.java
@@ -2,9 +2,6 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.ReferenceCountUtil;
 import org.sequoiareach.store.http.StrictResponseDecoder;
 
@@ -38,9 +35,7 @@
   }
 
   @Override
-  protected boolean isContentAlwaysEmpty(HttpMessage message) {
-    boolean interim =
-        ((HttpResponse) message).status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    return !interim && connection.isHeadRequest() || super.isContentAlwaysEmpty(message);
+  protected boolean answersHeadRequest() {
+    return connection.isHeadRequest();
   }
 }
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/http/HttpCaller.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/http/HttpCaller.java
@@ -49,7 +49,7 @@
    */
   public HttpCaller(HttpClient http, int maxBodyBytes) {
     this(
-        InterimResponseLimit.applyTo(Check.notNull(http, "http")).disableRetry(true),
+        ResponseHardening.applyTo(Check.notNull(http, "http")).disableRetry(true),
         maxBodyBytes,
         ResponseMemory.unlimited());
   }
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/http/InterimResponseLimit.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/http/InterimResponseLimit.java
@@ -6,39 +6,19 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.ReferenceCountUtil;
-import reactor.netty.NettyPipeline;
-import reactor.netty.http.client.HttpClient;
 
 /**
  * Skips interim responses, which the client would take for the response to its request, and closes
  * a connection whose server sends them without end.
  */
-public final class InterimResponseLimit extends ChannelInboundHandlerAdapter {
+final class InterimResponseLimit extends ChannelInboundHandlerAdapter {
 
   /** The interim responses to one request, which only announce that its response will follow. */
   static final int MAX_INTERIM_RESPONSES = 32;
 
-  private static final String HANDLER_NAME = "interimResponseLimit";
-
   private int count;
   private boolean skipping;
 
-  private InterimResponseLimit() {}
-
-  /**
-   * Limits the interim responses on all connections of a client.
-   *
-   * @param client the client
-   * @return the limited client
-   */
-  public static HttpClient applyTo(HttpClient client) {
-    return client.doOnChannelInit(
-        (observer, channel, address) ->
-            channel
-                .pipeline()
-                .addAfter(NettyPipeline.HttpCodec, HANDLER_NAME, new InterimResponseLimit()));
-  }
-
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     if (message instanceof HttpResponse response) {
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/http/ResponseSyntaxValidator.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/http/ResponseSyntaxValidator.java
@@ -1,7 +1,6 @@
 package org.sequoiareach.store.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.CorruptedFrameException;
 import java.util.Locale;
 
 /**
@@ -57,7 +56,7 @@
    * @param bytes the received bytes
    * @param start the index of the first byte that has not been validated
    * @return the number of bytes that have been validated
-   * @throws CorruptedFrameException if a byte is invalid; the message names the byte
+   * @throws MalformedResponseException if a byte is invalid; the message names the byte
    */
   int validate(ByteBuf bytes, int start) {
     int index = start;
@@ -167,7 +166,7 @@
 
   private void require(boolean valid, int octet) {
     if (!valid) {
-      throw new CorruptedFrameException(
+      throw new MalformedResponseException(
           String.format(
               Locale.ROOT,
               "byte 0x%02x at offset %d of the %s is invalid",
--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/http/StrictResponseDecoder.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/http/StrictResponseDecoder.java
@@ -2,13 +2,13 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
@@ -46,7 +46,7 @@
     int start = buffer.readerIndex();
     try {
       validated += validator.validate(buffer, start + validated);
-    } catch (CorruptedFrameException e) {
+    } catch (MalformedResponseException e) {
       failed = true;
       buffer.skipBytes(buffer.readableBytes());
       HttpMessage message = createInvalidMessage();
@@ -60,6 +60,23 @@
     out.subList(firstDecoded, out.size()).forEach(this::onDecoded);
   }
 
+  @Override
+  protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    boolean interim =
+        ((HttpResponse) message).status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    return !interim && answersHeadRequest() || super.isContentAlwaysEmpty(message);
+  }
+
+  /**
+   * Returns whether the request that the current response answers has the method HEAD, so that the
+   * response has no body. Called once for each response that is not interim.
+   *
+   * @return whether the method is HEAD
+   */
+  protected boolean answersHeadRequest() {
+    return false;
+  }
+
   private void onDecoded(Object message) {
     failed |= message instanceof HttpObject object && object.decoderResult().isFailure();
     if (message instanceof HttpResponse response && HttpUtil.isTransferEncodingChunked(response)) {
