Count invalid responses as failures in load runs

The load tool counted an answer with the status 000 as one that finished: a response is a success if its status is below 400, and the decoder gave it 0.

LoadRunner uses ResponseHardening, and FailureReasons has the reason malformed-response. The module depends on sequoiareach-store for it.

Before: LoadRunnerTest.countsMalformedResponseAsFailure failed in 4 of 4 cases (6 finished calls on a 000, 0200 and a length with a cut name, 20 refusals on a 503 with one). After: LoadRunnerTest and StandinLoadTest pass.

--- a/sequoiareach-load/src/main/java/org/sequoiareach/load/run/LoadRunner.java
+++ b/sequoiareach-load/src/main/java/org/sequoiareach/load/run/LoadRunner.java
@@ -18,6 +18,7 @@
 import org.sequoiareach.load.trace.Arrival;
 import org.sequoiareach.load.trace.TraceGenerator;
 import org.sequoiareach.model.Check;
+import org.sequoiareach.store.http.ResponseHardening;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.resources.LoopResources;
@@ -47,7 +48,10 @@
             .pendingAcquireMaxCount(-1)
             .maxIdleTime(Duration.ofMillis(MAX_CONNECTION_IDLE_MS))
             .build();
-    client = HttpClient.create(connections).runOn(loops, false).disableRetry(true);
+    client =
+        ResponseHardening.applyTo(HttpClient.create(connections))
+            .runOn(loops, false)
+            .disableRetry(true);
   }
 
   /**
--- a/sequoiareach-load/src/test/java/org/sequoiareach/load/run/LoadRunnerTest.java
+++ b/sequoiareach-load/src/test/java/org/sequoiareach/load/run/LoadRunnerTest.java
@@ -4,11 +4,13 @@
 import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiareach.load.TestSettings;
 import org.sequoiareach.load.check.FaultKind;
 import org.sequoiareach.load.report.RunReport;
@@ -17,6 +19,7 @@
 import org.sequoiareach.load.settings.ResumeSettings;
 import org.sequoiareach.load.settings.RunSettings;
 import org.sequoiareach.load.settings.Targets;
+import org.sequoiareach.standin.server.RawServer;
 
 class LoadRunnerTest {
 
@@ -123,6 +126,41 @@
     }
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 000 Trouble\r\nContent-Length: 0",
+        "HTTP/1.1 0200 OK\r\nContent-Length: 0",
+        "HTTP/1.1 200 OK\r\nContent-Length X: 0",
+        "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nSequoiareach-Verdict X: not-run",
+      })
+  void countsMalformedResponseAsFailure(String head) throws Exception {
+    try (RawServer server = new RawServer();
+        LoadRunner runner = new LoadRunner()) {
+      CompletableFuture.runAsync(() -> answerAll(server, head + "\r\n\r\n"));
+      List<String> callers = List.of("http://" + server.address());
+
+      RunReport report =
+          RunReport.of(runner.run(settings(callers, Targets.NONE, QUOTE, TestSettings.booking())));
+
+      assertThat(report.total().finished()).isZero();
+      assertThat(report.total().reasons()).containsOnlyKeys("failed: malformed-response");
+      assertThat(report.violations()).isEmpty();
+    }
+  }
+
+  private static void answerAll(RawServer server, String answer) {
+    try {
+      while (true) {
+        RawServer.Connection connection = server.accept();
+        connection.awaitReceived("\r\n\r\n");
+        connection.send(answer);
+      }
+    } catch (InterruptedException | IllegalStateException e) {
+      // The test has ended.
+    }
+  }
+
   @Test
   void reportsTargetsWithoutRecord() throws InterruptedException {
     try (FaultInjectingServer server = new FaultInjectingServer(Fault.NONE);
