--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/DaemonEndToEndTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/DaemonEndToEndTest.java
@@ -3,8 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -20,6 +24,7 @@
 class DaemonEndToEndTest {
 
   private static final Pattern COMPLETION_ID = Pattern.compile("\"id\":\"(chatcmpl-[^\"]+)\"");
+  private static final int TIMEOUT_MS = 10_000;
   private static final String VERDICT_HEADER = "Sequoiareach-Verdict";
 
   private static LocalDeployment deployment;
@@ -142,6 +147,34 @@
     assertThat(deployment.send(request).join().statusCode()).isEqualTo(status);
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "X Y: 1",
+        "X-A : 1",
+        "X-A\t: 1",
+        "X\u0001A: 1",
+        ": 1",
+        "no colon",
+        "Content-Length X: 5",
+        "Transfer-Encoding X: chunked",
+      })
+  void rejectsRequestWithMalformedField(String field) throws Exception {
+    String head = " HTTP/1.1\r\nHost: a\r\n" + field + "\r\n\r\n";
+
+    assertThat(exchange(first.operatorAddress(), "GET /readyz" + head)).startsWith("HTTP/1.1 400 ");
+    assertThat(exchange(first.callerAddress(), "GET /v1/models" + head))
+        .startsWith("HTTP/1.1 400 ");
+  }
+
+  private static String exchange(InetSocketAddress address, String text) throws IOException {
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      socket.setSoTimeout(TIMEOUT_MS);
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+
   private static HttpResponse<String> resume(Daemon daemon, String key, String id, String after) {
     return deployment
         .send(
