--- a/sequoiareach-store/src/main/java/org/sequoiareach/store/http/ResponseSyntaxValidator.java
+++ b/sequoiareach-store/src/main/java/org/sequoiareach/store/http/ResponseSyntaxValidator.java
@@ -33,11 +33,16 @@
 
   private static final int HEX_RADIX = 16;
   private static final int HEX_DIGIT_BITS = 4;
+
+  /** Keeps a size within the range of a long. */
   private static final int MAX_CHUNK_SIZE_DIGITS = 15;
 
   private Part part = Part.STATUS_LINE;
   private int linePosition;
+
+  /** The size of a chunk as far as it has been read, then the number of its bytes left. */
   private long chunkSize;
+
   private boolean carriageReturn;
 
   /** Expects the head of a response. */
