Share the set-up of two tests of clients, and drop a platform's name

MalformedTargetResponseTest repeated the clients, the server and their stop of EndlessTargetResponseTest; both extend AbstractRawTargetTest now, whose stop waits for the threads. StrictResponseDecoderPropertyTest, outside of platform/, had a header of the platform among its samples. No product code, bound or expectation changes.

--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/target/EndlessTargetResponseTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/target/EndlessTargetResponseTest.java
@@ -3,30 +3,22 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
-import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.sequoiareach.standin.server.RawServer;
-import org.sequoiareach.store.http.HttpCaller;
 import org.sequoiareach.store.time.MonotonicClock;
 import reactor.core.publisher.Mono;
-import reactor.netty.http.client.HttpClient;
-import reactor.netty.resources.ConnectionProvider;
-import reactor.netty.resources.LoopResources;
 
 /** Tests that no server can make a client read without end. */
-class EndlessTargetResponseTest {
+class EndlessTargetResponseTest extends AbstractRawTargetTest {
 
   private static final int REPETITIONS_PER_WRITE = 200;
-  private static final int MAX_BODY_BYTES = 1 << 20;
   private static final long CALL_TIMEOUT_MS = 1_000;
   private static final Duration STREAM_TIMEOUT = Duration.ofMillis(500);
   private static final int CLOSED_WITHIN_MS = 4_000;
@@ -60,24 +52,7 @@
     GET
   }
 
-  private final LoopResources resources = LoopResources.create("test", 1, true);
-  private final ConnectionProvider connections = ConnectionProvider.create("test", 10);
   private final EngineClient engines = new EngineClient(resources, connections, STREAM_TIMEOUT);
-  private final HttpCaller http =
-      new HttpCaller(HttpClient.create(connections).runOn(resources, false), MAX_BODY_BYTES);
-  private RawServer server;
-
-  @BeforeEach
-  void start() throws IOException {
-    server = new RawServer();
-  }
-
-  @AfterEach
-  void stop() throws IOException {
-    server.close();
-    connections.dispose();
-    resources.dispose();
-  }
 
   @ParameterizedTest
   @EnumSource(Endless.class)
--- a/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/target/MalformedTargetResponseTest.java
+++ b/sequoiareach-daemon/src/test/java/org/sequoiareach/daemon/target/MalformedTargetResponseTest.java
@@ -3,14 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import java.io.IOException;
-import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -20,18 +16,13 @@
 import org.sequoiareach.model.request.Verdict;
 import org.sequoiareach.standin.server.RawServer;
 import org.sequoiareach.store.http.HttpCallException;
-import org.sequoiareach.store.http.HttpCaller;
 import org.sequoiareach.store.time.MonotonicClock;
 import reactor.core.publisher.Mono;
-import reactor.netty.http.client.HttpClient;
-import reactor.netty.resources.ConnectionProvider;
-import reactor.netty.resources.LoopResources;
 
 /** Tests that no client takes a response that is not valid by RFC 9112. */
-class MalformedTargetResponseTest {
+class MalformedTargetResponseTest extends AbstractRawTargetTest {
 
   private static final long TIMEOUT_MS = 5_000;
-  private static final int MAX_BODY_BYTES = 1 << 20;
   private static final int LENGTH_OF_BODY_NOT_SENT = 5;
 
   /** A call of a client, and the body of a response that it accepts. */
@@ -79,25 +70,8 @@
           "HTTP/1.1 200\r\nX-A:\r\nContent-Length: @",
           "HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: @");
 
-  private final LoopResources resources = LoopResources.create("test", 1, true);
-  private final ConnectionProvider connections = ConnectionProvider.create("test", 10);
   private final EngineClient engines = new EngineClient(resources, connections);
   private final ServiceClient services = new ServiceClient(resources);
-  private final HttpCaller http =
-      new HttpCaller(HttpClient.create(connections).runOn(resources, false), MAX_BODY_BYTES);
-  private RawServer server;
-
-  @BeforeEach
-  void start() throws IOException {
-    server = new RawServer();
-  }
-
-  @AfterEach
-  void stop() throws IOException {
-    server.close();
-    connections.dispose();
-    resources.disposeLater(Duration.ZERO, Duration.ofMillis(TIMEOUT_MS)).block();
-  }
 
   static Stream<Arguments> malformedHeads() {
     return Stream.of(Call.values())
--- a/sequoiareach-store/src/test/java/org/sequoiareach/store/http/StrictResponseDecoderPropertyTest.java
+++ b/sequoiareach-store/src/test/java/org/sequoiareach/store/http/StrictResponseDecoderPropertyTest.java
@@ -171,7 +171,7 @@
         "\r\n",
         "A:\r\n\r\n",
         "X-A: 1\r\nX-B:\ta b\t\r\n\r\n",
-        "Server-Leaving: 1\r\n!#$%&'*+-.^_`|~09azAZ: Grüße \"(),/:;<=>?@[]{}\\\"\r\n\r\n");
+        "Cache-Control: no-store\r\n!#$%&'*+-.^_`|~09azAZ: Grüße \"(),/:;<=>?@[]{}\\\"\r\n\r\n");
   }
 
   @Provide
